--- /dev/null
+++ b/decide/routing/spill.go
@@ -0,0 +1,74 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+)
+
+const (
+	// defaultLatency is assumed for a data centre whose latency was never measured: a far region.
+	defaultLatency = 150 * time.Millisecond
+	// maxFirstToken bounds a summary's time to first token.
+	maxFirstToken = time.Minute
+	// minCost keeps the cost of a near and idle data centre above zero.
+	minCost = 5 * time.Millisecond
+)
+
+// spill picks another data centre by cost and headroom. The decision without one is given; it is returned if there is
+// none or if the request has already been passed on once.
+func (b *Balanced) spill(s *fleet.Snapshot, r *Request, rng *rand.Rand, d Decision) Decision {
+	if r.Spilled {
+		return d
+	}
+	var total float64
+	for i := range s.Remote {
+		total += b.attraction(s, r, &s.Remote[i])
+	}
+	if total <= 0 {
+		return d
+	}
+	point := rng.Float64() * total
+	for i := range s.Remote {
+		w := b.attraction(s, r, &s.Remote[i])
+		if w <= 0 {
+			continue
+		}
+		d.DataCentre, d.Reason = s.Remote[i].DataCentre, ReasonChosen
+		if point -= w; point < 0 {
+			break
+		}
+	}
+	return d
+}
+
+// attraction is the weight of a data centre in the random choice: its headroom divided by the square of its cost. The
+// square makes a near data centre preferred until it has little headroom; the random choice keeps the entry instances
+// of all data centres from filling the same one within the second between two summaries.
+func (b *Balanced) attraction(s *fleet.Snapshot, r *Request, summary *fleet.Summary) float64 {
+	if summary.Kind != r.Target.Kind || summary.Name != r.Target.Name || summary.DataCentre == s.Local ||
+		summary.Servers <= 0 || summary.Free <= 0 || slices.Contains(r.Avoid, summary.DataCentre) {
+		return 0
+	}
+	free := min(summary.Free, min(summary.Servers, maxHandles)*maxLimit)
+	latency := defaultLatency
+	if known := b.latency.Load(); known != nil {
+		if l, ok := (*known)[summary.DataCentre]; ok && l >= 0 {
+			latency = l
+		}
+	}
+	cost := (minCost + latency + min(max(summary.FirstToken, 0), maxFirstToken)).Seconds()
+	return float64(free) / (cost * cost)
+}
+
+// find returns the position of the server in the snapshot, -1 if it is not there.
+func find(s *fleet.Snapshot, id fleet.ServerID) int {
+	i := sort.Search(len(s.Servers), func(i int) bool { return s.Servers[i].Server >= id })
+	if i < len(s.Servers) && s.Servers[i].Server == id {
+		return i
+	}
+	return -1
+}
