Add agent, control loop and gateway, not wired yet

First versions of the processes' parts: the agent admits, runs and keeps attempts; the control loop publishes views; the gateway queues, places and relays calls.

--- /dev/null
+++ b/internal/agent/execute.go
@@ -0,0 +1,241 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/banyanfront/banyanfront/decide/limits"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+const (
+	// keyedGrace is how long a keyed attempt may run past its caller's deadline: cutting it would make its outcome
+	// unknown.
+	keyedGrace = 60 * time.Second
+	// maxKeptAnswer bounds one kept answer, so that it fits an Inquiry message.
+	maxKeptAnswer = protocol.MaxMessageBytes / 2
+	// refusedRetryAfter is when a refused attempt may be tried here again.
+	refusedRetryAfter = 250 * time.Millisecond
+	answerChunk       = 64 << 10
+)
+
+// StreamOpened implements transport.Handler: it runs one attempt.
+func (a *Agent) StreamOpened(st transport.Stream, open *protocol.Open) {
+	defer st.Close("attempt ended")
+	end := a.attempt(st, open)
+	load := a.load(time.Now())
+	end.Load = &load
+	metricAttempts(end.Outcome).Inc()
+	_ = st.Send(context.Background(), &end)
+}
+
+// attempt checks whether an attempt may run, runs it and returns how it ended.
+func (a *Agent) attempt(st transport.Stream, open *protocol.Open) protocol.End {
+	keyed := open.Key != ""
+	if open.Boot != a.config.Boot {
+		return notRun("the agent has restarted since the attempt was addressed to it: choose again from a newer snapshot")
+	}
+	record, first := a.attempts.begin(open.Attempt, keyed, time.Now())
+	if !first {
+		if record.barred {
+			return notRun("the attempt was inquired about before it arrived and is barred: use a new attempt")
+		}
+		return protocol.End{Outcome: protocol.OutcomeRunning, Reason: "the attempt was received before: inquire about it"}
+	}
+	ticket, reason := a.admit(time.Now())
+	if reason != "" {
+		a.attempts.finish(record, protocol.OutcomeNotRun, answer{}, time.Now())
+		return notRun(reason)
+	}
+	run := execution{agent: a, stream: st, open: open, ticket: ticket, started: time.Now()}
+	end := run.run()
+	a.finished(ticket, run.serverOutcome(end.Outcome))
+	a.attempts.finish(record, end.Outcome, run.answer, time.Now())
+	return end
+}
+
+func notRun(reason string) protocol.End {
+	return protocol.End{Outcome: protocol.OutcomeNotRun, Reason: reason, RetryAfterMS: refusedRetryAfter.Milliseconds()}
+}
+
+// execution is one admitted attempt.
+type execution struct {
+	agent     *Agent
+	stream    transport.Stream
+	open      *protocol.Open
+	ticket    limits.Ticket
+	answer    answer
+	started   time.Time
+	lastPart  time.Time
+	cancelled bool // by the entry instance
+	lost      bool // the stream is gone; a keyed attempt runs on
+	offset    uint64
+}
+
+// run forwards the attempt to the backend server and its answer to the stream.
+func (e *execution) run() protocol.End {
+	ctx, cancel := e.context()
+	defer cancel()
+	res := e.agent.backend.do(ctx, e.open)
+	if res.err != nil {
+		return e.failed(res.err, res.sent)
+	}
+	defer res.Body.Close()
+	e.answer.kept = e.open.Key != ""
+	e.offset = e.open.ResumeFrom
+	headers := answerHeaders(res.Header)
+	e.answer.status, e.answer.headers = res.StatusCode, headers
+	e.send(ctx, &protocol.Head{Status: res.StatusCode, Headers: headers})
+	var err error
+	if strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
+		err = e.forwardEvents(ctx, res.Body)
+	} else {
+		err = e.forwardBody(ctx, res.Body)
+	}
+	if err != nil {
+		return e.failed(err, true)
+	}
+	return protocol.End{Outcome: protocol.OutcomeDone}
+}
+
+// context ends with the caller's deadline or with the stream; a keyed attempt outlives both by a grace period.
+func (e *execution) context() (context.Context, context.CancelFunc) {
+	limit := time.Duration(e.open.DeadlineMS) * time.Millisecond
+	if e.open.Key != "" {
+		return context.WithTimeout(context.Background(), limit+keyedGrace)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	go func() {
+		// Nothing but Cancel or the end of the stream comes from the entry instance.
+		_, _ = e.stream.Receive(ctx)
+		cancel()
+	}()
+	return ctx, cancel
+}
+
+// failed classifies an error of the backend server. The request is proved not run only if no byte of it was sent.
+func (e *execution) failed(err error, sent bool) protocol.End {
+	switch {
+	case !sent && !errors.Is(err, context.Canceled):
+		e.agent.backendFailed()
+		return notRun("the backend server does not accept connections: " + err.Error())
+	case e.open.Key != "":
+		log.WithError(err).WithField("attempt", e.open.Attempt).Warn("the outcome of a keyed attempt is unknown")
+		return protocol.End{Outcome: protocol.OutcomeUnknown, Reason: err.Error()}
+	case errors.Is(err, context.Canceled):
+		e.cancelled = true
+		return protocol.End{Outcome: protocol.OutcomeFailed, Reason: "cancelled by the entry instance"}
+	default:
+		return protocol.End{Outcome: protocol.OutcomeFailed, Reason: err.Error()}
+	}
+}
+
+func (e *execution) forwardEvents(ctx context.Context, body io.Reader) error {
+	events := newEventReader(body)
+	for {
+		part, tokens, err := events.next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		e.observe(tokens)
+		e.send(ctx, &protocol.Data{Offset: e.offset, Payload: part, Tokens: tokens})
+		e.offset += uint64(tokens)
+		if e.lost && e.open.Key == "" {
+			return context.Canceled
+		}
+	}
+}
+
+func (e *execution) forwardBody(ctx context.Context, body io.Reader) error {
+	buf := make([]byte, answerChunk)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			e.observe(0)
+			e.send(ctx, &protocol.Data{Offset: e.offset, Payload: append([]byte(nil), buf[:n]...)})
+			e.offset += uint64(n)
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if e.lost && e.open.Key == "" {
+			return context.Canceled
+		}
+	}
+}
+
+// observe notes the time to first token and between tokens.
+func (e *execution) observe(tokens int) {
+	now := time.Now()
+	if e.lastPart.IsZero() {
+		firstToken := max(now.Sub(e.started), 1)
+		e.agent.firstToken(e.ticket, firstToken)
+		e.agent.meter.observeFirst(firstToken)
+		metricFirstToken.Update(firstToken.Seconds())
+	} else {
+		e.agent.meter.observeTokens(now.Sub(e.lastPart), tokens)
+	}
+	e.lastPart = now
+}
+
+// serverOutcome says what an attempt's end tells about the server.
+func (e *execution) serverOutcome(outcome protocol.Outcome) limits.Outcome {
+	switch {
+	case e.cancelled:
+		return limits.Cancelled
+	case e.answer.status == http.StatusTooManyRequests || e.answer.status == http.StatusServiceUnavailable:
+		return limits.Overload
+	case e.answer.status >= http.StatusInternalServerError, outcome != protocol.OutcomeDone:
+		return limits.Failed
+	}
+	return limits.Done
+}
+
+// send passes a message to the entry instance and keeps the answer of a keyed attempt. A lost stream is not an error
+// for a keyed attempt: its answer is kept for an inquiry.
+func (e *execution) send(ctx context.Context, m protocol.Message) {
+	if data, ok := m.(*protocol.Data); ok && e.answer.kept {
+		e.answer.body = append(e.answer.body, data.Payload...)
+		if len(e.answer.body) > maxKeptAnswer {
+			e.answer.body, e.answer.kept = nil, false
+		}
+	}
+	if e.lost {
+		return
+	}
+	if err := e.stream.Send(ctx, m); err != nil {
+		e.lost = true
+	}
+}
+
+// hopHeaders are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+}
+
+func answerHeaders(h http.Header) []protocol.Header {
+	headers := make([]protocol.Header, 0, len(h))
+	for name, values := range h {
+		if hopHeaders[name] {
+			continue
+		}
+		for _, value := range values {
+			headers = append(headers, protocol.Header{Name: name, Value: value})
+		}
+	}
+	return headers
+}
--- /dev/null
+++ b/internal/command/agent.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/banyanfront/banyanfront/internal/agent"
+	"github.com/banyanfront/banyanfront/internal/process"
+	"github.com/banyanfront/banyanfront/internal/settings"
+)
+
+// Agent returns the command line of banyanagent.
+func Agent() *ff.Command {
+	serveFlags := ff.NewFlagSet("serve")
+	file := settingsFlag(serveFlags, "agent.json")
+	serve := &ff.Command{
+		Name:      "serve",
+		Usage:     "banyanagent serve [--settings FILE]",
+		ShortHelp: "run the agent beside a backend server until SIGINT or SIGTERM, then drain",
+		Flags:     serveFlags,
+		Exec: func(ctx context.Context, _ []string) error {
+			config, problems := settings.LoadAgent(*file)
+			if err := invalidOr(problems); err != nil {
+				return err
+			}
+			if err := process.SetLogging(config.LogLevel, config.LogFormat); err != nil {
+				return err
+			}
+			ctx, cancel := process.Signals(ctx)
+			defer cancel()
+			return agent.Serve(ctx, config)
+		},
+	}
+	check := &ff.Command{
+		Name:      "check",
+		Usage:     "banyanagent check FILE...",
+		ShortHelp: "check settings files; exit status 2 if one is invalid",
+		Flags:     ff.NewFlagSet("check"),
+		Exec: func(_ context.Context, args []string) error {
+			return checkFiles(args, func(file string) []settings.Problem {
+				_, problems := settings.LoadAgent(file)
+				return problems
+			})
+		},
+	}
+	return &ff.Command{
+		Name:        "banyanagent",
+		Usage:       "banyanagent COMMAND",
+		ShortHelp:   "the process beside a backend server",
+		Subcommands: []*ff.Command{serve, check},
+	}
+}
+
+// checkFiles checks each file and reports all problems.
+func checkFiles(files []string, check func(string) []settings.Problem) error {
+	if len(files) == 0 {
+		return usage("no file given: name at least one")
+	}
+	var problems []settings.Problem
+	for _, file := range files {
+		found := check(file)
+		if len(found) == 0 {
+			fmt.Println(file + ": ok")
+		}
+		problems = append(problems, found...)
+	}
+	return invalidOr(problems)
+}
--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"time"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+// View is what traffic goroutines know of the fleet. It is immutable.
+type View struct {
+	*fleet.Snapshot
+	Agreed   Agreed
+	sessions map[fleet.ServerID]transport.Session
+	peers    map[fleet.DataCentre][]transport.Session
+}
+
+// Session returns a live session to the server's agent, or nil.
+func (v *View) Session(id fleet.ServerID) transport.Session { return v.sessions[id] }
+
+// Peers returns live sessions to entry instances of another data centre.
+func (v *View) Peers(dataCentre fleet.DataCentre) []transport.Session { return v.peers[dataCentre] }
+
+// AllPeers returns a live session to each known entry instance, by data centre.
+func (v *View) AllPeers() map[fleet.DataCentre][]transport.Session { return v.peers }
+
+// Repeatable tells whether a call of a plain service may be repeated, if the release note in force says so.
+func (v *View) Repeatable(service, method, path string) (repeat, known bool) {
+	return v.Agreed.repeatable(service, method, path)
+}
+
+// excluded returns why a server receives no new work, or "".
+func (s *state) excluded(known *server) string {
+	if best(known.sessions) == nil {
+		return "no live session to its agent"
+	}
+	if known.load.Phase == fleet.PhaseDraining {
+		return "leaving"
+	}
+	return s.agreed.excluded(known.announcement.Server)
+}
+
+// view builds the view from the control state.
+func (s *state) view(now time.Time) *View {
+	s.changed, s.urgent = false, false
+	v := &View{
+		Agreed:   s.agreed,
+		sessions: make(map[fleet.ServerID]transport.Session, len(s.servers)),
+		peers:    make(map[fleet.DataCentre][]transport.Session),
+	}
+	snapshot := &fleet.Snapshot{
+		Revision:  s.agreed.Revision,
+		Local:     s.config.DataCentre,
+		LocalOut:  s.agreed.Out[s.config.DataCentre],
+		Instances: 1,
+		Servers:   make([]fleet.Server, 0, len(s.servers)),
+	}
+	for id, known := range s.servers {
+		if session := best(known.sessions); session != nil {
+			v.sessions[id] = session
+		}
+		snapshot.Servers = append(snapshot.Servers, fleet.Server{
+			Announcement: known.announcement,
+			Load:         known.load,
+			Excluded:     s.excluded(known),
+			Weight:       1,
+			Local:        known.counter,
+		})
+	}
+	for _, p := range s.peers {
+		session := best(p.sessions)
+		if session == nil {
+			continue
+		}
+		dataCentre := p.hello.DataCentre
+		v.peers[dataCentre] = append(v.peers[dataCentre], session)
+		if dataCentre == s.config.DataCentre {
+			snapshot.Instances++
+		}
+		if now.Sub(p.heard) <= summaryMaxAge && !s.agreed.Out[dataCentre] {
+			snapshot.Remote = append(snapshot.Remote, p.summary...)
+		}
+	}
+	v.Snapshot = snapshot.Build()
+	return v
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/banyanfront/banyanfront/decide/retry"
+	"github.com/banyanfront/banyanfront/internal/problem"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+// progressTimeout is how long a streamed answer may make no progress before the attempt counts as lost. The target is
+// 32 ms between tokens.
+const progressTimeout = 5 * time.Second
+
+// ending is how an attempt ended.
+type ending struct {
+	end        retry.End
+	status     int
+	reason     string
+	retryAfter time.Duration
+	err        error // ends the call at once: the caller is gone, its deadline passed, or another instance refused it
+}
+
+func newAttemptID() string { return rand.Text() }
+
+// attempt sends one attempt to its placement and adds the answer to the buffer.
+func (g *Gateway) attempt(ctx context.Context, c *call, place placement, id string, answer *answerBuffer) ending {
+	open := c.openMessage(id, place, 0)
+	if answer.started {
+		open.ResumeFrom = answer.offset
+	}
+	if place.spilled() {
+		open.Spill = &protocol.Spill{Kind: c.target.Kind, Name: c.target.Name, Adapter: c.target.Adapter, Version: c.target.Version}
+	}
+	st, err := place.session.Open(ctx, open)
+	if err != nil {
+		return ending{end: openFailed(err), reason: err.Error()}
+	}
+	defer st.Close("the entry instance has left the attempt")
+	status := 0
+	for {
+		m, err := receive(ctx, st, answer.started)
+		if err != nil {
+			return g.receiveFailed(ctx, c, err)
+		}
+		switch message := m.(type) {
+		case *protocol.Head:
+			status = message.Status
+			answer.head(message)
+		case *protocol.Data:
+			err = answer.add(message)
+		case *protocol.End:
+			if message.Load != nil {
+				g.views.ObserveLoad(*message.Load)
+			}
+			return endingOf(message, status)
+		}
+		if errors.Is(err, errCallerGone) {
+			return ending{end: retry.EndSessionLost, err: err}
+		}
+		if err != nil {
+			return ending{end: retry.EndFailed, reason: err.Error()}
+		}
+	}
+}
+
+// openFailed classifies a stream that could not be opened.
+func openFailed(err error) retry.End {
+	var refused *transport.Refused
+	if errors.As(err, &refused) || neverSent(err) {
+		return retry.EndNotRun
+	}
+	return retry.EndSessionLost
+}
+
+// neverSent reports whether the session was lost before the attempt left this instance.
+func neverSent(err error) bool {
+	var lost *transport.SessionLost
+	return errors.As(err, &lost) && lost.NotRun()
+}
+
+// receive returns the next message. Once the caller has seen a part of a stream, the next must come in time.
+func receive(ctx context.Context, st transport.Stream, started bool) (protocol.Message, error) {
+	if !started {
+		return st.Receive(ctx)
+	}
+	limited, cancel := context.WithTimeout(ctx, progressTimeout)
+	defer cancel()
+	return st.Receive(limited)
+}
+
+// receiveFailed classifies an attempt whose end did not arrive.
+func (g *Gateway) receiveFailed(ctx context.Context, c *call, err error) ending {
+	if neverSent(err) {
+		return ending{end: retry.EndNotRun, reason: err.Error()}
+	}
+	if ctx.Err() == nil {
+		return ending{end: retry.EndSessionLost, reason: err.Error()}
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return ending{end: retry.EndSessionLost, err: deadlineError(c, nil)}
+	}
+	return ending{end: retry.EndSessionLost, err: errCallerGone}
+}
+
+// endingOf translates the end that an agent or another entry instance reports.
+func endingOf(m *protocol.End, status int) ending {
+	e := ending{status: status, reason: m.Reason, retryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond}
+	switch m.Outcome {
+	case protocol.OutcomeDone:
+		e.end = retry.EndDone
+	case protocol.OutcomeNotRun:
+		e.end = retry.EndNotRun
+	case protocol.OutcomeFailed:
+		e.end = retry.EndFailed
+	case protocol.OutcomeRunning:
+		e.end = retry.EndRunning
+	default:
+		e.end = retry.EndUnknown
+	}
+	if m.Kind != "" && m.Kind != string(problem.NotRun) {
+		e.err = &problem.Error{Kind: problem.Kind(m.Kind), Detail: m.Reason, RetryAfter: e.retryAfter}
+	}
+	return e
+}
+
+// serverFailed reports whether an answer says that the server could not serve an idempotent request.
+func serverFailed(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"hash"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/decide/routing"
+	"github.com/banyanfront/banyanfront/internal/problem"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+)
+
+// Request headers of the callers' protocol.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderDeadline       = "Banyan-Deadline-Ms" // milliseconds from arrival
+	HeaderPriority       = "Banyan-Priority"    // high, normal or low
+	HeaderRequestID      = "Banyan-Request-Id"  // set on every answer
+)
+
+const (
+	maxKeyBytes = 256
+	maxDeadline = time.Hour
+	// bodyTimeout bounds the time to read a request's body.
+	bodyTimeout = 30 * time.Second
+)
+
+// call is one request of a caller.
+type call struct {
+	id           string
+	organisation fleet.Organisation
+	target       fleet.Target
+	method       string
+	path         string // path and query at the backend server
+	headers      []protocol.Header
+	body         []byte
+	stream       bool   // the caller asked for server-sent events
+	key          string // idempotency key, empty if the request may repeat
+	callerKey    bool   // the caller chose the key and may send the request again
+	digest       string // of method, path and body, to tell a repeated request from another one
+	priority     fleet.Priority
+	prefix       []uint64 // hashes of the prompt's blocks, see routing.AppendPrefix
+	spilled      bool     // came from an entry instance of another data centre
+	arrived      time.Time
+	deadline     time.Time
+}
+
+func (c *call) idempotent() bool { return c.key == "" }
+
+// passedHeaders are the request headers that reach the backend server.
+var passedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "User-Agent", "Traceparent", "Tracestate"}
+
+// readCall parses what all requests share.
+func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request) (*call, error) {
+	now := time.Now()
+	c := &call{
+		id:           rand.Text(),
+		method:       r.Method,
+		arrived:      now,
+		deadline:     now.Add(g.config.DefaultDeadline),
+		priority:     fleet.PriorityNormal,
+		organisation: organisationOf(r.Context()),
+	}
+	for _, name := range passedHeaders {
+		for _, value := range r.Header.Values(name) {
+			c.headers = append(c.headers, protocol.Header{Name: name, Value: value})
+		}
+	}
+	if err := c.readDeadline(r.Header.Get(HeaderDeadline)); err != nil {
+		return nil, err
+	}
+	if err := c.readPriority(r.Header.Get(HeaderPriority)); err != nil {
+		return nil, err
+	}
+	c.key = r.Header.Get(HeaderIdempotencyKey)
+	c.callerKey = c.key != ""
+	if len(c.key) > maxKeyBytes {
+		return nil, problem.New(problem.BadRequest, "%s has %d bytes: use at most %d", HeaderIdempotencyKey, len(c.key), maxKeyBytes)
+	}
+	// Not every ResponseWriter has deadlines; those of tests do without.
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(now.Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.config.MaxBodyBytes))
+	_ = controller.SetReadDeadline(time.Time{})
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return nil, problem.New(problem.TooLarge, "the body has more than %d bytes: send less or split the request",
+				g.config.MaxBodyBytes).WithRan(false)
+		}
+		return nil, problem.New(problem.BadRequest, "the body did not arrive whole within %v: send it again", bodyTimeout).WithRan(false)
+	}
+	c.body = body
+	return c, nil
+}
+
+func (c *call) readDeadline(value string) error {
+	if value == "" {
+		return nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+		return problem.New(problem.BadRequest, "%s is %q: use a whole number of milliseconds from 1 to %d",
+			HeaderDeadline, value, maxDeadline.Milliseconds())
+	}
+	c.deadline = c.arrived.Add(time.Duration(ms) * time.Millisecond)
+	return nil
+}
+
+func (c *call) readPriority(value string) error {
+	switch strings.ToLower(value) {
+	case "", "normal":
+	case "high":
+		c.priority = fleet.PriorityHigh
+	case "low":
+		c.priority = fleet.PriorityLow
+	default:
+		return problem.New(problem.BadRequest, "%s is %q: use high, normal or low", HeaderPriority, value)
+	}
+	return nil
+}
+
+// completionBody holds the fields of a completions request that matter for routing.
+type completionBody struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Prompt   json.RawMessage `json:"prompt"`
+	Messages json.RawMessage `json:"messages"`
+}
+
+// readCompletion parses a request to a model.
+func (g *Gateway) readCompletion(w http.ResponseWriter, r *http.Request) (*call, error) {
+	c, err := g.readCall(w, r)
+	if err != nil {
+		return nil, err
+	}
+	var body completionBody
+	if err := json.Unmarshal(c.body, &body); err != nil {
+		return nil, problem.New(problem.BadRequest, "the body is not a JSON object of the completions protocol: %v", err).WithRan(false)
+	}
+	if body.Model == "" {
+		return nil, problem.New(problem.BadRequest, "the body names no model: set \"model\"").WithRan(false)
+	}
+	c.target = modelTarget(body.Model)
+	c.path = r.URL.Path
+	c.stream = body.Stream
+	c.prefix = routing.AppendPrefix(nil, c.target, append(body.Prompt, body.Messages...))
+	c.sign()
+	return c, nil
+}
+
+// modelTarget splits "model:adapter" as callers write it. Versions are chosen by the release note.
+func modelTarget(name string) fleet.Target {
+	model, adapter, _ := strings.Cut(name, ":")
+	return fleet.Target{Kind: fleet.KindEngine, Name: model, Adapter: adapter}
+}
+
+// readService parses a call to a plain service.
+func (g *Gateway) readService(w http.ResponseWriter, r *http.Request) (*call, error) {
+	c, err := g.readCall(w, r)
+	if err != nil {
+		return nil, err
+	}
+	c.target = fleet.Target{Kind: fleet.KindService, Name: chi.URLParam(r, "service")}
+	c.path = "/" + chi.URLParam(r, "*")
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+	if c.key == "" && !g.repeatable(c) {
+		// Without a caller's key the request can't be recognised when it is sent again, but its attempts can.
+		c.key = "generated-" + c.id
+	}
+	c.sign()
+	return c, nil
+}
+
+// repeatable reports whether a service's call may be repeated: by the release note if it says so, else by its method.
+func (g *Gateway) repeatable(c *call) bool {
+	if repeat, ok := g.views.View().Repeatable(c.target.Name, c.method, c.path); ok {
+		return repeat
+	}
+	switch c.method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// sign sets the digest that tells whether a repeated key belongs to the same request.
+func (c *call) sign() {
+	h := sha256.New()
+	writeField(h, c.method)
+	writeField(h, c.path)
+	h.Write(c.body)
+	c.digest = hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// writeField separates fields, so that no two requests share a digest by moving bytes between them.
+func writeField(h hash.Hash, field string) {
+	_, _ = io.WriteString(h, strconv.Itoa(len(field))+":"+field)
+}
--- /dev/null
+++ b/internal/gateway/dispatcher.go
@@ -0,0 +1,358 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/banyanfront/banyanfront/decide/fairness"
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/decide/routing"
+	"github.com/banyanfront/banyanfront/internal/control"
+	"github.com/banyanfront/banyanfront/internal/problem"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+const (
+	// dispatchInterval is how often waiting requests are looked at when nothing else gives them a slot.
+	dispatchInterval = 10 * time.Millisecond
+	// maxUnplaced bounds the wait for a server while none takes work at all; then the caller is refused as not run.
+	maxUnplaced = 5 * time.Second
+	// maxBlocked bounds the requests taken from the queue for which no server was found.
+	maxBlocked = 16
+	// bytesPerCost converts request size to queue cost; a cost of 1 is a request of this size or less.
+	bytesPerCost = 4096
+	// maxQueues bounds the targets that have a queue; names come from callers.
+	maxQueues = 256
+	// defaultRetryAfter is given with a refusal when nothing better is known.
+	defaultRetryAfter = time.Second
+)
+
+// placement is where an attempt goes: a backend server of the own data centre, or an entry instance of another one.
+type placement struct {
+	server     fleet.ServerID
+	boot       fleet.Boot
+	session    transport.Session
+	dataCentre fleet.DataCentre // where the request is spilled to, empty if it stays
+	counter    *fleet.Counter   // of the server, nil if the request is spilled
+	release    func()
+}
+
+func (p *placement) spilled() bool { return p.dataCentre != "" }
+
+// waiter is a request that waits for a placement.
+type waiter struct {
+	id      string
+	call    *call
+	exclude []fleet.ServerID
+	avoid   []fleet.DataCentre
+	since   time.Time
+	gone    bool
+	result  chan granted // takes one result
+}
+
+type granted struct {
+	place placement
+	err   error
+}
+
+// targetQueue holds the requests for one model or service.
+type targetQueue struct {
+	queue   *fairness.Queue
+	waiting map[string]*waiter
+	blocked []*waiter // taken from the queue, but no server was found yet
+}
+
+// dispatcher gives waiting requests a server as slots become free, fairly among organisations.
+type dispatcher struct {
+	config   Config
+	views    Views
+	policy   routing.Policy
+	affinity *routing.Affinity
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	queues map[fleet.Target]*targetQueue
+	serial uint64
+}
+
+func newDispatcher(config Config, views Views) *dispatcher {
+	affinity := routing.NewAffinity(0, time.Now())
+	return &dispatcher{
+		config:   config,
+		views:    views,
+		policy:   routing.New(affinity),
+		affinity: affinity,
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		queues:   make(map[fleet.Target]*targetQueue),
+	}
+}
+
+// run looks at the waiting requests until the context ends.
+func (d *dispatcher) run(ctx context.Context) {
+	tick := time.NewTicker(dispatchInterval)
+	defer tick.Stop()
+	var synced *control.View
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			view := d.views.View()
+			if view != synced {
+				d.affinity.Sync(view.Snapshot, now)
+				synced = view
+			}
+			d.pumpAll(view, now)
+		}
+	}
+}
+
+func (d *dispatcher) pumpAll(view *control.View, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for target, q := range d.queues {
+		q.queue.SetSlots(localSlots(view, target))
+		if len(q.waiting) > 0 {
+			d.pump(q, view, now)
+		}
+	}
+}
+
+// localSlots returns the share of the target's limits that falls to this entry instance.
+func localSlots(view *control.View, target fleet.Target) int {
+	total := 0
+	for _, i := range view.Candidates(target) {
+		if server := &view.Servers[i]; server.Excluded == "" {
+			total += server.Load.Limit
+		}
+	}
+	return total / view.Instances
+}
+
+// acquire waits until the request has a placement, is refused, or the context ends.
+func (d *dispatcher) acquire(ctx context.Context, c *call, exclude []fleet.ServerID, avoid []fleet.DataCentre) (placement, error) {
+	now := time.Now()
+	w := &waiter{call: c, exclude: exclude, avoid: avoid, since: now, result: make(chan granted, 1)}
+	d.mu.Lock()
+	q, err := d.offer(w, now)
+	if err == nil {
+		d.pump(q, d.views.View(), now)
+	}
+	d.mu.Unlock()
+	if err != nil {
+		return placement{}, err
+	}
+	select {
+	case got := <-w.result:
+		return got.place, got.err
+	case <-ctx.Done():
+		return placement{}, d.abandon(q, w)
+	}
+}
+
+// offer puts a request into the queue of its target.
+func (d *dispatcher) offer(w *waiter, now time.Time) (*targetQueue, error) {
+	target := fleet.Target{Kind: w.call.target.Kind, Name: w.call.target.Name}
+	q, ok := d.queues[target]
+	if !ok {
+		if len(d.queues) >= maxQueues {
+			d.dropIdleQueues()
+		}
+		q = &targetQueue{queue: fairness.New(fairness.Config{}), waiting: make(map[string]*waiter)}
+		for _, o := range d.config.Organisations {
+			q.queue.SetWeight(o.Name, o.Weight)
+		}
+		q.queue.SetSlots(localSlots(d.views.View(), target))
+		d.queues[target] = q
+	}
+	d.serial++
+	w.id = strconv.FormatUint(d.serial, 36)
+	refusal := q.queue.Offer(now, fairness.Item{
+		ID:           w.id,
+		Organisation: w.call.organisation,
+		Priority:     w.call.priority,
+		Cost:         max(1, float64(len(w.call.body))/bytesPerCost),
+		Deadline:     w.call.deadline,
+	})
+	if refusal != nil {
+		metricRefused(refusal.Reason.String()).Inc()
+		return nil, refusalProblem(refusal)
+	}
+	q.waiting[w.id] = w
+	return q, nil
+}
+
+// dropIdleQueues removes queues without requests.
+func (d *dispatcher) dropIdleQueues() {
+	for target, q := range d.queues {
+		if len(q.waiting) == 0 && q.queue.Running() == 0 {
+			delete(d.queues, target)
+		}
+	}
+}
+
+func refusalProblem(r *fairness.Refusal) error {
+	retryAfter := max(r.RetryAfter, defaultRetryAfter)
+	switch r.Reason {
+	case fairness.ReasonOverShare, fairness.ReasonFull:
+		return problem.New(problem.OverShare, "your organisation's waiting requests fill its share (%s): send fewer at a time",
+			r.Reason).After(retryAfter).WithRan(false)
+	default:
+		return problem.New(problem.NotRun, "the answer would come after the deadline (%s): raise %s or retry later",
+			r.Reason, HeaderDeadline).After(retryAfter).WithRan(false)
+	}
+}
+
+// abandon takes a request out whose caller has gone or whose deadline has passed. It did not run.
+func (d *dispatcher) abandon(q *targetQueue, w *waiter) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case got := <-w.result:
+		if got.err == nil {
+			go got.place.release() // takes the lock
+		}
+	default:
+		w.gone = true
+		if q.queue.Cancel(time.Now(), w.call.organisation, w.id) {
+			delete(q.waiting, w.id)
+		}
+	}
+	ran := false
+	return deadlineError(w.call, &ran)
+}
+
+// pump gives placements to waiting requests while servers take them. The caller holds the lock.
+func (d *dispatcher) pump(q *targetQueue, view *control.View, now time.Time) {
+	for _, item := range q.queue.Expire(now) {
+		if w := q.waiting[item.ID]; w != nil {
+			delete(q.waiting, item.ID)
+			w.result <- granted{err: problem.New(problem.NotRun,
+				"no server was free in time for the deadline: raise %s or retry later", HeaderDeadline).
+				After(defaultRetryAfter).WithRan(false)}
+		}
+	}
+	blocked := q.blocked
+	q.blocked = nil
+	full := false
+	for _, w := range blocked {
+		full = d.place(q, w, view, now) == routing.ReasonNoHeadroom || full
+	}
+	for !full && len(q.blocked) < maxBlocked {
+		item, ok := q.queue.Next(now)
+		if !ok {
+			return
+		}
+		w := q.waiting[item.ID]
+		if w == nil {
+			q.queue.Done(now, item.ID)
+			continue
+		}
+		full = d.place(q, w, view, now) == routing.ReasonNoHeadroom
+	}
+}
+
+// place finds a placement for a request that was taken from the queue, refuses it, or keeps it as blocked.
+func (d *dispatcher) place(q *targetQueue, w *waiter, view *control.View, now time.Time) routing.Reason {
+	if w.gone {
+		d.drop(q, w, now)
+		return routing.ReasonChosen
+	}
+	request := routing.Request{
+		Target:   w.call.target,
+		Priority: w.call.priority,
+		Prefix:   w.call.prefix,
+		Exclude:  w.exclude,
+		Avoid:    w.avoid,
+		Spilled:  w.call.spilled,
+		Now:      now,
+	}
+	decision := d.policy.Pick(view.Snapshot, &request, d.rng)
+	if place, ok := d.resolve(decision, view); ok {
+		d.grant(q, w, place, now)
+		return routing.ReasonChosen
+	}
+	if err := unplaced(w, decision.Reason, now); err != nil {
+		metricRefused(decision.Reason.String()).Inc()
+		d.drop(q, w, now)
+		w.result <- granted{err: err}
+		return routing.ReasonChosen
+	}
+	q.blocked = append(q.blocked, w)
+	return decision.Reason
+}
+
+// resolve turns a decision into a placement if there is a live session for it.
+func (d *dispatcher) resolve(decision routing.Decision, view *control.View) (placement, bool) {
+	if decision.DataCentre != "" {
+		peers := view.Peers(decision.DataCentre)
+		if len(peers) == 0 {
+			return placement{}, false
+		}
+		session := peers[d.rng.IntN(len(peers))]
+		return placement{session: session, dataCentre: decision.DataCentre}, true
+	}
+	if decision.Server < 0 {
+		return placement{}, false
+	}
+	server := &view.Servers[decision.Server]
+	session := view.Session(server.Server)
+	if session == nil {
+		return placement{}, false
+	}
+	return placement{server: server.Server, boot: server.Boot, session: session, counter: server.Local}, true
+}
+
+// grant hands a placement to a request.
+func (d *dispatcher) grant(q *targetQueue, w *waiter, place placement, now time.Time) {
+	delete(q.waiting, w.id)
+	counter := place.counter
+	if !place.spilled() {
+		d.affinity.Sent(now, place.server, w.call.prefix)
+	}
+	if counter != nil {
+		counter.Begin()
+	}
+	var once sync.Once
+	place.release = func() {
+		once.Do(func() {
+			if counter != nil {
+				counter.End()
+			}
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			now := time.Now()
+			q.queue.Done(now, w.id)
+			d.pump(q, d.views.View(), now)
+		})
+	}
+	w.result <- granted{place: place}
+}
+
+func (d *dispatcher) drop(q *targetQueue, w *waiter, now time.Time) {
+	delete(q.waiting, w.id)
+	q.queue.Done(now, w.id)
+}
+
+// unplaced returns the refusal of a request for which no server was found, or nil if it may wait.
+func unplaced(w *waiter, reason routing.Reason, now time.Time) error {
+	switch reason {
+	case routing.ReasonUnknown, routing.ReasonVersion, routing.ReasonRole:
+		kind := "model"
+		if w.call.target.Kind == fleet.KindService {
+			kind = "service"
+		}
+		return problem.New(problem.UnknownModel, "no backend server has the %s %q (%s): check the name, or announce a server for it",
+			kind, w.call.target.Name, reason).WithRan(false)
+	case routing.ReasonNoHeadroom:
+		return nil
+	}
+	if now.Sub(w.since) < maxUnplaced {
+		return nil
+	}
+	return problem.New(problem.NotRun, "no backend server for %q takes work (%s): retry later", w.call.target.Name, reason).
+		After(defaultRetryAfter).WithRan(false)
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,129 @@
+// Package process holds what both programs share: logging, listeners, TLS and the end by signal.
+package process
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/text"
+	"github.com/rotisserie/eris"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+)
+
+// Timeouts of HTTP servers. Handlers bound the size of bodies and the time to read them: a read timeout of the server
+// would also cancel answers that are streamed for longer.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 120 * time.Second
+	maxHeader     = 64 << 10
+)
+
+// NewBoot returns the boot number of a process that starts now.
+func NewBoot() fleet.Boot { return fleet.Boot(time.Now().UnixNano()) }
+
+// SetLogging sets level ("debug", "info", "warn", "error") and format ("text", "json") of the log on standard error.
+func SetLogging(level, format string) error {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		return eris.Wrapf(err, "log level %q: use debug, info, warn or error", level)
+	}
+	log.SetLevel(parsed)
+	if format == "json" {
+		log.SetHandler(json.New(os.Stderr))
+		return nil
+	}
+	log.SetHandler(text.New(os.Stderr))
+	return nil
+}
+
+// Signals returns a context that ends with the first SIGINT or SIGTERM. A second signal ends the process at once.
+func Signals(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := signal.NotifyContext(parent, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-ctx.Done()
+		cancel() // restores the default action of the signals
+	}()
+	return ctx, cancel
+}
+
+// ServerTLS loads the certificate of a listener. It returns nil if there is none.
+func ServerTLS(certFile, keyFile string) (*tls.Config, error) {
+	if certFile == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return nil, eris.Wrapf(err, "certificate %s with key %s: give a matching pair in PEM form", certFile, keyFile)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}, nil
+}
+
+// ClientTLS loads the certificate authority that servers are checked against. Without a file, it is the system's list.
+func ClientTLS(caFile string) (*tls.Config, error) {
+	config := &tls.Config{MinVersion: tls.VersionTLS12}
+	if caFile == "" {
+		return config, nil
+	}
+	pem, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, eris.Wrapf(err, "certificate authority %s: make the file readable", caFile)
+	}
+	config.RootCAs = x509.NewCertPool()
+	if !config.RootCAs.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("certificate authority %s holds no certificate: give one in PEM form", caFile)
+	}
+	return config, nil
+}
+
+// Server is an HTTP server on a listener of its own.
+type Server struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+}
+
+// Listen opens a listener and prepares a server on it.
+func Listen(name, address string, handler http.Handler, config *tls.Config) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "%s: choose a free address", name)
+	}
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+	return &Server{name: name, server: server, listener: listener}, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve serves until Shutdown or Close.
+func (s *Server) Serve() {
+	err := s.server.Serve(s.listener)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		log.WithError(err).WithField("listener", s.name).Error("listener failed; restart the process")
+	}
+}
+
+// Shutdown stops listening and waits for open requests.
+func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
+// Close ends all connections.
+func (s *Server) Close() { _ = s.server.Close() }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -143,6 +143,7 @@
 	Reason       string      `cbor:"2,keyasint,omitempty"`
 	RetryAfterMS int64       `cbor:"3,keyasint,omitempty"`
 	Load         *fleet.Load `cbor:"4,keyasint,omitempty"`
+	Kind         string      `cbor:"5,keyasint,omitempty"` // problem kind, set between entry instances
 }
 
 // Cancel tells the peer that the answer is no longer wanted.
@@ -156,6 +157,8 @@
 	Attempt string     `cbor:"1,keyasint"`
 	Boot    fleet.Boot `cbor:"2,keyasint"`
 	Answer  bool       `cbor:"3,keyasint,omitempty"` // the kept answer is wanted too
+	// Server names the backend server, so that an entry instance of its data centre can pass the inquiry on.
+	Server fleet.ServerID `cbor:"4,keyasint,omitempty"`
 }
 
 // Inquiry answers Inquire.
