--- /dev/null
+++ b/internal/protocol/codec_test.go
@@ -0,0 +1,140 @@
+package protocol
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+)
+
+// samples holds a message of each type with its fields set.
+func samples() []Message {
+	return []Message{
+		&Hello{Version: 1, Instance: "i", Boot: 7, DataCentre: "ub-north", Agent: true, Address: "a:1", Revision: 9},
+		&Announce{fleet.Announcement{Server: "s", Boot: 1, Models: []fleet.Model{{Name: "m", Adapters: []string{"x"}}}, Capacity: 8}},
+		&Load{fleet.Load{Server: "s", Sequence: 3, KVUsed: 0.5, FirstToken: 1e9}},
+		&Open{Attempt: "a", Organisation: "o", Headers: []Header{{"k", "v"}}, Body: []byte("b"), Spill: &Spill{Name: "m"}},
+		&Head{Status: 200, Headers: []Header{{"k", "v"}}},
+		&Data{Offset: 70000, Payload: []byte("payload"), Tokens: 2},
+		&Credit{Bytes: 65536},
+		&End{Outcome: OutcomeDone, Reason: "r", Load: &fleet.Load{Running: 2}},
+		&Cancel{Reason: "r"},
+		&Inquire{Attempt: "a", Boot: 1, Answer: true},
+		&Inquiry{Attempt: "a", Outcome: OutcomeFailed, Body: []byte("b"), Kept: true},
+		&Ping{Sequence: 1, SilenceMS: 3000},
+		&Pong{Sequence: 1},
+		&GoAway{Reason: "r"},
+		&Roster{Addresses: []string{"a", "b"}, Revision: 4, Draining: true},
+		&Consensus{Payload: []byte{1}},
+		&Propose{ID: "p", Command: []byte{2}},
+		&Proposed{ID: "p", Index: 5, Result: []byte{3}, Accepted: true},
+		&State{From: 1, Index: 2, Snapshot: []byte{4}, Entries: [][]byte{{5}, {6}}},
+		&Summary{Sequence: 1, Targets: []fleet.Summary{{Name: "m", Free: 3}}},
+		&Gossip{Payload: []byte{7}},
+		&Order{ID: "o", Fencing: 8, Action: "load"},
+		&OrderDone{ID: "o", Refused: "r"},
+	}
+}
+
+// Guards against a message type that cannot be sent, or loses a field on the way.
+func TestRoundTrip(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(samples()), int(TypeOrderDone)) // every type has a sample
+	for i, m := range samples() {
+		stream := uint64(i) << (2 * i)
+		frame, err := Encode(stream, m)
+		is.NoErr(err)
+		gotStream, got, err := Decode(frame)
+		is.NoErr(err)
+		is.Equal(gotStream, stream)
+		is.True(reflect.DeepEqual(got, m))
+		clear(frame)
+		is.True(reflect.DeepEqual(got, m)) // the message shares no memory with the frame
+	}
+}
+
+// Guards against a decoder that fails on what a newer peer sends, or accepts what none sends.
+func TestDecodeStrictly(t *testing.T) {
+	is := is.New(t)
+	var unknown *UnknownTypeError
+	stream, _, err := Decode([]byte{0x83, 5, 0x18, 200, 0xa0})
+	is.True(errors.As(err, &unknown))
+	is.Equal(stream, uint64(5))
+	_, m, err := Decode([]byte{0x83, 5, byte(TypePong), 0xa2, 1, 3, 0x18, 99, 0x63, 'n', 'e', 'w'})
+	is.NoErr(err)
+	is.Equal(m, &Pong{Sequence: 3}) // an unknown field is ignored
+
+	var malformed *MalformedError
+	deep := append([]byte{0x83, 5, byte(TypePong), 0xa1, 0x18, 99}, bytes.Repeat([]byte{0x81}, maxNesting)...)
+	for name, frame := range map[string][]byte{
+		"nesting":   append(deep, 0),
+		"array":     {0x83, 5, byte(TypeState), 0xa1, 4, 0x9b, 0, 0, 0, 0, 0xff, 0xff, 0xff, 0xff},
+		"bytes":     {0x83, 5, byte(TypeGossip), 0xa1, 1, 0x5b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"truncated": {0x83, 5, byte(TypePong), 0xa1, 1},
+		"trailing":  {0x83, 5, byte(TypePong), 0xa1, 1, 3, 0},
+		"duplicate": {0x83, 5, byte(TypePong), 0xa2, 1, 3, 1, 4},
+		"null":      {0x83, 5, byte(TypePong), 0xf6},
+		"no body":   {0x83, 5, byte(TypePong)},
+	} {
+		stream, _, err := Decode(frame)
+		if !errors.As(err, &malformed) || !malformed.StreamKnown || stream != 5 {
+			t.Errorf("%s: got stream %d and error %v", name, stream, err)
+		}
+	}
+	for _, frame := range [][]byte{nil, {0x83}, {0x83, 5}, {0x84, 5, 12, 0xa0, 0}, {0x83, 0x1f, 12, 0xa0}, {0x83, 0x20, 12, 0xa0}} {
+		_, _, err := Decode(frame)
+		is.True(errors.As(err, &malformed))
+		is.True(!malformed.StreamKnown)
+	}
+	var large *TooLargeError
+	_, err = Encode(5, &Gossip{Payload: make([]byte, MaxMessageBytes)})
+	is.True(errors.As(err, &large))
+}
+
+// Guards against input that makes the decoder panic, take memory beyond its limits, or read a message that it would
+// write in another way. The seeds also run as a plain test.
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples() {
+		frame, err := Encode(77, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+		f.Add(frame[:len(frame)/2])
+		f.Add(append(bytes.Clone(frame), 0))
+	}
+	f.Add([]byte{0x83, 5, 0x18, 200, 0xa0})
+	f.Add(bytes.Repeat([]byte{0x83}, 100))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		stream, m, err := Decode(data)
+		if err != nil {
+			return
+		}
+		frame, err := Encode(stream, m)
+		if err != nil {
+			t.Fatalf("decoded message cannot be encoded: %v", err)
+		}
+		_, again, err := Decode(frame)
+		if err != nil {
+			t.Fatalf("encoded message cannot be decoded: %v", err)
+		}
+		if !reflect.DeepEqual(m, again) && !hasNaN(m) {
+			t.Fatalf("%#v became %#v", m, again)
+		}
+	})
+}
+
+// hasNaN reports whether a message holds a float that differs from itself.
+func hasNaN(m Message) bool {
+	switch m := m.(type) {
+	case *Load:
+		return m.KVUsed != m.KVUsed
+	case *End:
+		return m.Load != nil && m.Load.KVUsed != m.Load.KVUsed
+	}
+	return false
+}
--- /dev/null
+++ b/internal/transport/config.go
@@ -0,0 +1,88 @@
+package transport
+
+import (
+	"crypto/tls"
+	"fmt"
+	"time"
+
+	"github.com/banyanfront/banyanfront/internal/protocol"
+)
+
+// Defaults of Config.
+const (
+	DefaultPingInterval     = time.Second
+	DefaultSuspectAfter     = 3 * time.Second
+	DefaultGiveUpAfter      = 5 * time.Second
+	DefaultHandshakeTimeout = 3 * time.Second
+	DefaultWindow           = 256 << 10
+	DefaultQueueMessages    = 4096
+	DefaultQueueBytes       = 8 << 20
+	DefaultMaxStreams       = 8192
+	DefaultReceiveBytes     = 64 << 20
+)
+
+// MinFleetKeyBytes is the least length of the fleet key. A shorter one could be guessed from a recorded handshake.
+const MinFleetKeyBytes = 16
+
+// Config holds the settings of a session. Both sides need the same FleetKey; the other fields may differ.
+type Config struct {
+	// FleetKey is the shared secret of all processes of one fleet, at least MinFleetKeyBytes. It is proved by HMAC over
+	// nonces and never sent. No default.
+	FleetKey []byte
+	// TLS is the client's TLS configuration for wss addresses. Default: the system's roots.
+	TLS *tls.Config
+	// AllowPlaintext permits sessions without TLS to and from addresses other than loopback. Default false.
+	AllowPlaintext bool
+	// PingInterval is the time without a frame after which a Ping is sent. Default 1 s.
+	PingInterval time.Duration
+	// SuspectAfter is the silence in either direction after which a session is suspect. Default 3 s.
+	SuspectAfter time.Duration
+	// GiveUpAfter is the silence in either direction after which a session is lost. Default 5 s.
+	GiveUpAfter time.Duration
+	// HandshakeTimeout bounds connecting and authentication. Default 3 s.
+	HandshakeTimeout time.Duration
+	// Window is the number of bytes of unread Data that this side accepts per stream. Default 256 KiB.
+	Window int
+	// QueueMessages bounds the queued messages outside streams, and the queued messages other than Data of one stream.
+	// Default 4,096 messages.
+	QueueMessages int
+	// QueueBytes bounds the queued messages outside streams. Default 8 MiB.
+	QueueBytes int
+	// MaxMessage bounds one encoded message. Default and maximum 1 MiB.
+	MaxMessage int
+	// MaxStreams bounds the streams that the peer may have open. Default 8,192 streams.
+	MaxStreams int
+	// ReceiveBytes bounds the unread bytes of all streams of the session. Above it, the stream with the most unread bytes
+	// is cancelled. Default 64 MiB.
+	ReceiveBytes int
+}
+
+func (c Config) withDefaults() (Config, error) {
+	if len(c.FleetKey) < MinFleetKeyBytes {
+		return c, fmt.Errorf("fleet key has %d bytes: set a random key of at least %d bytes", len(c.FleetKey), MinFleetKeyBytes)
+	}
+	if c.MaxMessage > protocol.MaxMessageBytes {
+		return c, fmt.Errorf("message limit is %d bytes: set at most %d", c.MaxMessage, protocol.MaxMessageBytes)
+	}
+	setDefault(&c.PingInterval, DefaultPingInterval)
+	setDefault(&c.SuspectAfter, DefaultSuspectAfter)
+	setDefault(&c.GiveUpAfter, DefaultGiveUpAfter)
+	setDefault(&c.HandshakeTimeout, DefaultHandshakeTimeout)
+	setDefault(&c.Window, DefaultWindow)
+	setDefault(&c.QueueMessages, DefaultQueueMessages)
+	setDefault(&c.QueueBytes, DefaultQueueBytes)
+	setDefault(&c.MaxMessage, protocol.MaxMessageBytes)
+	setDefault(&c.MaxStreams, DefaultMaxStreams)
+	setDefault(&c.ReceiveBytes, DefaultReceiveBytes)
+	if c.PingInterval >= c.SuspectAfter || c.SuspectAfter >= c.GiveUpAfter {
+		return c, fmt.Errorf("ping interval %v, suspect after %v and give up after %v must increase in this order",
+			c.PingInterval, c.SuspectAfter, c.GiveUpAfter)
+	}
+	return c, nil
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/transport/health.go
@@ -0,0 +1,134 @@
+package transport
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/banyanfront/banyanfront/internal/protocol"
+)
+
+// health tracks the silence of a session in both directions. Times are nanoseconds since base, so that they come from
+// the monotonic clock.
+type health struct {
+	cfg          *Config
+	base         time.Time
+	lastReceived atomic.Int64
+	lastSent     atomic.Int64
+	writeStart   atomic.Int64 // when the write in progress began, 0 if none is
+	peerSilence  atomic.Int64 // how long the peer had heard nothing when it last said so
+	peerSaid     atomic.Int64 // when it said so
+	suspect      atomic.Bool
+	wake         chan struct{} // tells the watcher to look again
+}
+
+func (h *health) init(cfg *Config) {
+	h.cfg = cfg
+	h.base = time.Now()
+	h.wake = make(chan struct{}, 1)
+}
+
+func (h *health) now() int64 { return int64(time.Since(h.base)) }
+
+func (h *health) state() State {
+	if h.suspect.Load() {
+		return StateSuspect
+	}
+	return StateLive
+}
+
+// received notes that a batch arrived.
+func (h *health) received() {
+	h.lastReceived.Store(h.now())
+	if h.suspect.Load() {
+		signal(h.wake)
+	}
+}
+
+// peerHeard notes the silence figure of a Ping.
+func (h *health) peerHeard(silence time.Duration) {
+	h.peerSaid.Store(h.now())
+	old := time.Duration(h.peerSilence.Swap(int64(silence)))
+	if silence >= h.cfg.SuspectAfter || old >= h.cfg.SuspectAfter {
+		signal(h.wake)
+	}
+}
+
+// writing notes the begin and the end of a write.
+func (h *health) writing(begin bool) {
+	if begin {
+		h.writeStart.Store(max(h.now(), 1))
+		return
+	}
+	h.writeStart.Store(0)
+	h.lastSent.Store(h.now())
+}
+
+// silence returns the longest of: time since the last frame from the peer, the silence that the peer reports, and the
+// time that a write has been blocked.
+func (h *health) silence() (d time.Duration, cause string) {
+	now := h.now()
+	d, cause = time.Duration(now-h.lastReceived.Load()), "nothing received from the peer"
+	if reported := time.Duration(h.peerSilence.Load()); reported >= h.cfg.SuspectAfter {
+		// A peer that has reported a long silence reports its end as well, so until then it goes on.
+		if reported += time.Duration(now - h.peerSaid.Load()); reported > d {
+			d, cause = reported, "peer receives nothing"
+		}
+	}
+	if start := h.writeStart.Load(); start > 0 && time.Duration(now-start) > d {
+		d, cause = time.Duration(now-start), "peer takes no data"
+	}
+	return d, cause
+}
+
+// watch sends pings, moves the session between live and suspect, gives it up, and reports each change to the handler.
+func (s *session) watch() {
+	h := &s.health
+	defer s.handler.StateChanged(s, StateClosed)
+	timer := time.NewTimer(h.cfg.PingInterval)
+	defer timer.Stop()
+	var sequence uint64
+	var lastPing, reported time.Duration
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-h.wake:
+		case <-timer.C:
+		}
+		silence, cause := h.silence()
+		if silence >= h.cfg.GiveUpAfter {
+			s.lose(fmt.Sprintf("%s for %v", cause, silence.Round(time.Millisecond)))
+			continue
+		}
+		suspect := silence >= h.cfg.SuspectAfter
+		changed := suspect != h.suspect.Load()
+		if changed {
+			h.suspect.Store(suspect)
+			s.handler.StateChanged(s, h.state())
+		}
+		now := time.Duration(h.now())
+		unheard := now - time.Duration(h.lastReceived.Load())
+		unsaid := now - time.Duration(h.lastSent.Load())
+		quiet := max(unheard, unsaid) >= h.cfg.PingInterval && now-lastPing >= h.cfg.PingInterval
+		// The peer has to learn of a long silence at once, and of its end.
+		news := changed && suspect || reported >= h.cfg.SuspectAfter && unheard < reported
+		if quiet || news {
+			sequence++
+			lastPing, reported = now, unheard
+			s.sendUrgent(0, &protocol.Ping{Sequence: sequence, SilenceMS: unheard.Milliseconds()})
+		}
+		timer.Reset(h.untilNext(now, lastPing, silence))
+	}
+}
+
+// untilNext returns when the watcher has to look again: at the next ping or at the next change of state.
+func (h *health) untilNext(now, lastPing, silence time.Duration) time.Duration {
+	quiet := time.Duration(min(h.lastReceived.Load(), h.lastSent.Load()))
+	next := max(quiet, lastPing) + h.cfg.PingInterval - now
+	if silence < h.cfg.SuspectAfter {
+		next = min(next, h.cfg.SuspectAfter-silence)
+	}
+	next = min(next, h.cfg.GiveUpAfter-silence)
+	return max(next, time.Millisecond)
+}
--- /dev/null
+++ b/internal/transport/order.go
@@ -0,0 +1,43 @@
+package transport
+
+import (
+	"fmt"
+
+	"github.com/banyanfront/banyanfront/internal/protocol"
+)
+
+// order checks that the messages of a stream follow one another: one Head before any Data, and no gap or repetition in
+// the offsets of Data. The offset counts tokens if Data carries tokens and bytes otherwise, starting anywhere.
+type order struct {
+	headSeen   bool
+	dataSeen   bool
+	nextTokens uint64
+	nextBytes  uint64
+}
+
+// check returns why the message may not follow, or "".
+func (o *order) check(m protocol.Message) string {
+	switch m := m.(type) {
+	case *protocol.Head:
+		if o.headSeen || o.dataSeen {
+			return "peer sent Head after Head or Data"
+		}
+		o.headSeen = true
+	case *protocol.Data:
+		if m.Tokens < 0 {
+			return "peer sent Data with a negative number of tokens"
+		}
+		if o.dataSeen && m.Offset != o.nextTokens && m.Offset != o.nextBytes {
+			return fmt.Sprintf("peer sent Data at offset %d, expected %d tokens or %d bytes", m.Offset, o.nextTokens, o.nextBytes)
+		}
+		if !o.dataSeen {
+			o.nextTokens, o.nextBytes = m.Offset, m.Offset
+		}
+		o.dataSeen = true
+		o.nextTokens += uint64(m.Tokens)
+		o.nextBytes += uint64(len(m.Payload))
+	case *protocol.Ping, *protocol.Pong, *protocol.GoAway, *protocol.Hello, *protocol.Open:
+		return fmt.Sprintf("peer sent a message of type %d on a stream", m.Type())
+	}
+	return ""
+}
