Add the replicated log, the data folder and the replica shell

decide/consensus is a pure state machine in the manner of Raft; internal/storage keeps one data folder through a small file interface with a fault-injecting implementation; internal/replica drives both with one goroutine. Proposals work on any member, and an isolated leader steps down, in virtual time.

A proposal that was never handed to a leader is reported as certainly not accepted; everything that left the member is reported as outcome unknown, since a network that repeats messages makes a refusal no proof.

--- /dev/null
+++ b/internal/replica/codec.go
@@ -0,0 +1,40 @@
+package replica
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/banyanfront/banyanfront/decide/consensus"
+)
+
+// Bounds for decoding. A message holds at most one batch of entries.
+const (
+	maxArrayElements = 1 << 17
+	maxMapPairs      = 64
+)
+
+var (
+	encoder = must(cbor.CoreDetEncOptions().EncMode())
+	decoder = must(cbor.DecOptions{MaxArrayElements: maxArrayElements, MaxMapPairs: maxMapPairs}.DecMode())
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return v
+}
+
+// encode encodes values of this package and package consensus, which cannot fail.
+func encode(v any) []byte { return must(encoder.Marshal(v)) }
+
+// snapshotData is the application part of a snapshot on disk and on its way to a member. The window is part of the state: all members must drop
+// the same duplicates.
+type snapshotData struct {
+	Window []windowEntry `cbor:"1,keyasint,omitempty"`
+	State  []byte        `cbor:"2,keyasint"`
+}
+
+// identity is stored when the folder is created and never changes.
+type identity struct {
+	ID consensus.ID `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/internal/replica/driver.go
@@ -0,0 +1,268 @@
+package replica
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/banyanfront/banyanfront/decide/consensus"
+	"github.com/banyanfront/banyanfront/internal/storage"
+)
+
+// driver connects the consensus state machine with the folder, the transport and the application. It has no goroutine
+// and no clock, so that tests can run whole groups deterministically.
+type driver struct {
+	options Options
+	id      consensus.ID
+	node    *consensus.Node
+	store   *storage.Store
+	window  *window
+	failure error // first storage failure; nothing is promised after it
+
+	waiting  map[string]*proposal
+	queue    []*proposal // to be handed to the node
+	retryDue time.Time
+	leader   consensus.ID
+	term     uint64
+	applied  uint64
+
+	newBarriers []func(error)
+	barriers    map[uint64]*barrier
+	lastBarrier uint64
+
+	logBytes int             // entries applied since the newest snapshot
+	tailFrom uint64          // entries up to here were not applied since the start, so their effect is unknown
+	skipped  map[uint64]bool // entries after tailFrom that took no effect
+
+	onApply func(index uint64)
+	tamper  func(*consensus.Ready) // breaks the implementation on purpose, set by tests only
+}
+
+func newDriver(options Options, now time.Time) (*driver, error) {
+	d := &driver{options: options.withDefaults(), waiting: map[string]*proposal{}, barriers: map[uint64]*barrier{},
+		skipped: map[uint64]bool{}, retryDue: now, onApply: func(uint64) {}}
+	if _, err := Prepare(options.FS); err != nil {
+		return nil, err
+	}
+	store, contents, err := storage.Open(options.FS, options.Storage)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.load(store, contents, now); err != nil {
+		_ = store.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *driver) load(store *storage.Store, contents *storage.Contents, now time.Time) (err error) {
+	d.store = store
+	if d.id, err = decodeIdentity(contents); err != nil {
+		return err
+	}
+	restored, err := restore(contents)
+	if err != nil {
+		return err
+	}
+	config := d.options.Consensus
+	config.ID = d.id
+	if d.node, err = consensus.New(config, now, restored); err != nil {
+		return err
+	}
+	if err := d.restoreState(&restored.Snapshot); err != nil {
+		return err
+	}
+	if last := d.node.Status().Last; last != store.LastIndex() {
+		// The crash came after a snapshot from the leader was saved and before the old log was dropped.
+		if err := store.Reset(last); err != nil {
+			return err
+		}
+		return store.Sync()
+	}
+	return nil
+}
+
+// restoreState replaces the application's state by a snapshot.
+func (d *driver) restoreState(s *consensus.Snapshot) error {
+	var data snapshotData
+	if s.Data != nil {
+		if err := decoder.Unmarshal(s.Data, &data); err != nil {
+			return fmt.Errorf("replica: the snapshot cannot be read; replace this member: %w", err)
+		}
+	}
+	if err := d.options.StateMachine.Restore(data.State); err != nil {
+		return fmt.Errorf("replica: the state machine refused the snapshot; replace this member: %w", err)
+	}
+	d.window = newWindow(d.options.Window, data.Window)
+	d.applied, d.tailFrom, d.logBytes = s.Index, s.Index, 0
+	clear(d.skipped)
+	return nil
+}
+
+// tick passes the time on and repeats what was not answered.
+func (d *driver) tick(now time.Time) {
+	if d.failure != nil {
+		return
+	}
+	d.node.Tick(now)
+	if now.Before(d.retryDue) {
+		return
+	}
+	d.retryDue = now.Add(d.options.Retry)
+	d.repeat(now)
+	for id, b := range d.barriers {
+		if !b.answered {
+			d.node.Read(now, id)
+		}
+	}
+}
+
+// receive takes an encoded message from another member.
+func (d *driver) receive(now time.Time, message []byte) error {
+	var m consensus.Message
+	if err := decoder.Unmarshal(message, &m); err != nil {
+		return fmt.Errorf("replica: malformed message: %w", err)
+	}
+	if d.failure == nil {
+		d.node.Step(now, m)
+	}
+	return nil
+}
+
+// flush carries out everything that is due. All that was collected since the last call shares one sync.
+func (d *driver) flush(now time.Time) {
+	d.startBarriers(now)
+	for d.failure == nil {
+		d.noticeLeader()
+		d.handOver(now)
+		r := d.node.Ready()
+		if d.tamper != nil {
+			d.tamper(&r)
+		}
+		if r.Empty() {
+			return
+		}
+		d.send(r.Early)
+		if err := d.persist(&r); err != nil {
+			d.fail(err)
+			return
+		}
+		d.send(r.Messages)
+		if r.Snapshot != nil {
+			if err := d.restoreState(r.Snapshot); err != nil {
+				d.fail(err)
+				return
+			}
+		}
+		for i := range r.Committed {
+			d.apply(&r.Committed[i])
+		}
+		if r.Snapshot != nil || len(r.Committed) > 0 {
+			d.settleRestored(r.Snapshot)
+			d.onApply(d.applied)
+		}
+		d.answer(&r)
+		d.node.Advance(&r)
+		if err := d.compact(); err != nil {
+			d.fail(err)
+			return
+		}
+	}
+}
+
+func (d *driver) send(messages []consensus.Message) {
+	for i := range messages {
+		m := &messages[i]
+		to := consensus.Member{ID: m.To}
+		if member := d.node.Members().Find(m.To); member != nil {
+			to = *member
+		}
+		d.options.Transport.Send(to, encode(m))
+	}
+}
+
+// persist writes what must be on disk before the Ready's messages are sent. A changed commit index alone waits for the
+// next sync.
+func (d *driver) persist(r *consensus.Ready) error {
+	if r.Snapshot != nil {
+		if err := d.store.SaveSnapshot(r.Snapshot.Index, encode(r.Snapshot)); err != nil {
+			return err
+		}
+		if err := d.store.Reset(r.Snapshot.Index); err != nil {
+			return err
+		}
+	}
+	if !r.MustSync && r.Snapshot == nil {
+		return nil
+	}
+	if r.HardState != nil {
+		if err := d.store.SetState(encode(r.HardState)); err != nil {
+			return err
+		}
+	}
+	for i := range r.Entries {
+		e := &r.Entries[i]
+		if err := d.store.Append(storage.Record{Index: e.Index, Data: encode(e)}); err != nil {
+			return err
+		}
+	}
+	return d.store.Sync()
+}
+
+// apply carries out one accepted entry, unless it is a duplicate or came too late.
+func (d *driver) apply(e *consensus.Entry) {
+	d.applied = e.Index
+	d.logBytes += len(e.Data) + len(e.ID)
+	d.window.expire(e.Index)
+	if e.Kind != consensus.EntryCommand {
+		d.settle(e.ID, outcome{index: e.Index})
+		return
+	}
+	if first, ok := d.window.find(e.ID); ok {
+		d.skipped[e.Index] = true
+		d.settle(e.ID, outcome{index: first.Index, result: first.Result})
+		return
+	}
+	if e.Expires != 0 && e.Index > e.Expires {
+		d.skipped[e.Index] = true
+		d.settle(e.ID, outcome{err: &Error{Kind: NoQuorum, Detail: "the command reached the log too late and takes no effect; propose it again"}})
+		return
+	}
+	result := d.options.StateMachine.Apply(e.Index, e.Data)
+	d.window.add(windowEntry{ID: e.ID, Index: e.Index, Result: result})
+	d.settle(e.ID, outcome{index: e.Index, result: result})
+}
+
+// compact takes a snapshot when the log has grown enough.
+func (d *driver) compact() error {
+	newest := d.node.NewestSnapshot()
+	if d.applied < newest.Index+d.options.SnapshotEntries && d.logBytes < d.options.SnapshotBytes {
+		return nil
+	}
+	s := d.node.SnapshotAt()
+	s.Data = encode(snapshotData{Window: d.window.queue, State: d.options.StateMachine.Snapshot()})
+	if err := d.store.SaveSnapshot(s.Index, encode(s)); err != nil {
+		return err
+	}
+	d.node.Compact(s, d.options.KeepEntries)
+	d.logBytes = 0
+	first := d.node.Status().First
+	for index := range d.skipped {
+		if index < first {
+			delete(d.skipped, index)
+		}
+	}
+	return d.store.Compact(first)
+}
+
+// fail stops the member: it votes, acknowledges and answers no more. The process goes on.
+func (d *driver) fail(err error) {
+	d.failure = err
+	d.options.Logf("agreement member %x stopped, the process goes on: %v", d.id, err)
+	d.abandonAll(&Error{Kind: StorageFailed, Detail: "this member's disk failed; use another control instance", Err: err})
+}
+
+// stop releases the folder.
+func (d *driver) stop() error {
+	d.abandonAll(&Error{Kind: Closed, Detail: "the replica was closed; use another control instance"})
+	return d.store.Close()
+}
--- /dev/null
+++ b/internal/storage/recover.go
@@ -0,0 +1,204 @@
+package storage
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"slices"
+	"strings"
+)
+
+// Record is one log entry. Data is opaque to the store.
+type Record struct {
+	Index uint64
+	Data  []byte
+}
+
+// Contents is what a folder holds.
+type Contents struct {
+	Identity      []byte
+	State         []byte // last state record, nil if none
+	SnapshotIndex uint64 // 0 if there is no snapshot
+	Snapshot      []byte
+	Records       []Record // contiguous
+	// TornBytes is the size of the unsynced end that was cut off.
+	TornBytes int64
+}
+
+// File names.
+const (
+	identityName   = "identity"
+	segmentPrefix  = "log-"
+	snapshotPrefix = "snapshot-"
+	temporaryName  = "new-" // prefix of a file that is renamed when complete
+)
+
+func segmentName(sequence uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, sequence) }
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%s%016x", snapshotPrefix, index) }
+
+// numbered returns the numbers of the files with a prefix in ascending order.
+func numbered(names []string, prefix string) []uint64 {
+	var numbers []uint64
+	for _, name := range names {
+		var n uint64
+		if rest, ok := strings.CutPrefix(name, prefix); ok && len(rest) == 16 {
+			if _, err := fmt.Sscanf(rest, "%016x", &n); err == nil {
+				numbers = append(numbers, n)
+			}
+		}
+	}
+	slices.Sort(numbers)
+	return numbers
+}
+
+// segment is a log file that may hold needed entries.
+type segment struct {
+	sequence uint64
+	maxIndex uint64 // highest index of any record in it
+	size     int64
+	version  uint32
+}
+
+// read reads the whole folder, repairs a torn end and leaves the store ready for appending.
+func (s *Store) read() (*Contents, error) {
+	names, err := s.fs.List()
+	if err != nil {
+		return nil, s.failed("", err)
+	}
+	c := &Contents{}
+	b, err := s.fs.ReadFile(identityName)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, &Error{Kind: NoFolder, File: s.fs.Path(""), Offset: -1, Detail: "the folder has no identity"}
+	} else if err != nil {
+		return nil, s.failed(identityName, err)
+	}
+	var e *Error
+	if c.Identity, e = decodeBlob(b, magicIdentity, 0); e != nil {
+		return nil, s.at(e, identityName, 0)
+	}
+	for _, name := range names {
+		if strings.HasPrefix(name, temporaryName) {
+			if err := s.fs.Remove(name); err != nil {
+				return nil, s.failed(name, err)
+			}
+		}
+	}
+	snapshots := numbered(names, snapshotPrefix)
+	if len(snapshots) > 0 {
+		c.SnapshotIndex = snapshots[len(snapshots)-1]
+		name := snapshotName(c.SnapshotIndex)
+		if b, err = s.fs.ReadFile(name); err != nil {
+			return nil, s.failed(name, err)
+		}
+		if c.Snapshot, e = decodeBlob(b, magicSnapshot, c.SnapshotIndex); e != nil {
+			return nil, s.at(e, name, 0)
+		}
+		s.snapshots = snapshots
+	}
+	return c, s.readSegments(c, numbered(names, segmentPrefix))
+}
+
+func (s *Store) readSegments(c *Contents, sequences []uint64) error {
+	if len(sequences) == 0 {
+		return s.at(&Error{Kind: Corrupt, Detail: "the log is missing"}, segmentName(1), -1)
+	}
+	for i, sequence := range sequences {
+		name := segmentName(sequence)
+		if i > 0 && sequence != sequences[i-1]+1 {
+			return s.at(&Error{Kind: Corrupt, Detail: "a segment before this one is missing"}, name, -1)
+		}
+		b, err := s.fs.ReadFile(name)
+		if err != nil {
+			return s.failed(name, err)
+		}
+		last := i == len(sequences)-1
+		h, e := decodeSegmentHeader(b)
+		if e == nil && h.sequence != sequence {
+			e = &Error{Kind: Corrupt, Detail: "the segment holds another sequence number than its name says"}
+		}
+		if e != nil && e.Kind == Corrupt && last && i > 0 && len(b) <= segmentHeader2 {
+			// The crash came while the segment was created; everything before was synced.
+			if err := s.fs.Remove(name); err != nil {
+				return s.failed(name, err)
+			}
+			c.TornBytes += int64(len(b))
+			break
+		}
+		if e != nil {
+			return s.at(e, name, 0)
+		}
+		if h.version >= 2 && i > 0 && h.previousSize != uint64(s.segments[i-1].size) {
+			return s.at(&Error{Kind: Corrupt, Detail: fmt.Sprintf("the segment is %d bytes long and was %d when it was closed",
+				s.segments[i-1].size, h.previousSize)}, segmentName(sequence-1), s.segments[i-1].size)
+		}
+		if err := s.readSegment(c, b, h, last); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Store) readSegment(c *Contents, b []byte, h segmentHeader, last bool) error {
+	name := segmentName(h.sequence)
+	seg := segment{sequence: h.sequence, version: h.version}
+	offset := int64(h.size)
+	for offset < int64(len(b)) {
+		r, ok := decodeRecord(b, h, offset)
+		if !ok {
+			if !last || syncedBeyond(b, h, offset) {
+				return s.at(&Error{Kind: Corrupt, Detail: "a synced record is damaged"}, name, offset)
+			}
+			c.TornBytes += int64(len(b)) - offset
+			break
+		}
+		if !c.add(r) {
+			return s.at(&Error{Kind: Corrupt, Detail: fmt.Sprintf("entry %d does not follow the one before", r.index)}, name, offset)
+		}
+		seg.maxIndex = max(seg.maxIndex, r.index)
+		offset += int64(r.size)
+	}
+	seg.size = offset
+	if offset < int64(len(b)) {
+		if err := s.fs.Truncate(name, offset); err != nil {
+			return s.failed(name, err)
+		}
+	}
+	s.segments = append(s.segments, seg)
+	return nil
+}
+
+// add applies a record to the contents and reports false if an entry leaves a gap.
+func (c *Contents) add(r record) bool {
+	switch r.kind {
+	case recordState:
+		c.State = slices.Clone(r.data)
+	case recordReset:
+		c.Records = nil
+	case recordEntry:
+		if n := len(c.Records); n > 0 {
+			first := c.Records[0].Index
+			if r.index > first+uint64(n) {
+				return false
+			}
+			// Compaction may have removed the segment that held the entries between r.index and first.
+			c.Records = c.Records[:max(r.index, first)-first]
+		}
+		c.Records = append(c.Records, Record{r.index, slices.Clone(r.data)})
+	default:
+		return false
+	}
+	return true
+}
+
+// syncedBeyond tells damage of synced data from a torn write: it looks for a later record that was written after the
+// given offset was synced. Version 1 does not record this, so any later whole record counts. Damage in the very last
+// synced batch cannot be told from a torn write, since nothing after it vouches for it.
+func syncedBeyond(b []byte, h segmentHeader, offset int64) bool {
+	for at := offset + 1; at < int64(len(b)); at++ {
+		if r, ok := decodeRecord(b, h, at); ok && (h.version == 1 || r.synced > offset) {
+			return true
+		}
+	}
+	return false
+}
