--- /dev/null
+++ b/decide/release/bench_test.go
@@ -0,0 +1,50 @@
+package release
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+)
+
+// BenchmarkImpactAtTargetSize judges the withdrawal of one data centre's 300 servers with 4,200 servers listed and a use
+// of each by all 210 organisations.
+func BenchmarkImpactAtTargetSize(b *testing.B) {
+	add := &Note{Number: 1}
+	v := View{Now: time.Unix(1e9, 0), Local: "dc-0"}
+	withdraw := &Note{Number: 2}
+	for i := range 4200 {
+		s := engine(fmt.Sprintf("engine-%04d", i), fmt.Sprintf("model-%d", i%6))
+		s.DataCentre = fleet.DataCentre(fmt.Sprintf("dc-%d", i/300))
+		add.Servers.Add = append(add.Servers.Add, s)
+		if i < 300 {
+			withdraw.Servers.Withdraw = append(withdraw.Servers.Withdraw, s.ID)
+		}
+		for o := range 210 {
+			v.Uses = append(v.Uses, Use{Server: s.ID, DataCentre: s.DataCentre,
+				Organisation: fleet.Organisation(fmt.Sprintf("organisation-%d", o)), Name: s.Models[0].Name, Last: int64(o)})
+		}
+	}
+	v.Config = (&Config{}).Apply(add)
+	b.ReportAllocs()
+	for b.Loop() {
+		if impact := ImpactOf(withdraw, &v); len(impact.Cuts) != 300 || Refused(impact.Findings) {
+			b.Fatal("wrong impact")
+		}
+	}
+}
+
+// BenchmarkApplyAtTargetSize applies a note that changes one of 4,200 servers.
+func BenchmarkApplyAtTargetSize(b *testing.B) {
+	add := &Note{Number: 1}
+	for i := range 4200 {
+		add.Servers.Add = append(add.Servers.Add, engine(fmt.Sprintf("engine-%04d", i), "m"))
+	}
+	c := (&Config{}).Apply(add)
+	change := &Note{Number: 2, Servers: ServerChanges{Change: []Server{engine("engine-2000", "n")}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Apply(change)
+	}
+}
--- /dev/null
+++ b/decide/release/impact.go
@@ -0,0 +1,276 @@
+package release
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+)
+
+// MinRecord is the time for which uses must have been recorded before the absence of a use means anything. Weekly jobs
+// are the rarest use that operators have reported, so it is a week.
+const MinRecord = 7 * 24 * time.Hour
+
+// Use records that an organisation used a model, adapter or service on a server.
+type Use struct {
+	Server       fleet.ServerID     `cbor:"1,keyasint"`
+	DataCentre   fleet.DataCentre   `cbor:"2,keyasint"`
+	Organisation fleet.Organisation `cbor:"3,keyasint"`
+	Kind         fleet.Kind         `cbor:"4,keyasint"`
+	Name         string             `cbor:"5,keyasint"`
+	Adapter      string             `cbor:"6,keyasint,omitempty"`
+	Last         int64              `cbor:"7,keyasint"` // Unix seconds
+}
+
+func (u *Use) target() fleet.Target {
+	return fleet.Target{Kind: u.Kind, Name: u.Name, Adapter: u.Adapter}
+}
+
+// View is what an instance knows when it judges a note. Fields that it does not know stay empty.
+type View struct {
+	Now           time.Time
+	Config        *Config
+	Servers       []fleet.Announcement      // servers that announce themselves to this data centre's instances
+	Local         fleet.DataCentre          // data centre of Servers
+	Remote        []fleet.Summary           // servers of the other data centres, by target
+	Out           map[fleet.DataCentre]bool // data centres that are taken out
+	Uses          []Use
+	RecordedSince time.Time  // start of the records of use
+	Observed      []Observed // servers that another instance, which sees more, found left after the note
+}
+
+// Observed is the number of servers of a target that the note leaves, as one instance sees it. A proposal carries it, so
+// that the agreement group, which holds no announcements, can judge the note.
+type Observed struct {
+	Kind    fleet.Kind `cbor:"1,keyasint"`
+	Name    string     `cbor:"2,keyasint"`
+	Adapter string     `cbor:"3,keyasint,omitempty"`
+	Servers int        `cbor:"4,keyasint"`
+}
+
+// Cut is what the note takes from one server.
+type Cut struct {
+	Server     fleet.ServerID
+	DataCentre fleet.DataCentre // empty if unknown
+	Whole      bool             // the server is withdrawn; else it only loses Lost
+	Lost       []fleet.Target   // models, adapters and services that the server no longer serves
+	Uses       []Use            // recorded uses that end, latest first
+}
+
+// Capacity is the number of servers and request slots of one target.
+type Capacity struct {
+	Servers int // in data centres that are not taken out
+	Slots   int // claimed concurrent requests; 0 for servers that are known from notes or uses only
+	InOut   int // further servers in data centres that are taken out
+}
+
+// Remaining is the capacity of one target before and after the note.
+type Remaining struct {
+	Target        fleet.Target
+	Before, After Capacity
+	Used          bool
+	LastUse       int64 // Unix seconds, 0 if no use is recorded
+	Organisations []fleet.Organisation
+	Accepted      bool // the note accepts an outage of the target
+}
+
+// Impact lists what a note cuts off.
+type Impact struct {
+	Cuts      []Cut       // by server
+	Remaining []Remaining // of every target that loses a server, by kind and name
+	Findings  []Finding
+}
+
+// ImpactOf lists what the note cuts off and refuses an outage of a used model or service that the note does not accept.
+// The note must have passed Validate and Check.
+func ImpactOf(n *Note, v *View) Impact {
+	if !n.cuts() && len(n.AcceptOutage) == 0 {
+		return Impact{} // spares the pass over all recorded uses, 0.3 s at the target size
+	}
+	next := v.Config.Apply(n)
+	before := members(v, v.Config, nil)
+	after := members(v, next, n)
+	var result Impact
+	touched := make(map[fleet.Target]bool)
+	for _, id := range sortedKeys(before) {
+		cut := cutOf(before[id], after[id])
+		if cut == nil {
+			continue
+		}
+		result.Cuts = append(result.Cuts, *cut)
+		for _, t := range cut.Lost {
+			touched[t] = true
+		}
+	}
+	result.addUses(v.Uses)
+	for _, name := range n.Models.Withdraw {
+		touched[fleet.Target{Kind: fleet.KindEngine, Name: name}] = true
+	}
+	for _, a := range n.Adapters.Withdraw {
+		touched[fleet.Target{Kind: fleet.KindEngine, Name: a.Model, Adapter: a.Name}] = true
+	}
+	targets := make([]fleet.Target, 0, len(touched))
+	for t := range touched {
+		targets = append(targets, t)
+	}
+	slices.SortFunc(targets, compareTargets)
+	lost := lostByCentre(result.Cuts)
+	for _, t := range targets {
+		r := Remaining{Target: t, Accepted: n.Accepts(t.Kind, t.Name)}
+		r.Before, r.After = capacity(before, t, v, nil), capacity(after, t, v, lost)
+		if next.TargetWithdrawn(t) {
+			r.After = Capacity{}
+		}
+		r.usedBy(v.Uses)
+		result.Remaining = append(result.Remaining, r)
+	}
+	result.judge(n, v)
+	return result
+}
+
+func cutOf(before, after *member) *Cut {
+	cut := &Cut{Server: before.id, DataCentre: before.centre, Whole: after == nil}
+	for _, t := range before.targets {
+		if after == nil || !slices.Contains(after.targets, t) {
+			cut.Lost = append(cut.Lost, t)
+		}
+	}
+	if !cut.Whole && len(cut.Lost) == 0 {
+		return nil
+	}
+	slices.SortFunc(cut.Lost, compareTargets)
+	return cut
+}
+
+// cuts reports whether the note can take anything from a server.
+func (n *Note) cuts() bool {
+	return len(n.Servers.Withdraw)+len(n.Servers.Change)+len(n.Models.Withdraw)+len(n.Adapters.Withdraw) > 0
+}
+
+// addUses adds to each cut the recorded uses that it ends.
+func (i *Impact) addUses(uses []Use) {
+	positions := make(map[fleet.ServerID]int, len(i.Cuts))
+	for j := range i.Cuts {
+		positions[i.Cuts[j].Server] = j
+	}
+	for _, u := range uses {
+		j, ok := positions[u.Server]
+		if ok && (i.Cuts[j].Whole || slices.Contains(i.Cuts[j].Lost, u.target())) {
+			i.Cuts[j].Uses = append(i.Cuts[j].Uses, u)
+		}
+	}
+	for j := range i.Cuts {
+		slices.SortFunc(i.Cuts[j].Uses, func(a, b Use) int {
+			return cmp.Or(cmp.Compare(b.Last, a.Last), cmp.Compare(a.Organisation, b.Organisation),
+				compareTargets(a.target(), b.target()))
+		})
+	}
+}
+
+// ObservedLeft returns what an instance tells the agreement group with its proposal of a note.
+func (i *Impact) ObservedLeft() []Observed {
+	var result []Observed
+	for _, r := range i.Remaining {
+		if r.After.Servers > 0 {
+			result = append(result, Observed{r.Target.Kind, r.Target.Name, r.Target.Adapter, r.After.Servers})
+		}
+	}
+	return result
+}
+
+func (v *View) observed(t fleet.Target) bool {
+	return slices.ContainsFunc(v.Observed, func(o Observed) bool {
+		return o.Kind == t.Kind && o.Name == t.Name && o.Adapter == t.Adapter && o.Servers > 0
+	})
+}
+
+func (r *Remaining) usedBy(uses []Use) {
+	seen := make(map[fleet.Organisation]bool)
+	for i := range uses {
+		u := &uses[i]
+		if !slices.Contains(withBase(u.target()), r.Target) {
+			continue
+		}
+		r.Used = true
+		r.LastUse = max(r.LastUse, u.Last)
+		if !seen[u.Organisation] {
+			seen[u.Organisation] = true
+			r.Organisations = append(r.Organisations, u.Organisation)
+		}
+	}
+	slices.Sort(r.Organisations)
+}
+
+// judge refuses outages and remarks on what the records cannot tell.
+func (i *Impact) judge(n *Note, v *View) {
+	var f findings
+	for _, r := range i.Remaining {
+		inService := r.Before.Servers > 0 && r.After.Servers == 0
+		last := r.Before.Servers+r.Before.InOut > 0 && r.After.Servers+r.After.InOut == 0
+		if !r.Used || (!inService && !last) || v.observed(r.Target) {
+			continue
+		}
+		word := KindModel
+		if r.Target.Kind == fleet.KindService {
+			word = KindService
+		}
+		message := fmt.Sprintf("%s %s would have no server left; %s used it, last at %s", word, describe(r.Target),
+			joinOrganisations(r.Organisations), time.Unix(r.LastUse, 0).UTC().Format(time.RFC3339))
+		if r.Accepted {
+			f.remark(OutageAccepted, "acceptOutage", message, "the note accepts this")
+			continue
+		}
+		f.refuse(OutageRefused, "servers.withdraw", message, fmt.Sprintf(
+			`keep a server, or add {"kind": %q, "name": %q} to acceptOutage`, word, r.Target.Name))
+	}
+	for _, c := range i.Cuts {
+		if c.Whole && len(c.Uses) == 0 {
+			f.remark(NeverUsed, "servers.withdraw", fmt.Sprintf("no use of server %q is recorded", c.Server),
+				"nothing is known to depend on it")
+		}
+	}
+	if len(i.Cuts) > 0 && v.Now.Sub(v.RecordedSince) < MinRecord {
+		f.remark(ShortRecord, "", "uses have been recorded for less than a week",
+			"a rare use may not have been seen yet; wait, or ask the organisations")
+	}
+	for j, o := range n.AcceptOutage {
+		caused := slices.ContainsFunc(i.Remaining, func(r Remaining) bool {
+			return r.Accepted && r.Target.Name == o.Name && r.After.Servers == 0
+		})
+		if !caused {
+			f.remark(UnusedAcceptance, fmt.Sprintf("acceptOutage[%d]", j),
+				fmt.Sprintf("the note causes no outage of %s %q", o.Kind, o.Name), "remove it, or check the spelling")
+		}
+	}
+	i.Findings = f
+}
+
+func joinOrganisations(list []fleet.Organisation) string {
+	const shown = 5
+	names := make([]string, 0, shown)
+	for _, o := range list[:min(len(list), shown)] {
+		names = append(names, string(o))
+	}
+	text := strings.Join(names, ", ")
+	if len(list) > shown {
+		text += fmt.Sprintf(" and %d more", len(list)-shown)
+	}
+	return text
+}
+
+func compareTargets(a, b fleet.Target) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Adapter, b.Adapter),
+		cmp.Compare(a.Version, b.Version))
+}
+
+func sortedKeys(all map[fleet.ServerID]*member) []fleet.ServerID {
+	keys := make([]fleet.ServerID, 0, len(all))
+	for id := range all {
+		keys = append(keys, id)
+	}
+	slices.Sort(keys)
+	return keys
+}
