--- /dev/null
+++ b/decide/experts/planner_test.go
@@ -0,0 +1,121 @@
+package experts
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// zipf returns loads of experts in a random order of popularity.
+func zipf(n int, exponent float64, random *rand.Rand) []float64 {
+	loads := make([]float64, n)
+	for rank, e := range random.Perm(n) {
+		loads[e] = 1000 / math.Pow(float64(rank+1), exponent)
+	}
+	return loads
+}
+
+// Guards against a layer that stays uneven, a plan over its byte, staging or slot limit, an expert without a replica, and
+// moves without need (hysteresis). The target skew is 1.05.
+func TestPlanner(t *testing.T) {
+	for _, size := range []struct{ ranks, slots int }{{16, 6}, {256, 2}} {
+		for _, exponent := range []float64{0.6, 0.9, 1.2} {
+			random := rand.New(rand.NewPCG(1, 1))
+			config := PlannerConfig{Layers: 2, Experts: 64, Ranks: size.ranks, SlotsPerRank: size.slots, ExpertBytes: 40,
+				BytesPerInterval: 2000, StagingPerRank: 4}
+			even, err := Even(2, 64, size.ranks, size.slots)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p, err := NewPlanner(config, even)
+			if err != nil {
+				t.Fatal(err)
+			}
+			loads := [][]float64{zipf(64, exponent, random), zipf(64, exponent, random)}
+			plan := Plan{}
+			for range 20 {
+				if plan, err = p.Plan(loads, nil); err != nil {
+					t.Fatal(err)
+				}
+				perRank := map[int]int{}
+				for _, m := range plan.Moves {
+					if perRank[m.Rank]++; perRank[m.Rank] > config.StagingPerRank {
+						t.Errorf("rank %d loads more than %d experts", m.Rank, config.StagingPerRank)
+					}
+				}
+				if plan.Bytes > config.BytesPerInterval {
+					t.Errorf("%d bytes, budget %d", plan.Bytes, config.BytesPerInterval)
+				}
+				p.Adopt(plan)
+				if err := config.check(p.Current()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for l, layer := range p.Current().Layers {
+				if skew := Skew(layer.Loads(loads[l], size.ranks), nil); skew > 1.05 {
+					t.Errorf("%d ranks, exponent %v, layer %d: skew %.3f", size.ranks, exponent, l, skew)
+				}
+			}
+			if len(plan.Moves) > 0 {
+				t.Errorf("%d ranks, exponent %v: still moves experts under constant load", size.ranks, exponent)
+			}
+		}
+	}
+}
+
+// Guards against a slow rank that keeps its full load, and a stalled one that keeps any that others can take.
+func TestPlannerRelievesSlowRank(t *testing.T) {
+	even, _ := Even(1, 64, 16, 6)
+	p, err := NewPlanner(PlannerConfig{Layers: 1, Experts: 64, Ranks: 16, SlotsPerRank: 6, ExpertBytes: 1}, even)
+	if err != nil {
+		t.Fatal(err)
+	}
+	loads := [][]float64{zipf(64, 0.9, rand.New(rand.NewPCG(1, 1)))}
+	speeds := make([]float64, 16)
+	for r := range speeds {
+		speeds[r] = 1
+	}
+	speeds[3], speeds[7] = 0.5, 0
+	for range 5 {
+		plan, err := p.Plan(loads, speeds)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Adopt(plan)
+	}
+	ranks := p.Current().Layers[0].Loads(loads[0], 16)
+	if skew := Skew(ranks, speeds); skew > 1.05 {
+		t.Errorf("skew %.3f by speed", skew)
+	}
+	if ranks[3] > 0.6*ranks[0] {
+		t.Errorf("rank of half speed has load %.0f, others %.0f", ranks[3], ranks[0])
+	}
+}
+
+// Planning of the target size after a sudden flip of all layers, and when nothing has changed.
+func BenchmarkPlan(b *testing.B) {
+	for _, name := range []string{"flip", "steady"} {
+		b.Run(name, func(b *testing.B) {
+			random := rand.New(rand.NewPCG(1, 1))
+			even, _ := Even(60, 64, 256, 2)
+			loads := make([][]float64, 60)
+			for l := range loads {
+				loads[l] = zipf(64, 0.9, random)
+			}
+			p, _ := NewPlanner(PlannerConfig{Layers: 60, Experts: 64, Ranks: 256, SlotsPerRank: 2, ExpertBytes: 1}, even)
+			if name == "steady" {
+				for range 5 {
+					plan, _ := p.Plan(loads, nil)
+					p.Adopt(plan)
+				}
+			}
+			for b.Loop() {
+				plan, err := p.Plan(loads, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(plan.Moves)), "moves")
+			}
+		})
+	}
+}
