--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/hex"
 	"errors"
 	"net/http"
 	"time"
@@ -26,7 +27,12 @@
 	err        error // ends the call at once: the caller is gone, its deadline passed, or another instance refused it
 }
 
-func newAttemptID() string { return rand.Text() }
+// newAttemptID returns an identifier that no other attempt has.
+func newAttemptID() string {
+	var id [16]byte
+	_, _ = rand.Read(id[:]) // never fails
+	return hex.EncodeToString(id[:])
+}
 
 // attempt sends one attempt to its placement and adds the answer to the buffer.
 func (g *Gateway) attempt(ctx context.Context, c *call, place placement, id string, answer *answerBuffer) ending {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -30,6 +30,8 @@
 )
 
 const (
+	servicesPrefix = "/services/"
+
 	maxKeyBytes = 256
 	maxDeadline = time.Hour
 	// bodyTimeout bounds the time to read a request's body.
@@ -173,7 +175,8 @@
 		return nil, err
 	}
 	c.target = fleet.Target{Kind: fleet.KindService, Name: chi.URLParam(r, "service")}
-	c.path = "/" + chi.URLParam(r, "*")
+	_, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicesPrefix), "/")
+	c.path = "/" + rest
 	if r.URL.RawQuery != "" {
 		c.path += "?" + r.URL.RawQuery
 	}
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -282,6 +282,10 @@
 		return new(Order)
 	case TypeOrderDone:
 		return new(OrderDone)
+	case TypeFounding:
+		return new(Founding)
+	case TypeJoin:
+		return new(Join)
 	}
 	return nil
 }
--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -37,13 +37,15 @@
 		&Gossip{Payload: []byte{7}},
 		&Order{ID: "o", Fencing: 8, Action: "load"},
 		&OrderDone{ID: "o", Refused: "r"},
+		&Founding{Self: Member{Instance: "a", ID: 1, Address: "127.0.0.1:1"}, Founded: true, Members: []Member{{Instance: "a", ID: 1}}},
+		&Join{Member: Member{Instance: "a", ID: 1, Address: "127.0.0.1:1"}},
 	}
 }
 
 // Guards against a message type that cannot be sent, or loses a field on the way.
 func TestRoundTrip(t *testing.T) {
 	is := is.New(t)
-	is.Equal(len(samples()), int(TypeOrderDone)) // every type has a sample
+	is.Equal(len(samples()), int(TypeJoin)) // every type has a sample
 	for i, m := range samples() {
 		stream := uint64(i) << (2 * i)
 		frame, err := Encode(stream, m)
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -45,6 +45,8 @@
 	TypeGossip    Type = 21
 	TypeOrder     Type = 22
 	TypeOrderDone Type = 23
+	TypeFounding  Type = 24
+	TypeJoin      Type = 25
 )
 
 // Hello is the first message in both directions of a session.
@@ -244,3 +246,23 @@
 	ID      string `cbor:"1,keyasint"`
 	Refused string `cbor:"2,keyasint,omitempty"`
 }
+
+// Member is a member of the agreement group as voters name each other.
+type Member struct {
+	Instance fleet.InstanceID `cbor:"1,keyasint"`
+	ID       uint64           `cbor:"2,keyasint"` // of the member's data folder
+	Address  string           `cbor:"3,keyasint"`
+}
+
+// Founding is what voters tell each other until the group has been founded.
+type Founding struct {
+	Self    Member   `cbor:"1,keyasint"`
+	Founded bool     `cbor:"2,keyasint,omitempty"` // the sender's data folder belongs to a group
+	Members []Member `cbor:"3,keyasint,omitempty"` // founding members, once they are decided
+	Pledge  uint64   `cbor:"4,keyasint,omitempty"` // see package founding
+}
+
+// Join asks the agreement group to take in a voter whose data folder is new.
+type Join struct {
+	Member Member `cbor:"1,keyasint"`
+}
--- a/internal/protocol/types.go
+++ b/internal/protocol/types.go
@@ -68,3 +68,9 @@
 
 // Type implements Message.
 func (*OrderDone) Type() Type { return TypeOrderDone }
+
+// Type implements Message.
+func (*Founding) Type() Type { return TypeFounding }
+
+// Type implements Message.
+func (*Join) Type() Type { return TypeJoin }
