Add the key ledger over the replicated log and the agreed part of the control loop

Claims go through the log before an attempt is sent; outcomes are collected for 200 ms and appended without waiting.

--- /dev/null
+++ b/internal/agreement/centres.go
@@ -0,0 +1,114 @@
+package agreement
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/banyanfront/banyanfront/decide/agreed"
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+)
+
+// logOutTimeout bounds one try to enter an out into the log; gossip repeats it.
+const logOutTimeout = 900 * time.Millisecond
+
+// TakeOut takes a data centre out at once, here and wherever the word reaches, and enters it into the log as soon as the
+// group can be reached. It returns the record in force.
+func (s *Service) TakeOut(name fleet.DataCentre, author, reason string, at time.Time) agreed.CentreRecord {
+	s.mu.Lock()
+	record := agreed.NextOut(agreed.Merge(s.view.Centres, s.heard), name, author, reason, at.Unix())
+	s.heard = agreed.Merge(s.heard, []agreed.CentreRecord{record})
+	s.publish()
+	s.mu.Unlock()
+	s.tellCentres()
+	return record
+}
+
+// BringIn brings a data centre back. Only the group can.
+func (s *Service) BringIn(ctx context.Context, name fleet.DataCentre, author, reason string, at time.Time) (*agreed.Result, error) {
+	seen := agreed.Find(s.Centres(), name)
+	return s.Propose(ctx, rand.Text(), &agreed.BringIn{
+		Name: name, SeenTerm: seen.Term, Author: author, Reason: reason, At: at.Unix(),
+	})
+}
+
+// Centres returns the records of all data centres that were ever taken out.
+func (s *Service) Centres() []agreed.CentreRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return agreed.Merge(s.view.Centres, s.heard)
+}
+
+// unlogged returns the records that the log does not hold yet, and forgets the others.
+func (s *Service) unlogged() []agreed.CentreRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := s.heard[:0:0]
+	for _, record := range s.heard {
+		if record.Compare(agreed.Find(s.view.Centres, record.Name)) > 0 {
+			kept = append(kept, record)
+		}
+	}
+	s.heard = kept
+	return kept
+}
+
+// gossip repeats what is not in the log yet to all entry instances in reach, and tries to enter it.
+func (s *Service) gossip(ctx context.Context) {
+	records := s.unlogged()
+	if len(records) == 0 {
+		return
+	}
+	s.tellCentres()
+	for _, record := range records {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, logOutTimeout)
+			defer cancel()
+			if _, err := s.Propose(ctx, rand.Text(), &agreed.TakeOut{Record: record}); err != nil {
+				log.WithError(err).WithField("dataCentre", record.Name).Warn("out is in force here but not in the log yet")
+			}
+		}()
+	}
+}
+
+// tellCentres sends the records that are not in the log yet to all entry instances in reach.
+func (s *Service) tellCentres() {
+	data, err := protocol.EncodeCentres(s.unlogged())
+	if err != nil {
+		log.WithError(err).Error("data centre records could not be encoded")
+		return
+	}
+	message := &protocol.Centres{Payload: data}
+	for _, sessions := range s.loop.View().AllPeers() {
+		for _, session := range sessions {
+			_ = session.Send(message)
+		}
+	}
+}
+
+// centresReceived merges records of another instance and passes on what is new.
+func (s *Service) centresReceived(m *protocol.Centres) {
+	records, err := protocol.DecodeCentres(m.Payload)
+	if err != nil {
+		log.WithError(err).Warn("data centre records not understood")
+		return
+	}
+	s.mu.Lock()
+	before := agreed.Merge(s.view.Centres, s.heard)
+	s.heard = agreed.Merge(s.heard, records)
+	after := agreed.Merge(s.view.Centres, s.heard)
+	news := len(before) != len(after)
+	for i := 0; !news && i < len(after); i++ {
+		news = after[i] != before[i]
+	}
+	if news {
+		s.publish()
+	}
+	s.mu.Unlock()
+	if news {
+		s.tellCentres()
+	}
+}
--- /dev/null
+++ b/internal/agreement/ledger.go
@@ -0,0 +1,158 @@
+package agreement
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/banyanfront/banyanfront/decide/agreed"
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/gateway"
+	"github.com/banyanfront/banyanfront/internal/problem"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+)
+
+const (
+	// outcomeInterval is how long outcomes are collected before they are proposed together. Callers do not wait for it.
+	outcomeInterval = 200 * time.Millisecond
+	// maxOutcomes bounds the outcomes of one command, and with it the memory if the group is out of reach: outcomes
+	// beyond it are dropped, and an inquiry finds them out if they are ever needed.
+	maxOutcomes    = 4096
+	outcomeTimeout = 10 * time.Second
+)
+
+// Ledger records idempotency keys in the agreed state.
+type Ledger struct {
+	service *Service
+
+	mu      sync.Mutex
+	pending []agreed.AttemptOutcome
+	flush   *time.Timer
+}
+
+var _ gateway.Ledger = (*Ledger)(nil)
+
+// NewLedger returns the ledger of a service.
+func NewLedger(s *Service) *Ledger { return &Ledger{service: s} }
+
+// Claim implements gateway.Ledger.
+func (l *Ledger) Claim(ctx context.Context, c gateway.Claim) (gateway.Record, error) {
+	claim, err := encodeClaim(c)
+	if err != nil {
+		return gateway.Record{}, err
+	}
+	now := time.Now().Unix()
+	var command agreed.Command = &agreed.ClaimKey{Claim: claim, At: now}
+	if c.Replaces != "" {
+		replaced, err := agreed.ParseAttempt(c.Replaces)
+		if err != nil {
+			return gateway.Record{}, err
+		}
+		command = &agreed.ReplaceClaim{NotRun: replaced, Claim: claim, At: now}
+	}
+	result, err := l.service.Propose(ctx, "claim/"+c.Attempt, command)
+	if err != nil {
+		return gateway.Record{}, err
+	}
+	switch result.Code {
+	case agreed.OK, agreed.Repeated, agreed.Existing:
+		if result.Claim == nil {
+			return gateway.Record{Digest: c.Digest, Attempt: c.Attempt, Server: c.Server, Boot: c.Boot,
+				DataCentre: c.DataCentre, Outcome: protocol.OutcomeRunning}, nil
+		}
+		return decodeRecord(result.Claim, c.Digest), nil
+	case agreed.OtherRequest:
+		return gateway.Record{}, nil // no digest equals the empty one
+	default:
+		return gateway.Record{}, problem.New(problem.NotRun, "the claim was refused: %s", result.Detail)
+	}
+}
+
+// encodeClaim translates a claim. The server is named with its data centre, since the inquiry about the attempt may
+// come from another one.
+func encodeClaim(c gateway.Claim) (agreed.Claim, error) {
+	attempt, err := agreed.ParseAttempt(c.Attempt)
+	if err != nil {
+		return agreed.Claim{}, err
+	}
+	digest, err := agreed.ParseAttempt(c.Digest) // the same form
+	if err != nil {
+		return agreed.Claim{}, err
+	}
+	return agreed.Claim{
+		Organisation: c.Organisation,
+		Key:          c.Key,
+		Digest:       agreed.RequestDigest(digest),
+		Attempt:      attempt,
+		Server:       fleet.ServerID(string(c.DataCentre) + "/" + string(c.Server)),
+		Boot:         c.Boot,
+	}, nil
+}
+
+func decodeRecord(r *agreed.ClaimRecord, digest string) gateway.Record {
+	dataCentre, server, _ := strings.Cut(string(r.Server), "/")
+	return gateway.Record{
+		Digest:     digest,
+		Attempt:    r.Attempt.String(),
+		Server:     fleet.ServerID(server),
+		Boot:       r.Boot,
+		DataCentre: fleet.DataCentre(dataCentre),
+		Outcome:    decodeOutcome(r.Outcome),
+		Status:     int(r.Status),
+	}
+}
+
+func decodeOutcome(o agreed.Outcome) protocol.Outcome {
+	switch o {
+	case agreed.Done:
+		return protocol.OutcomeDone
+	case agreed.NotRun:
+		return protocol.OutcomeNotRun
+	case agreed.Unknown:
+		return protocol.OutcomeUnknown
+	default:
+		return protocol.OutcomeRunning
+	}
+}
+
+// Finish implements gateway.Ledger.
+func (l *Ledger) Finish(c gateway.Claim, outcome protocol.Outcome, status int) {
+	attempt, err := agreed.ParseAttempt(c.Attempt)
+	if err != nil || outcome != protocol.OutcomeDone {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.pending) >= maxOutcomes {
+		return
+	}
+	l.pending = append(l.pending, agreed.AttemptOutcome{
+		Organisation: c.Organisation, Key: c.Key, Attempt: attempt, Outcome: agreed.Done, Status: uint16(status),
+	})
+	if l.flush == nil {
+		l.flush = time.AfterFunc(outcomeInterval, l.propose)
+	}
+}
+
+// propose proposes the collected outcomes together.
+func (l *Ledger) propose() {
+	l.mu.Lock()
+	outcomes := l.pending
+	l.pending, l.flush = nil, nil
+	l.mu.Unlock()
+	if len(outcomes) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), outcomeTimeout)
+	defer cancel()
+	id := "outcomes/" + outcomes[0].Attempt.String()
+	if _, err := l.service.Propose(ctx, id, &agreed.RecordOutcomes{Outcomes: outcomes}); err != nil {
+		log.WithError(err).WithField("outcomes", len(outcomes)).Warn("outcomes not recorded; inquiries answer for them")
+	}
+}
+
+// Close records what is still pending.
+func (l *Ledger) Close() { l.propose() }
--- /dev/null
+++ b/internal/agreement/service.go
@@ -0,0 +1,211 @@
+// Package agreement gives an entry instance its copy of the agreed state and the means to change it. On an instance with
+// a data folder it runs a member of the agreement group; elsewhere it follows a member or a peer, and hands proposals to
+// a voter.
+package agreement
+
+import (
+	"context"
+	"crypto/rand"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/banyanfront/banyanfront/decide/agreed"
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/control"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/replica"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+const (
+	// tickInterval is how often followers ask for changes and founding voters tell each other about themselves.
+	tickInterval = time.Second
+	// expireInterval is how often the leader drops key records that are past their retention.
+	expireInterval = time.Minute
+)
+
+// Voter is an initial member of the agreement group.
+type Voter struct {
+	Instance fleet.InstanceID
+	Address  string
+}
+
+// Config holds what the service needs to know of its instance.
+type Config struct {
+	Instance   fleet.InstanceID
+	Boot       fleet.Boot
+	DataCentre fleet.DataCentre
+	Address    string
+	Voters     []Voter
+	DataFolder string // empty on instances without a disk
+}
+
+// Sessions finds sessions to entry instances.
+type Sessions interface {
+	// Session returns the session in use to an inner address, or nil.
+	Session(address string) transport.Session
+}
+
+// Service holds this instance's copy of the agreed state. Its methods may be called from any goroutine.
+type Service struct {
+	config   Config
+	sessions Sessions
+	loop     *control.Loop
+	member   *member // nil on instances without a data folder
+	waiting  proposals
+
+	mu        sync.Mutex
+	view      *agreed.View
+	recent    []*agreed.Change // newest changes of the view, oldest first
+	heard     []agreed.CentreRecord
+	watchers  map[transport.Session]time.Time // who asked for changes, and when last
+	confirmed bool                            // the view came from the group since the start
+}
+
+// New returns a service that has not heard of the group yet.
+func New(config Config, sessions Sessions, loop *control.Loop) (*Service, error) {
+	s := &Service{
+		config:   config,
+		sessions: sessions,
+		loop:     loop,
+		waiting:  proposals{waiting: make(map[string]chan *protocol.Proposed)},
+		view:     agreed.EmptyView(),
+		watchers: make(map[transport.Session]time.Time),
+	}
+	if config.DataFolder == "" {
+		return s, nil
+	}
+	m, err := newMember(config, sessions, s.install)
+	if err != nil {
+		return nil, err
+	}
+	s.member = m
+	return s, nil
+}
+
+// Run follows the group until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	nextExpiry := time.Now().Add(expireInterval)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			if s.member != nil {
+				s.member.tick(now)
+			}
+			s.follow(now)
+			s.gossip(ctx)
+			if now.After(nextExpiry) && s.leads() {
+				nextExpiry = now.Add(expireInterval)
+				go s.expire(ctx, now)
+			}
+		}
+	}
+}
+
+// Close leaves the group in an orderly way.
+func (s *Service) Close() {
+	if s.member != nil {
+		s.member.close()
+	}
+}
+
+// leads reports whether this instance leads the group.
+func (s *Service) leads() bool {
+	r := s.replica()
+	return r != nil && r.Status().Leader == r.Status().ID
+}
+
+func (s *Service) replica() *replica.Replica {
+	if s.member == nil {
+		return nil
+	}
+	return s.member.replica.Load()
+}
+
+func (s *Service) expire(ctx context.Context, now time.Time) {
+	if _, err := s.Propose(ctx, rand.Text(), &agreed.ExpireKeys{Now: now.Unix()}); err != nil {
+		log.WithError(err).Debug("key records not expired; the next try follows")
+	}
+}
+
+// View returns the agreed state that is in force here.
+func (s *Service) View() *agreed.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+// NotReady returns why this instance must not serve yet, or "". An instance that has just started must not route by an
+// older state than its data centre has seen.
+func (s *Service) NotReady() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.confirmed {
+		return "the agreed state has not been received yet: check the sessions to the voters"
+	}
+	return ""
+}
+
+// install puts a newer view in force and passes its last change on.
+func (s *Service) install(view *agreed.View, change *agreed.Change) {
+	s.mu.Lock()
+	s.confirmed = true
+	if view.Revision < s.view.Revision {
+		s.mu.Unlock()
+		return
+	}
+	s.view = view
+	if change != nil {
+		s.recent = append(s.recent, change)
+		if len(s.recent) > maxRecent {
+			s.recent = slices.Clone(s.recent[len(s.recent)-maxRecent/2:])
+		}
+	}
+	watchers := s.activeWatchers(time.Now())
+	s.publish()
+	s.mu.Unlock()
+	for _, session := range watchers {
+		s.sendChanges(session, view.Revision-1, change)
+	}
+}
+
+// publish gives the control loop what routing needs. The caller holds the lock.
+func (s *Service) publish() {
+	out := make(map[fleet.DataCentre]bool)
+	for _, record := range agreed.Merge(s.view.Centres, s.heard) {
+		out[record.Name] = record.Out
+	}
+	s.loop.SetAgreed(control.Agreed{
+		Revision: s.view.Revision,
+		Out:      out,
+		Config:   s.view.Config,
+	})
+}
+
+// MessageReceived takes the messages of the agreement. It reports whether the message was one of these.
+func (s *Service) MessageReceived(session transport.Session, m protocol.Message) bool {
+	switch message := m.(type) {
+	case *protocol.State:
+		s.stateReceived(session, message)
+	case *protocol.Propose:
+		go s.proposeFor(session, message)
+	case *protocol.Proposed:
+		s.waiting.deliver(message)
+	case *protocol.Centres:
+		s.centresReceived(message)
+	case *protocol.Consensus, *protocol.Founding, *protocol.Join:
+		if s.member != nil {
+			s.member.received(session, m)
+		}
+	default:
+		return false
+	}
+	return true
+}
--- a/internal/control/agreed.go
+++ b/internal/control/agreed.go
@@ -1,48 +1,54 @@
 package control
 
 import (
-	"strings"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/decide/release"
 )
 
 // Agreed is the part of the agreed state that routing needs.
 type Agreed struct {
-	Revision  uint64
-	Out       map[fleet.DataCentre]bool
-	Withdrawn map[fleet.ServerID]bool
-	Calls     []CallRule
+	Revision uint64
+	Out      map[fleet.DataCentre]bool // taken out, by the log or by word of other instances
+	Config   *release.Config
 }
 
-// CallRule marks calls of a plain service as idempotent or not.
-type CallRule struct {
-	Service    string
-	Method     string // empty for any
-	PathPrefix string
-	Repeatable bool
+// config returns the configuration, which is empty before the state has been received.
+func (a *Agreed) config() *release.Config {
+	if a.Config == nil {
+		return &release.Config{}
+	}
+	return a.Config
 }
 
-// excluded returns why the agreed state keeps new work from a server, or "".
+// excluded returns why the agreed state keeps new work from a server, or "". A server that no note names is served.
 func (a *Agreed) excluded(server fleet.ServerID) string {
-	if a.Withdrawn[server] {
-		return "withdrawn by a release note"
+	if number := a.config().WithdrawnBy(server); number > 0 {
+		return fmt.Sprintf("withdrawn by release note %d", number)
 	}
 	return ""
 }
 
-// repeatable applies the rule with the longest matching path.
-func (a *Agreed) repeatable(service, method, path string) (repeat, known bool) {
-	longest := -1
-	for _, rule := range a.Calls {
-		if rule.Service != service || (rule.Method != "" && rule.Method != method) ||
-			!strings.HasPrefix(path, rule.PathPrefix) || len(rule.PathPrefix) <= longest {
+// offered returns the models of an announcement without those that notes have withdrawn.
+func (a *Agreed) offered(models []fleet.Model) []fleet.Model {
+	config := a.config()
+	if len(config.GoneModels) == 0 && len(config.GoneAdapter) == 0 {
+		return models
+	}
+	var kept []fleet.Model
+	for _, m := range models {
+		if config.TargetWithdrawn(fleet.Target{Kind: fleet.KindEngine, Name: m.Name}) {
 			continue
 		}
-		longest = len(rule.PathPrefix)
-		repeat, known = rule.Repeatable, true
+		m.Adapters = slices.DeleteFunc(slices.Clone(m.Adapters), func(adapter string) bool {
+			return config.TargetWithdrawn(fleet.Target{Kind: fleet.KindEngine, Name: m.Name, Adapter: adapter})
+		})
+		kept = append(kept, m)
 	}
-	return repeat, known
+	return kept
 }
 
 // SetAgreed puts a newer agreed state in force. An older one changes nothing.
@@ -53,5 +59,8 @@
 		}
 		s.agreed = agreed
 		s.urgent = true
+		for _, known := range s.servers {
+			s.sendRoster(known)
+		}
 	})
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -16,8 +16,10 @@
 const (
 	// forgetAfter is how long a server without a session is remembered for the account.
 	forgetAfter = 10 * time.Minute
-	// rosterInterval is how often agents learn the entry instances and the newest revision.
-	rosterInterval = time.Second
+	// summaryInterval is how often other data centres learn what is free here.
+	summaryInterval = time.Second
+	// rosterInterval is how often a roster is repeated that an agent may have missed. Changes are sent at once.
+	rosterInterval = 30 * time.Second
 	// summaryMaxAge is after how long a data centre without a summary gets no spilled requests.
 	summaryMaxAge = 5 * time.Second
 	// maxCapacity bounds what an announcement can claim; the largest engines of the field batch a few hundred.
@@ -43,13 +45,15 @@
 
 // state is the control state. Only the control goroutine touches it.
 type state struct {
-	config     Config
-	servers    map[fleet.ServerID]*server
-	peers      map[fleet.InstanceID]*peer
-	agreed     Agreed
-	nextRoster time.Time
-	changed    bool
-	urgent     bool
+	config      Config
+	servers     map[fleet.ServerID]*server
+	peers       map[fleet.InstanceID]*peer
+	agreed      Agreed
+	roster      []string // addresses that agents were told last
+	nextRoster  time.Time
+	nextSummary time.Time
+	changed     bool
+	urgent      bool
 }
 
 func newState(config Config) *state {
@@ -183,15 +187,18 @@
 			s.changed = true
 		}
 	}
-	if now.Before(s.nextRoster) {
-		return
+	if addresses := s.localAddresses(); !slices.Equal(addresses, s.roster) || !now.Before(s.nextRoster) {
+		s.roster = addresses
+		s.nextRoster = now.Add(rosterInterval)
+		for _, known := range s.servers {
+			s.sendRoster(known)
+		}
 	}
-	s.nextRoster = now.Add(rosterInterval)
-	for _, known := range s.servers {
-		s.sendRoster(known)
+	if !now.Before(s.nextSummary) {
+		s.nextSummary = now.Add(summaryInterval)
+		s.sendSummaries()
+		s.changed = true // ages of summaries
 	}
-	s.sendSummaries()
-	s.changed = true // ages of summaries
 }
 
 // sendRoster tells an agent the entry instances of its data centre and whether its server takes new work.
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -26,7 +26,28 @@
 
 // Repeatable tells whether a call of a plain service may be repeated, if the release note in force says so.
 func (v *View) Repeatable(service, method, path string) (repeat, known bool) {
-	return v.Agreed.repeatable(service, method, path)
+	return v.Agreed.config().Marked(service, method, path)
+}
+
+// Version returns the version of a model that callers get when they name none, empty for any.
+func (v *View) Version(model string) string {
+	for _, m := range v.Agreed.config().Models {
+		if m.Name == model && v.serves(fleet.Target{Kind: fleet.KindEngine, Name: model, Version: m.Version}) {
+			return m.Version
+		}
+	}
+	return ""
+}
+
+// serves reports whether any server that takes work has the target. During a change of versions, the old one goes on
+// until the new one is loaded somewhere.
+func (v *View) serves(target fleet.Target) bool {
+	for _, i := range v.Candidates(target) {
+		if server := &v.Servers[i]; server.Excluded == "" && server.Serves(target) {
+			return true
+		}
+	}
+	return false
 }
 
 // excluded returns why a server receives no new work, or "".
@@ -59,8 +80,10 @@
 		if session := best(known.sessions); session != nil {
 			v.sessions[id] = session
 		}
+		announcement := known.announcement
+		announcement.Models = s.agreed.offered(announcement.Models)
 		snapshot.Servers = append(snapshot.Servers, fleet.Server{
-			Announcement: known.announcement,
+			Announcement: announcement,
 			Load:         known.load,
 			Excluded:     s.excluded(known),
 			Weight:       1,
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -286,6 +286,8 @@
 		return new(Founding)
 	case TypeJoin:
 		return new(Join)
+	case TypeCentres:
+		return new(Centres)
 	}
 	return nil
 }
--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -39,13 +39,14 @@
 		&OrderDone{ID: "o", Refused: "r"},
 		&Founding{Self: Member{Instance: "a", ID: 1, Address: "127.0.0.1:1"}, Founded: true, Members: []Member{{Instance: "a", ID: 1}}},
 		&Join{Member: Member{Instance: "a", ID: 1, Address: "127.0.0.1:1"}},
+		&Centres{Payload: []byte{9}},
 	}
 }
 
 // Guards against a message type that cannot be sent, or loses a field on the way.
 func TestRoundTrip(t *testing.T) {
 	is := is.New(t)
-	is.Equal(len(samples()), int(TypeJoin)) // every type has a sample
+	is.Equal(len(samples()), int(TypeCentres)) // every type has a sample
 	for i, m := range samples() {
 		stream := uint64(i) << (2 * i)
 		frame, err := Encode(stream, m)
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -47,6 +47,7 @@
 	TypeOrderDone Type = 23
 	TypeFounding  Type = 24
 	TypeJoin      Type = 25
+	TypeCentres   Type = 26
 )
 
 // Hello is the first message in both directions of a session.
@@ -266,3 +267,8 @@
 type Join struct {
 	Member Member `cbor:"1,keyasint"`
 }
+
+// Centres carries data centre records that are not in the log yet.
+type Centres struct {
+	Payload []byte `cbor:"1,keyasint"`
+}
--- a/internal/protocol/types.go
+++ b/internal/protocol/types.go
@@ -74,3 +74,6 @@
 
 // Type implements Message.
 func (*Join) Type() Type { return TypeJoin }
+
+// Type implements Message.
+func (*Centres) Type() Type { return TypeCentres }
