--- /dev/null
+++ b/decide/agreed/bench_test.go
@@ -0,0 +1,88 @@
+package agreed
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/decide/release"
+)
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// fill claims keys of 210 organisations on 4,200 servers.
+func fill(s *State, keys int) {
+	for i := range keys {
+		c := Claim{Organisation: fleet.Organisation(fmt.Sprintf("organisation-%d", i%210)), Key: fmt.Sprintf("order-%d", i),
+			Server: fleet.ServerID(fmt.Sprintf("server-%d", i%4200)), Boot: 3}
+		binary.LittleEndian.PutUint64(c.Attempt[:], uint64(i+1))
+		s.Apply(s.Index()+1, &ClaimKey{c, int64(1000 + i/100)})
+	}
+}
+
+// BenchmarkKeyRecordMemory reports the heap bytes of one of a million key records.
+func BenchmarkKeyRecordMemory(b *testing.B) {
+	const keys = 1_000_000
+	for b.Loop() {
+		before := heap()
+		s := New(Limits{})
+		fill(s, keys)
+		if s.Keys() != keys {
+			b.Fatal("keys are missing")
+		}
+		b.ReportMetric(float64(heap()-before)/keys, "B/key")
+		runtime.KeepAlive(s)
+	}
+}
+
+// BenchmarkUseMemory reports the heap bytes of one of 882,000 recorded uses.
+func BenchmarkUseMemory(b *testing.B) {
+	for b.Loop() {
+		before := heap()
+		s := New(Limits{})
+		uses := make([]release.Use, 210)
+		for server := range 4200 {
+			for i := range uses {
+				uses[i] = release.Use{Server: fleet.ServerID(fmt.Sprintf("server-%d", server)), DataCentre: "norte", Last: 1000,
+					Organisation: fleet.Organisation(fmt.Sprintf("organisation-%d", i)), Name: fmt.Sprintf("model-%d", server%6)}
+			}
+			s.Apply(s.Index()+1, &RegisterUses{uses, 1000})
+		}
+		b.ReportMetric(float64(heap()-before)/float64(len(s.uses.last)), "B/use")
+		runtime.KeepAlive(s)
+	}
+}
+
+// BenchmarkClaim applies a claim, its outcome and, every 1000 claims, an expiry, with a million keys held.
+func BenchmarkClaim(b *testing.B) {
+	s := New(Limits{})
+	fill(s, 1_000_000)
+	i := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		c := Claim{Organisation: "windows", Key: fmt.Sprintf("order-%d", i), Server: "pedidos-1", Boot: 3}
+		binary.BigEndian.PutUint64(c.Attempt[:], uint64(i+1))
+		s.Apply(s.Index()+1, &ClaimKey{c, 20000})
+		s.Apply(s.Index()+1, &RecordOutcomes{[]AttemptOutcome{{c.Organisation, c.Key, c.Attempt, NotRun, 0}}})
+		if i++; i == 40000 { // stays below the bound
+			i = 0
+		}
+	}
+}
+
+// BenchmarkExport exports a million keys, as for a voter that catches up.
+func BenchmarkExport(b *testing.B) {
+	s := New(Limits{})
+	fill(s, 1_000_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Export()
+	}
+}
--- a/decide/release/bench_test.go
+++ b/decide/release/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	add := &Note{Number: 1}
 	v := View{Now: time.Unix(1e9, 0), Local: "dc-0"}
 	withdraw := &Note{Number: 2}
+	var uses []Use
 	for i := range 4200 {
 		s := engine(fmt.Sprintf("engine-%04d", i), fmt.Sprintf("model-%d", i%6))
 		s.DataCentre = fleet.DataCentre(fmt.Sprintf("dc-%d", i/300))
@@ -22,11 +24,11 @@
 			withdraw.Servers.Withdraw = append(withdraw.Servers.Withdraw, s.ID)
 		}
 		for o := range 210 {
-			v.Uses = append(v.Uses, Use{Server: s.ID, DataCentre: s.DataCentre,
+			uses = append(uses, Use{Server: s.ID, DataCentre: s.DataCentre,
 				Organisation: fleet.Organisation(fmt.Sprintf("organisation-%d", o)), Name: s.Models[0].Name, Last: int64(o)})
 		}
 	}
-	v.Config = (&Config{}).Apply(add)
+	v.Uses, v.Config = slices.Values(uses), (&Config{}).Apply(add)
 	b.ReportAllocs()
 	for b.Loop() {
 		if impact := ImpactOf(withdraw, &v); len(impact.Cuts) != 300 || Refused(impact.Findings) {
--- a/decide/release/capacity.go
+++ b/decide/release/capacity.go
@@ -45,8 +45,7 @@
 			m.targets, m.current = expectedTargets(s), true
 		}
 	}
-	for i := range v.Uses {
-		u := &v.Uses[i]
+	for u := range v.uses() {
 		m := at(u.Server, u.DataCentre)
 		if m.current {
 			continue
@@ -67,6 +66,11 @@
 	return result
 }
 
+// covers reports whether a use of one target depends on the other: a use of an adapter depends on its model too.
+func covers(used, t fleet.Target) bool {
+	return used == t || (t.Adapter == "" && used.Kind == t.Kind && used.Name == t.Name)
+}
+
 // withBase returns the target and, for an adapter, its model too.
 func withBase(t fleet.Target) []fleet.Target {
 	if t.Adapter == "" {
--- a/decide/release/impact.go
+++ b/decide/release/impact.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -37,9 +38,9 @@
 	Local         fleet.DataCentre          // data centre of Servers
 	Remote        []fleet.Summary           // servers of the other data centres, by target
 	Out           map[fleet.DataCentre]bool // data centres that are taken out
-	Uses          []Use
-	RecordedSince time.Time  // start of the records of use
-	Observed      []Observed // servers that another instance, which sees more, found left after the note
+	Uses          iter.Seq[Use]             // recorded uses; a sequence, as a list of all would take 98 MB at the target size
+	RecordedSince time.Time                 // start of the records of use
+	Observed      []Observed                // servers that another instance, which sees more, found left after the note
 }
 
 // Observed is the number of servers of a target that the note leaves, as one instance sees it. A proposal carries it, so
@@ -91,6 +92,7 @@
 		return Impact{} // spares the pass over all recorded uses, 0.3 s at the target size
 	}
 	next := v.Config.Apply(n)
+	uses := v.uses()
 	before := members(v, v.Config, nil)
 	after := members(v, next, n)
 	var result Impact
@@ -105,7 +107,7 @@
 			touched[t] = true
 		}
 	}
-	result.addUses(v.Uses)
+	result.addUses(uses)
 	for _, name := range n.Models.Withdraw {
 		touched[fleet.Target{Kind: fleet.KindEngine, Name: name}] = true
 	}
@@ -124,7 +126,7 @@
 		if next.TargetWithdrawn(t) {
 			r.After = Capacity{}
 		}
-		r.usedBy(v.Uses)
+		r.usedBy(uses)
 		result.Remaining = append(result.Remaining, r)
 	}
 	result.judge(n, v)
@@ -151,12 +153,12 @@
 }
 
 // addUses adds to each cut the recorded uses that it ends.
-func (i *Impact) addUses(uses []Use) {
+func (i *Impact) addUses(uses iter.Seq[Use]) {
 	positions := make(map[fleet.ServerID]int, len(i.Cuts))
 	for j := range i.Cuts {
 		positions[i.Cuts[j].Server] = j
 	}
-	for _, u := range uses {
+	for u := range uses {
 		j, ok := positions[u.Server]
 		if ok && (i.Cuts[j].Whole || slices.Contains(i.Cuts[j].Lost, u.target())) {
 			i.Cuts[j].Uses = append(i.Cuts[j].Uses, u)
@@ -181,17 +183,23 @@
 	return result
 }
 
+func (v *View) uses() iter.Seq[Use] {
+	if v.Uses == nil {
+		return func(func(Use) bool) {}
+	}
+	return v.Uses
+}
+
 func (v *View) observed(t fleet.Target) bool {
 	return slices.ContainsFunc(v.Observed, func(o Observed) bool {
 		return o.Kind == t.Kind && o.Name == t.Name && o.Adapter == t.Adapter && o.Servers > 0
 	})
 }
 
-func (r *Remaining) usedBy(uses []Use) {
+func (r *Remaining) usedBy(uses iter.Seq[Use]) {
 	seen := make(map[fleet.Organisation]bool)
-	for i := range uses {
-		u := &uses[i]
-		if !slices.Contains(withBase(u.target()), r.Target) {
+	for u := range uses {
+		if !covers(u.target(), r.Target) {
 			continue
 		}
 		r.Used = true
--- a/decide/release/release_test.go
+++ b/decide/release/release_test.go
@@ -208,23 +208,23 @@
 		view View
 		want []Code
 	}{
-		{"last server", withdraw("a"), View{Servers: []fleet.Announcement{announce("a", "m")}, Uses: uses[:2]}, []Code{OutageRefused}},
-		{"accepted", accepted, View{Servers: []fleet.Announcement{announce("a", "m")}, Uses: uses[:2]}, []Code{OutageAccepted}},
-		{"another local server", withdraw("a"), View{Servers: []fleet.Announcement{announce("a", "m"), announce("b", "m")}, Uses: uses}, nil},
-		{"another data centre", withdraw("a"), View{Servers: []fleet.Announcement{announce("a", "m")}, Uses: uses, Remote: remote}, nil},
-		{"other data centre is out", withdraw("a"), View{Servers: []fleet.Announcement{announce("a", "m")}, Uses: uses, Remote: remote,
+		{"last server", withdraw("a"), View{Servers: []fleet.Announcement{announce("a", "m")}, Uses: slices.Values(uses[:2])}, []Code{OutageRefused}},
+		{"accepted", accepted, View{Servers: []fleet.Announcement{announce("a", "m")}, Uses: slices.Values(uses[:2])}, []Code{OutageAccepted}},
+		{"another local server", withdraw("a"), View{Servers: []fleet.Announcement{announce("a", "m"), announce("b", "m")}, Uses: slices.Values(uses)}, nil},
+		{"another data centre", withdraw("a"), View{Servers: []fleet.Announcement{announce("a", "m")}, Uses: slices.Values(uses), Remote: remote}, nil},
+		{"other data centre is out", withdraw("a"), View{Servers: []fleet.Announcement{announce("a", "m")}, Uses: slices.Values(uses), Remote: remote,
 			Out: map[fleet.DataCentre]bool{"sur": true}}, []Code{OutageRefused}},
-		{"last of both", withdraw("a", "s"), View{Servers: []fleet.Announcement{announce("a", "m")}, Uses: uses, Remote: remote}, []Code{OutageRefused}},
-		{"last one is out", withdraw("s"), View{Uses: uses[2:], Out: map[fleet.DataCentre]bool{"sur": true}}, []Code{OutageRefused}},
-		{"from records only", withdraw("a"), View{Uses: uses[:2]}, []Code{OutageRefused}},
-		{"observed elsewhere", withdraw("a"), View{Uses: uses[:2], Observed: []Observed{{Name: "m", Servers: 2}}}, nil},
-		{"model", Note{Number: 9, Models: ModelChanges{Withdraw: []string{"m"}}}, View{Uses: uses, Remote: remote}, []Code{OutageRefused}},
+		{"last of both", withdraw("a", "s"), View{Servers: []fleet.Announcement{announce("a", "m")}, Uses: slices.Values(uses), Remote: remote}, []Code{OutageRefused}},
+		{"last one is out", withdraw("s"), View{Uses: slices.Values(uses[2:]), Out: map[fleet.DataCentre]bool{"sur": true}}, []Code{OutageRefused}},
+		{"from records only", withdraw("a"), View{Uses: slices.Values(uses[:2])}, []Code{OutageRefused}},
+		{"observed elsewhere", withdraw("a"), View{Uses: slices.Values(uses[:2]), Observed: []Observed{{Name: "m", Servers: 2}}}, nil},
+		{"model", Note{Number: 9, Models: ModelChanges{Withdraw: []string{"m"}}}, View{Uses: slices.Values(uses), Remote: remote}, []Code{OutageRefused}},
 		{"changed away", Note{Number: 9, Servers: ServerChanges{Change: []Server{engine("a", "n")}}},
-			View{Config: config, Servers: []fleet.Announcement{announce("a", "m")}, Uses: uses[:2]}, []Code{OutageRefused}},
+			View{Config: config, Servers: []fleet.Announcement{announce("a", "m")}, Uses: slices.Values(uses[:2])}, []Code{OutageRefused}},
 		{"never used", withdraw("a"), View{Servers: []fleet.Announcement{announce("a", "m")}}, []Code{NeverUsed}},
 		{"short record", withdraw("a"), View{Servers: []fleet.Announcement{announce("a", "m")}, RecordedSince: now.Add(-time.Hour)},
 			[]Code{NeverUsed, ShortRecord}},
-		{"misspelt acceptance", idle, View{Servers: []fleet.Announcement{announce("a", "m"), announce("b", "m")}, Uses: uses}, []Code{UnusedAcceptance}},
+		{"misspelt acceptance", idle, View{Servers: []fleet.Announcement{announce("a", "m"), announce("b", "m")}, Uses: slices.Values(uses)}, []Code{UnusedAcceptance}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
