Compare routing policies and fill least loaded servers to a level

Cause: a random choice among the least loaded quarter still herds, because 24 entry instances see the same reports for 2 s. A scan of 300 candidates also took 20.5 us, mostly waiting for memory; the bound is 5 us.

Change: examine every k-th candidate (48 at a time), and weigh each by its free slots below the level that the requests expected before the next reports will fill. Adds the routing experiment with a model of engines and the baselines.

--- a/decide/routing/affinity.go
+++ b/decide/routing/affinity.go
@@ -201,17 +201,6 @@
 	}
 }
 
-// Missed notes that the server had only the first hit blocks of the prefix.
-func (a *Affinity) Missed(server fleet.ServerID, prefix []uint64, hit int) {
-	handle, ok := a.directory.Load().handles[server]
-	if !ok || hit < 0 || hit >= len(prefix) {
-		return
-	}
-	for _, block := range prefix[hit:min(len(prefix), max(hit, MaxPrefixBlocks))] {
-		a.remove(block, handle)
-	}
-}
-
 func (a *Affinity) tick(now time.Time) uint32 {
 	return uint32(now.Sub(a.epoch)/time.Second) & tickMask
 }
--- a/decide/routing/baseline.go
+++ b/decide/routing/baseline.go
@@ -7,10 +7,11 @@
 	"github.com/banyanfront/banyanfront/decide/fleet"
 )
 
-// RoundRobin takes the servers in turn.
+// RoundRobin takes the servers in turn, from a random first one on.
 type RoundRobin struct{ next atomic.Uint64 }
 
-// LeastRequests takes the server with the fewest requests by the last report and this instance's own count.
+// LeastRequests takes the server with the fewest requests by the last report and this instance's own count. The first
+// of several is found from a random start, so that instances do not agree on it by the order of the servers.
 type LeastRequests struct{}
 
 // PowerOfTwo takes the one with fewer requests of two random servers.
@@ -23,11 +24,14 @@
 )
 
 // Pick implements Policy.
-func (p *RoundRobin) Pick(s *fleet.Snapshot, r *Request, _ *rand.Rand) Decision {
+func (p *RoundRobin) Pick(s *fleet.Snapshot, r *Request, rng *rand.Rand) Decision {
 	candidates := s.Candidates(r.Target)
 	if s.LocalOut || len(candidates) == 0 {
 		return baselineNone(s, candidates, r)
 	}
+	if p.next.Load() == 0 {
+		p.next.CompareAndSwap(0, uint64(rng.IntN(len(candidates))))
+	}
 	start := p.next.Add(1)
 	for i := range candidates {
 		position := candidates[(start+uint64(i))%uint64(len(candidates))]
@@ -39,10 +43,12 @@
 }
 
 // Pick implements Policy.
-func (LeastRequests) Pick(s *fleet.Snapshot, r *Request, _ *rand.Rand) Decision {
+func (LeastRequests) Pick(s *fleet.Snapshot, r *Request, rng *rand.Rand) Decision {
 	candidates := s.Candidates(r.Target)
 	best, fewest := -1, 0
-	for _, position := range candidates {
+	start := rng.IntN(max(len(candidates), 1))
+	for i := range candidates {
+		position := candidates[(start+i)%len(candidates)]
 		server := &s.Servers[position]
 		if filter(server, r) != ReasonChosen {
 			continue
--- a/decide/routing/estimate.go
+++ b/decide/routing/estimate.go
@@ -1,8 +1,6 @@
 package routing
 
 import (
-	"math"
-
 	"github.com/banyanfront/banyanfront/decide/fleet"
 )
 
@@ -59,43 +57,38 @@
 // estimate is the believed state of one candidate.
 type estimate struct {
 	position int32
-	limit    float32 // concurrency limit after weight, bound and reserve
+	limit    float32 // concurrency limit after weight and reserve
 	running  float32 // requests running at the last report
 	since    float32 // growth of this instance's own requests since then
-	kv       float32 // load by KV cache, 0 below kvPressure
+	load     float32 // estimated load: 0 is idle, 1 is the limit
+	share    float32 // free slots that this instance may take
 }
 
-// observe estimates one server from its report and this instance's own requests. It returns false if the report had
-// impossible figures.
-func observe(server *fleet.Server, position int) (estimate, bool) {
-	e := estimate{position: int32(position)}
+// observe estimates one server from its report and this instance's own requests. kept is the share of the limit that
+// the request's priority may use. It returns false if the report had impossible figures.
+func (e *estimate) observe(server *fleet.Server, position int, kept, instances float32) bool {
+	e.position = int32(position)
 	load := &server.Load
 	ok := believable(load)
-	if !ok || load.Sequence == 0 || load.Boot != server.Boot {
-		e.limit = unreportedLimit
+	var kv float32
+	if ok && load.Sequence > 0 && load.Boot == server.Boot {
+		e.limit, e.running = float32(load.Limit), float32(load.Running)
+		e.since = float32(server.Local.SinceReport())
+		if w := server.Weight; w > 0 && w < 1 {
+			e.limit *= max(float32(w), minWeight)
+		}
+		if load.KVUsed > kvPressure && load.KVUsed <= 1 {
+			kv = float32(load.KVUsed)
+		}
+	} else {
+		e.limit, e.running = unreportedLimit, 0
 		e.since = float32(server.Local.InFlight())
-		return e, ok
-	}
-	e.limit, e.running = float32(load.Limit), float32(load.Running)
-	e.since = float32(server.Local.SinceReport())
-	if w := server.Weight; w > 0 && w < 1 {
-		e.limit *= float32(math.Max(w, minWeight))
 	}
-	if kv := load.KVUsed; kv > kvPressure && kv <= 1 {
-		e.kv = float32(kv)
-	}
-	return e, true
-}
-
-// load returns the estimated load: 0 is idle, 1 is the limit.
-func (e *estimate) load() float32 {
-	return max((e.running+e.since)/max(e.limit, 1), e.kv, 0)
-}
-
-// share returns the free slots that this instance may take: its part of those free at the last report, less what it has
-// taken since.
-func (e *estimate) share(instances float32) float32 {
-	return (e.limit-e.running)/instances - e.since
+	e.limit = max(e.limit*kept, min(e.limit, 1))
+	e.load = max((e.running+e.since)/max(e.limit, 1), kv, 0)
+	// This instance's part of the slots free at the last report, less what it has taken since.
+	e.share = (e.limit-e.running)/instances - e.since
+	return ok
 }
 
 // free returns the free slots if no other instance has taken any since the last report.
--- /dev/null
+++ b/decide/routing/pick_bench_test.go
@@ -0,0 +1,66 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+)
+
+var testStart = time.Unix(1_700_000_000, 0)
+
+// testSnapshot returns a snapshot of n warm engines with a limit of 20, on average half used.
+func testSnapshot(n, instances int) *fleet.Snapshot {
+	rng := rand.New(rand.NewPCG(7, 7))
+	s := &fleet.Snapshot{Local: "here", Instances: instances}
+	for i := range n {
+		id := fleet.ServerID(fmt.Sprintf("engine-%04d", i))
+		s.Servers = append(s.Servers, fleet.Server{
+			Announcement: fleet.Announcement{Server: id, Boot: 1, Models: []fleet.Model{{Name: "model", Version: "1", Adapters: []string{"a", "b"}}}},
+			Load:         fleet.Load{Server: id, Boot: 1, Sequence: 1, Limit: 20, Running: rng.IntN(20), Phase: fleet.PhaseServing},
+			Weight:       1,
+			Local:        new(fleet.Counter),
+		})
+	}
+	return s.Build()
+}
+
+func testPrefix(seed uint64, n int) []uint64 {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	blocks := make([]uint64, n)
+	for i := range blocks {
+		blocks[i] = rng.Uint64()
+	}
+	return blocks
+}
+
+// BenchmarkPick measures one decision with adapter, version, an exclusion and a full-length prefix. The bound is 5 µs and
+// no allocation.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 300} {
+		b.Run(fmt.Sprintf("candidates=%d", n), func(b *testing.B) {
+			s := testSnapshot(n, 24)
+			affinity := NewAffinity(0, testStart)
+			affinity.Sync(s, testStart)
+			var requests []Request
+			for i := range 256 {
+				r := Request{
+					Target: fleet.Target{Name: "model", Adapter: "b", Version: "1"}, Priority: fleet.PriorityNormal,
+					Prefix: testPrefix(uint64(i), MaxPrefixBlocks), Exclude: []fleet.ServerID{"engine-0003"}, Now: testStart,
+				}
+				affinity.Sent(testStart, s.Servers[i%n].Server, r.Prefix[:MaxPrefixBlocks/2])
+				requests = append(requests, r)
+			}
+			policy := New(affinity)
+			rng := rand.New(rand.NewPCG(1, 2))
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				policy.Pick(s, &requests[i%len(requests)], rng)
+				i++
+			}
+		})
+	}
+}
--- a/decide/routing/policy.go
+++ b/decide/routing/policy.go
@@ -9,18 +9,19 @@
 )
 
 const (
-	// maxConsidered bounds the cost of a decision. With more candidates, a random run of this many is examined.
-	maxConsidered = 512
-	// fewest and fewShare give the number of least loaded servers among which the choice is random: at least fewest,
-	// or one in fewShare.
-	fewest   = 3
-	fewShare = 4
+	// sample is the number of candidates examined at a time. 300 took 20 µs in BenchmarkPick, mostly waiting for memory;
+	// the bound of a decision is 5 µs.
+	sample = 48
+	// enough is the number of candidates with a slot within this instance's share that ends the search.
+	enough = 4
+	// maxExamined bounds the candidates of one decision when most are full or lack the target.
+	maxExamined = 1024
+	// turnover is the expected share of the running requests that ends, and so is replaced by new ones, between two
+	// load reports. The choice is spread over as many slots as all instances fill in that time.
+	turnover = 0.5
 	// affinitySlack is how much more load, as a share of the limit, is accepted for a server that holds the whole
 	// prefix.
 	affinitySlack = 0.25
-
-	buckets     = 64   // histogram of loads
-	bucketRange = 1.25 // loads above this share the last bucket
 )
 
 // reserve is the share of a server's limit that is kept free of requests of each priority.
@@ -45,169 +46,157 @@
 	if s.LocalOut {
 		return b.spill(s, r, rng, none(ReasonLocalOut))
 	}
-	d := none(ReasonUnknown)
-	var scratch [maxConsidered]estimate
-	few := b.candidates(s, r, rng, &d.Explain, &scratch)
-	if d.Explain.Considered == 0 {
-		d.Reason = lastReason(&d.Explain.Dropped)
-		return b.spill(s, r, rng, d)
-	}
-	if !b.choose(s, r, rng, few, &d) {
+	p := pick{
+		snapshot:  s,
+		request:   r,
+		rng:       rng,
+		positions: s.Candidates(r.Target),
+		instances: float32(max(s.Instances, 1)),
+		kept:      1 - reserve[min(int(r.Priority), len(reserve)-1)],
+		decision:  none(ReasonUnknown),
+		beyond:    -1,
+	}
+	p.search()
+	d := &p.decision
+	switch {
+	case p.count > 0:
+		level := p.levels.level()
+		if b.affinity == nil || len(r.Prefix) == 0 || !p.holder(b.affinity, level) {
+			p.choose(level)
+		}
+		d.Reason = ReasonChosen
+	case p.beyond >= 0:
+		// Every free slot belongs to another instance's share. The agent refuses what is too much, so trying one costs a
+		// round trip at most.
+		d.Server, d.Reason = p.beyond, ReasonChosen
+		d.Explain.OverShare = true
+	default:
 		d.Explain.Dropped[ReasonNoHeadroom] = d.Explain.Considered
-		d.Reason = ReasonNoHeadroom
-		return b.spill(s, r, rng, d)
+		d.Reason = lastReason(&d.Explain.Dropped)
+		return b.spill(s, r, rng, *d)
 	}
-	return d
+	return *d
 }
 
-// candidates filters the servers that have the target's name and estimates their load.
-func (b *Balanced) candidates(s *fleet.Snapshot, r *Request, rng *rand.Rand, x *Explain, scratch *[maxConsidered]estimate) []estimate {
-	positions := s.Candidates(r.Target)
-	start := 0
-	if len(positions) > maxConsidered {
-		start = rng.IntN(len(positions))
-	}
-	n := 0
-	for i := range min(len(positions), maxConsidered) {
-		at := start + i
-		if at >= len(positions) {
-			at -= len(positions)
-		}
-		server := &s.Servers[positions[at]]
-		if reason := filter(server, r); reason != ReasonChosen {
-			x.Dropped[reason]++
-			continue
-		}
-		e, ok := observe(server, positions[at])
-		if !ok {
-			x.Distrusted++
-		}
-		scratch[n] = e
-		n++
-	}
-	x.Considered = uint16(n)
-	return scratch[:n]
+// pick is the working state of one decision.
+type pick struct {
+	snapshot  *fleet.Snapshot
+	request   *Request
+	rng       *rand.Rand
+	positions []int
+	instances float32
+	kept      float32
+
+	within    [sample + enough]estimate // candidates with a slot within this instance's share
+	count     int
+	levels    histogram
+	beyond    int // random server with a free slot beyond the share, -1 if none
+	beyondFew int
+	decision  Decision
 }
 
-// choose picks one of the estimates. It returns false if none has a free slot.
-func (b *Balanced) choose(s *fleet.Snapshot, r *Request, rng *rand.Rand, all []estimate, d *Decision) bool {
-	instances := float32(max(s.Instances, 1))
-	kept := 1 - reserve[min(int(r.Priority), len(reserve)-1)]
-	var histogram [buckets]uint16
-	within, over := 0, 0
-	for i := range all {
-		e := &all[i]
-		e.limit = max(e.limit*kept, min(e.limit, 1))
-		switch {
-		case e.share(instances) > 0:
-			histogram[bucket(e.load())]++
-			within++
-		case e.free() > 0:
-			over++
-		}
-	}
-	if within+over == 0 {
-		return false
-	}
-	if within == 0 {
-		// Every free slot belongs to another instance's share. The agents refuse what is too much, so trying one costs
-		// a round trip at most.
-		d.Explain.OverShare = true
-		d.Explain.Few = uint16(over)
-		k := rng.IntN(over)
-		for i := range all {
-			if e := &all[i]; e.free() > 0 {
-				if k == 0 {
-					return take(d, e)
-				}
-				k--
-			}
+// search examines candidates until enough have a free slot. Each pass takes every k-th candidate from a random one on,
+// so that all are equally likely and neighbours, which often share a group, are not examined together.
+func (p *pick) search() {
+	n := len(p.positions)
+	if n == 0 {
+		return
+	}
+	stride := (n + sample - 1) / sample
+	offset := 0
+	if stride > 1 {
+		offset = p.rng.IntN(stride)
+	}
+	examined := 0
+	for pass := 0; pass < stride && p.count < enough && examined < maxExamined; pass++ {
+		for i := (offset + pass) % stride; i < n; i += stride {
+			p.examine(p.positions[i])
+			examined++
 		}
-		return false
 	}
-	// The level is the load below which the best few lie.
-	few := max(fewest, within/fewShare)
-	cut, count := 0, 0
-	for cut < buckets {
-		count += int(histogram[cut])
-		cut++
-		if count >= few {
-			break
+}
+
+func (p *pick) examine(position int) {
+	server := &p.snapshot.Servers[position]
+	x := &p.decision.Explain
+	if reason := filter(server, p.request); reason != ReasonChosen {
+		x.Dropped[reason]++
+		return
+	}
+	x.Considered++
+	e := &p.within[min(p.count, len(p.within)-1)]
+	if !e.observe(server, position, p.kept, p.instances) {
+		x.Distrusted++
+	}
+	switch {
+	case e.share > 0:
+		p.levels.add(e)
+		p.count = min(p.count+1, len(p.within))
+	case e.free() > 0:
+		p.beyondFew++
+		if p.rng.IntN(p.beyondFew) == 0 {
+			p.beyond = position
 		}
 	}
-	level := float32(cut) * bucketRange / buckets
-	if b.affinity != nil && len(r.Prefix) > 0 && b.holder(s, r, rng, all, instances, level, d) {
-		return true
-	}
-	// The choice among the best few is random, with a weight by the free slots below the level, so that instances that
-	// see the same reports do not all choose the same server.
+}
+
+// choose picks one of the candidates at random, with a weight by the free slots below the level, so that instances that
+// see the same reports do not all choose the same server.
+func (p *pick) choose(level float32) {
 	var total float32
-	for i := range all {
-		total += chance(&all[i], instances, level)
+	for i := range p.count {
+		total += p.within[i].chance(level)
 	}
-	point := rng.Float32() * total
-	var last *estimate
-	for i := range all {
-		w := chance(&all[i], instances, level)
+	point := p.rng.Float32() * total
+	last := &p.within[0]
+	for i := range p.count {
+		w := p.within[i].chance(level)
 		if w <= 0 {
 			continue
 		}
-		last = &all[i]
+		last = &p.within[i]
 		if point -= w; point < 0 {
 			break
 		}
 	}
-	d.Explain.Few = uint16(count)
-	return last != nil && take(d, last)
+	p.take(last)
 }
 
 // chance returns the weight of a server in the random choice: its free slots below the level.
-func chance(e *estimate, instances, level float32) float32 {
-	if e.share(instances) <= 0 {
-		return 0
-	}
-	return max(level-e.load(), 0) * e.limit
-}
+func (e *estimate) chance(level float32) float32 { return max(level-e.load, 0) * e.limit }
 
-func bucket(load float32) int {
-	return min(int(load*buckets/bucketRange), buckets-1)
-}
-
-func take(d *Decision, e *estimate) bool {
-	d.Server, d.Reason = int(e.position), ReasonChosen
-	d.Explain.Load = e.load()
-	return true
+func (p *pick) take(e *estimate) {
+	p.decision.Server = int(e.position)
+	p.decision.Explain.Load = e.load
 }
 
 // holder picks a server that may hold the request's prefix, if one has a free slot within this instance's share and is
-// not much more loaded than the best few. All instances prefer the same holder, so the load is extrapolated: each of
-// them is taken to have sent there what this one has.
-func (b *Balanced) holder(s *fleet.Snapshot, r *Request, rng *rand.Rand, all []estimate, instances, level float32, d *Decision) bool {
+// not much more loaded than the level. All instances prefer the same holder, so the load is extrapolated: each of them
+// is taken to have sent there what this one has.
+func (p *pick) holder(affinity *Affinity, level float32) bool {
 	var found [ways]int32
-	blocks, n := b.affinity.deepest(s, r.Prefix, r.Now, &found)
-	d.Explain.Holders = uint16(n)
-	if n == 0 {
-		return false
-	}
-	allowed := level + affinitySlack*float32(blocks)/float32(min(len(r.Prefix), MaxPrefixBlocks))
-	var best *estimate
-	bestLoad := allowed
-	start := rng.IntN(n)
-	for i := range n {
-		position := found[(start+i)%n]
-		for j := range all {
-			e := &all[j]
-			if e.position != position || e.share(instances) <= 0 {
-				continue
-			}
-			if load := (e.running + e.since*instances) / max(e.limit, 1); load < bestLoad && e.load() < bestLoad {
-				best, bestLoad = e, max(load, 0)
-			}
+	blocks, n := affinity.deepest(p.snapshot, p.request.Prefix, p.request.Now, &found)
+	p.decision.Explain.Holders = uint16(n)
+	var best estimate
+	lowest := level + affinitySlack*float32(blocks)/float32(min(len(p.request.Prefix), MaxPrefixBlocks))
+	for _, position := range found[:n] {
+		server := &p.snapshot.Servers[position]
+		if filter(server, p.request) != ReasonChosen {
+			continue
+		}
+		var e estimate
+		e.observe(server, int(position), p.kept, p.instances)
+		if e.share <= 0 {
+			continue
+		}
+		if load := max((e.running+e.since*p.instances)/max(e.limit, 1), e.load); load < lowest {
+			best, lowest = e, load
 		}
 	}
-	if best == nil {
+	if best.limit == 0 {
 		return false
 	}
-	d.Explain.Blocks = uint16(blocks)
-	return take(d, best)
+	p.decision.Explain.Blocks = uint16(blocks)
+	p.take(&best)
+	return true
 }
--- /dev/null
+++ b/internal/experiment/routing_model.go
@@ -0,0 +1,177 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/decide/routing"
+)
+
+// Figures of the model engine. One step computes a chunk of one prompt and one token for each running request, as an
+// engine with continuous batching and chunked prefill does.
+const (
+	stepBase      = 12 * time.Millisecond  // step without work
+	stepPerToken  = 900 * time.Microsecond // each request that decodes
+	stepPerBlock  = 4 * time.Millisecond   // each prompt block computed
+	blocksPerStep = 2                      // prompt blocks computed in one step: 256 tokens
+	engineLimit   = 20                     // requests that the agent admits
+	cacheBlocks   = 2000                   // prompt blocks that the prefix cache keeps
+	slowFactor    = 1.6                    // step time of an engine in a group with a slow rank
+)
+
+// modelJob is a request at a model engine.
+type modelJob struct {
+	request   int
+	blocks    []uint64
+	computed  int // prompt blocks that are cached or computed
+	hit       int // prompt blocks found in the cache
+	left      int // tokens still to generate
+	lastToken time.Duration
+}
+
+// modelEngine is one engine in virtual time.
+type modelEngine struct {
+	slow      bool
+	busy      bool // a step is under way
+	computing int  // prompt blocks computed in it
+	prefills  []*modelJob
+	decodes   []*modelJob
+	cache     blockCache
+	sequence  uint64 // of load reports
+	events    uint64 // of cache events
+}
+
+func (e *modelEngine) inFlight() int { return len(e.prefills) + len(e.decodes) }
+
+// admit starts a request and returns false if the agent refuses it.
+func (e *modelEngine) admit(j *modelJob) bool {
+	if e.inFlight() >= engineLimit {
+		return false
+	}
+	j.hit = e.cache.hit(j.blocks)
+	// The last block is always computed: it yields the first token.
+	j.computed = min(j.hit, len(j.blocks)-1)
+	e.prefills = append(e.prefills, j)
+	return true
+}
+
+// begin starts a step and returns its length.
+func (e *modelEngine) begin() time.Duration {
+	e.busy, e.computing = true, 0
+	if len(e.prefills) > 0 {
+		e.computing = min(blocksPerStep, len(e.prefills[0].blocks)-e.prefills[0].computed)
+	}
+	length := stepBase + time.Duration(len(e.decodes))*stepPerToken + time.Duration(e.computing)*stepPerBlock
+	if e.slow {
+		length = time.Duration(float64(length) * slowFactor)
+	}
+	return length
+}
+
+// blockCache is a prefix cache that evicts the least recently used block.
+type blockCache struct {
+	stamps map[uint64]uint64
+	queue  []stampedBlock // oldest first; an element whose stamp is not the block's latest is skipped
+	head   int
+	clock  uint64
+}
+
+type stampedBlock struct{ block, stamp uint64 }
+
+// hit returns how many leading blocks are cached.
+func (c *blockCache) hit(blocks []uint64) int {
+	for i, block := range blocks {
+		if _, ok := c.stamps[block]; !ok {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+// add stores the blocks and returns those that were new and those that were evicted. The last block is used first, so
+// that the end of a prefix is evicted before its start.
+func (c *blockCache) add(blocks []uint64) (stored, evicted []uint64) {
+	if c.stamps == nil {
+		c.stamps = make(map[uint64]uint64, cacheBlocks)
+	}
+	for i := len(blocks) - 1; i >= 0; i-- {
+		if _, ok := c.stamps[blocks[i]]; !ok {
+			stored = append(stored, blocks[i])
+		}
+		c.clock++
+		c.stamps[blocks[i]] = c.clock
+		c.queue = append(c.queue, stampedBlock{blocks[i], c.clock})
+	}
+	for len(c.stamps) > cacheBlocks {
+		oldest := c.queue[c.head]
+		c.head++
+		if c.stamps[oldest.block] == oldest.stamp {
+			delete(c.stamps, oldest.block)
+			evicted = append(evicted, oldest.block)
+		}
+	}
+	if c.head > len(c.queue)/2 {
+		c.queue = append(c.queue[:0], c.queue[c.head:]...)
+		c.head = 0
+	}
+	return stored, evicted
+}
+
+// promptSource makes prompts of organisations with a common system prompt and of conversations that grow with each turn.
+type promptSource struct {
+	rng           *rand.Rand
+	organisations int
+	sessions      [][]uint64 // prompts of open conversations
+}
+
+// next returns the blocks of the next prompt. Three of five requests continue a conversation.
+func (p *promptSource) next() []uint64 {
+	const maxSessions, maxTurnBlocks, longestPrompt = 2000, 4, 40
+	if len(p.sessions) > 0 && p.rng.Float64() < 0.6 {
+		i := p.rng.IntN(len(p.sessions))
+		grown := p.sessions[i]
+		for range 1 + p.rng.IntN(maxTurnBlocks) {
+			grown = append(grown[:len(grown):len(grown)], p.rng.Uint64())
+		}
+		p.sessions[i] = grown
+		if len(grown) >= longestPrompt {
+			p.sessions[i] = p.sessions[len(p.sessions)-1]
+			p.sessions = p.sessions[:len(p.sessions)-1]
+		}
+		return grown
+	}
+	// The square makes few organisations large.
+	u := p.rng.Float64()
+	organisation := uint64(u * u * float64(p.organisations))
+	system := 4 + int(organisation*7%13)
+	source := rand.New(rand.NewPCG(organisation, 1))
+	prompt := make([]uint64, 0, system+maxTurnBlocks)
+	for range system {
+		prompt = append(prompt, source.Uint64())
+	}
+	for range 1 + p.rng.IntN(maxTurnBlocks) {
+		prompt = append(prompt, p.rng.Uint64())
+	}
+	if len(p.sessions) < maxSessions {
+		p.sessions = append(p.sessions, prompt)
+	} else {
+		p.sessions[p.rng.IntN(maxSessions)] = prompt
+	}
+	return prompt
+}
+
+// modelEntry is one entry instance: its own view of the engines, its policy and its affinity table.
+type modelEntry struct {
+	snapshot *fleet.Snapshot
+	policy   routing.Policy
+	affinity *routing.Affinity // nil for baselines
+	rng      *rand.Rand
+}
+
+// report takes over an engine's load report.
+func (e *modelEntry) report(l fleet.Load, position int) {
+	server := &e.snapshot.Servers[position]
+	server.Load = l
+	server.Local.Reported(l.Sequence)
+}
