--- a/internal/agreement/service.go
+++ b/internal/agreement/service.go
@@ -22,7 +22,7 @@
 
 const (
 	// tickInterval is how often followers ask for changes and founding voters tell each other about themselves.
-	tickInterval = time.Second
+	tickInterval = 500 * time.Millisecond
 	// expireInterval is how often the leader drops key records that are past their retention.
 	expireInterval = time.Minute
 )
@@ -98,6 +98,7 @@
 		case now := <-tick.C:
 			if s.member != nil {
 				s.member.tick(now)
+				s.confirm(ctx)
 			}
 			s.follow(now)
 			s.gossip(ctx)
@@ -176,6 +177,28 @@
 	}
 }
 
+// confirm asks the group whether the state of the member here is the newest one, until it is known once.
+func (s *Service) confirm(ctx context.Context) {
+	r := s.replica()
+	s.mu.Lock()
+	confirmed := s.confirmed
+	s.mu.Unlock()
+	if r == nil || confirmed {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, tickInterval)
+		defer cancel()
+		if err := r.ReadBarrier(ctx); err != nil {
+			log.WithError(err).Debug("the agreement group does not answer yet")
+			return
+		}
+		s.mu.Lock()
+		s.confirmed = true
+		s.mu.Unlock()
+	}()
+}
+
 // publish gives the control loop what routing needs. The caller holds the lock.
 func (s *Service) publish() {
 	out := make(map[fleet.DataCentre]bool)
@@ -209,3 +232,32 @@
 	}
 	return true
 }
+
+// Group is the state of the agreement group as this member knows it.
+type Group struct {
+	Member  uint64   `json:"member"`
+	Leader  uint64   `json:"leader"`
+	Voters  int      `json:"voters"`
+	Applied uint64   `json:"applied"`
+	Failure string   `json:"failure,omitempty"` // why this member promises nothing more
+	Members []string `json:"members"`
+}
+
+// Group returns the state of the group, nil where no member runs.
+func (s *Service) Group() *Group {
+	r := s.replica()
+	if r == nil {
+		return nil
+	}
+	status := r.Status()
+	g := &Group{
+		Member: uint64(status.ID), Leader: uint64(status.Leader), Voters: status.Members.Voters(), Applied: status.Applied,
+	}
+	for _, m := range status.Members.List {
+		g.Members = append(g.Members, m.Address)
+	}
+	if status.Failure != nil {
+		g.Failure = status.Failure.Error()
+	}
+	return g
+}
--- a/internal/entry/container.go
+++ b/internal/entry/container.go
@@ -4,12 +4,15 @@
 	"crypto/tls"
 	"net/http"
 
+	"github.com/apex/log"
 	"github.com/go-chi/chi/v5"
 	"github.com/go-chi/chi/v5/middleware"
 
+	"github.com/banyanfront/banyanfront/internal/agreement"
 	"github.com/banyanfront/banyanfront/internal/control"
 	"github.com/banyanfront/banyanfront/internal/gateway"
 	"github.com/banyanfront/banyanfront/internal/process"
+	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/settings"
 	"github.com/banyanfront/banyanfront/internal/transport"
 )
@@ -23,6 +26,7 @@
 	}
 }
 
+// newSessionConfig returns the settings of sessions with other processes.
 func newSessionConfig(s *settings.Front) (transport.Config, error) {
 	client, err := process.ClientTLS(s.TLS.CAFile)
 	if err != nil {
@@ -40,7 +44,7 @@
 	})
 }
 
-func newGateway(s *settings.Front, loop *control.Loop, ledger gateway.Ledger) *gateway.Gateway {
+func newGateway(s *settings.Front, loop *control.Loop, ledger *agreement.Ledger) *gateway.Gateway {
 	organisations := make([]gateway.Organisation, 0, len(s.Organisations))
 	for _, o := range s.Organisations {
 		organisations = append(organisations, gateway.Organisation{
@@ -58,6 +62,33 @@
 	}, loop, ledger)
 }
 
+func newAgreement(s *settings.Front, id identity, in *inner, loop *control.Loop) (*agreement.Service, error) {
+	voters := make([]agreement.Voter, 0, len(s.Voters))
+	for _, v := range s.Voters {
+		voters = append(voters, agreement.Voter{Instance: v.Instance, Address: v.Address})
+	}
+	return agreement.New(agreement.Config{
+		Instance:   s.Instance,
+		Boot:       id.boot,
+		DataCentre: s.DataCentre,
+		Address:    s.InnerAddress,
+		Voters:     voters,
+		DataFolder: s.DataFolder,
+	}, in.pool, loop)
+}
+
+// newInstance connects the parts that receive messages from sessions.
+func newInstance(s *settings.Front, loop *control.Loop, g *gateway.Gateway, in *inner, a *agreement.Service,
+	ledger *agreement.Ledger, l listeners) *Instance {
+	loop.SetStreamSink(g.ServeSpilled)
+	loop.SetMessageSink(func(session transport.Session, m protocol.Message) {
+		if !g.MessageReceived(session, m) && !a.MessageReceived(session, m) {
+			log.WithField("type", m.Type()).Debug("message without a receiver")
+		}
+	})
+	return &Instance{settings: s, loop: loop, gateway: g, inner: in, agreement: a, ledger: ledger, listeners: l}
+}
+
 // newListeners opens the listeners of callers, of the other processes and of operators.
 func newListeners(s *settings.Front, g *gateway.Gateway, in *inner, ops *operators) (listeners, error) {
 	certificate, err := process.ServerTLS(s.TLS.CertFile, s.TLS.KeyFile)
--- a/internal/entry/inner.go
+++ b/internal/entry/inner.go
@@ -1,8 +1,8 @@
 package entry
 
 import (
-	"crypto/tls"
 	"net/http"
+	"slices"
 
 	"github.com/apex/log"
 	"github.com/go-chi/chi/v5"
@@ -10,6 +10,7 @@
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/internal/control"
 	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/settings"
 	"github.com/banyanfront/banyanfront/internal/transport"
 )
 
@@ -29,7 +30,8 @@
 	address    string
 }
 
-func newInner(config transport.Config, certificates bool, identity identity, loop *control.Loop) *inner {
+func newInner(s *settings.Front, config transport.Config, identity identity, loop *control.Loop) *inner {
+	certificates := s.TLS.CertFile != ""
 	in := &inner{config: config, identity: identity, loop: loop}
 	in.pool = transport.NewPool(func(address string) transport.ConnectFunc {
 		dialer := &transport.Dialer{
@@ -65,7 +67,12 @@
 	return r
 }
 
-// sessionConfig returns the settings of sessions.
-func sessionConfig(fleetKey string, client *tls.Config, plaintext bool) transport.Config {
-	return transport.Config{FleetKey: []byte(fleetKey), TLS: client, AllowPlaintext: plaintext}
+// connect keeps sessions to the voters and to the entry instances named in the settings.
+func (in *inner) connect(s *settings.Front) {
+	var addresses []string
+	for _, v := range s.Voters {
+		addresses = append(addresses, v.Address)
+	}
+	addresses = append(addresses, s.Peers...)
+	in.pool.Set(slices.DeleteFunc(addresses, func(address string) bool { return address == in.identity.address }))
 }
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"go.uber.org/dig"
 
+	"github.com/banyanfront/banyanfront/internal/agreement"
 	"github.com/banyanfront/banyanfront/internal/control"
 	"github.com/banyanfront/banyanfront/internal/gateway"
 	"github.com/banyanfront/banyanfront/internal/process"
@@ -25,7 +26,8 @@
 	loop      *control.Loop
 	gateway   *gateway.Gateway
 	inner     *inner
-	agreement *agreementService
+	agreement *agreement.Service
+	ledger    *agreement.Ledger
 	listeners listeners
 }
 
@@ -48,8 +50,9 @@
 		newLoop,
 		newInner,
 		newAgreement,
-		newLedger,
+		agreement.NewLedger,
 		newGateway,
+		newOperators,
 		newListeners,
 		newInstance,
 	} {
@@ -68,6 +71,29 @@
 // OperatorsAddress returns the address of the operators' listener.
 func (i *Instance) OperatorsAddress() string { return i.listeners.operators.Address() }
 
+// InnerAddress returns the address of the inner listener.
+func (i *Instance) InnerAddress() string { return i.settings.InnerAddress }
+
+// NotReady returns why the instance takes no calls, or "".
+func (i *Instance) NotReady() string {
+	if !i.gateway.Ready() {
+		return "the instance is stopping"
+	}
+	return i.agreement.NotReady()
+}
+
+// LiveServers returns the number of backend servers that take new work here.
+func (i *Instance) LiveServers() int {
+	n := 0
+	view := i.loop.View()
+	for s := range view.Servers {
+		if view.Servers[s].Excluded == "" {
+			n++
+		}
+	}
+	return n
+}
+
 // Run serves until the context ends. Then it refuses new calls as not run, waits for the open ones, and closes.
 func (i *Instance) Run(ctx context.Context) error {
 	running, stop := context.WithCancel(context.Background())
@@ -95,6 +121,7 @@
 
 	<-ctx.Done()
 	err := i.drain()
+	i.ledger.Close()
 	i.agreement.Close()
 	i.inner.pool.Close("the entry instance has stopped")
 	i.listeners.inner.Close()
@@ -122,14 +149,6 @@
 	return err
 }
 
-// notReady returns why the instance takes no calls, or "".
-func (i *Instance) notReady() string {
-	if !i.gateway.Ready() {
-		return "the instance is stopping"
-	}
-	return i.agreement.NotReady()
-}
-
 // listeners are the three HTTP servers of an entry instance.
 type listeners struct {
 	callers, inner, operators *process.Server
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -1,20 +1,266 @@
 package entry
 
 import (
+	"encoding/json"
+	"io"
 	"net/http"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/banyanfront/banyanfront/decide/agreed"
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/decide/release"
+	"github.com/banyanfront/banyanfront/internal/agreement"
+	"github.com/banyanfront/banyanfront/internal/control"
+	"github.com/banyanfront/banyanfront/internal/gateway"
+	"github.com/banyanfront/banyanfront/internal/problem"
 	"github.com/banyanfront/banyanfront/internal/process"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/settings"
 )
 
 // operators serves the command line and monitoring. It listens on loopback by default.
 type operators struct {
-	instance *Instance
+	settings  *settings.Front
+	loop      *control.Loop
+	gateway   *gateway.Gateway
+	agreement *agreement.Service
+}
+
+func newOperators(s *settings.Front, loop *control.Loop, g *gateway.Gateway, a *agreement.Service) *operators {
+	return &operators{settings: s, loop: loop, gateway: g, agreement: a}
+}
+
+// notReady returns why the instance takes no calls, or "".
+func (o *operators) notReady() string {
+	if !o.gateway.Ready() {
+		return "the instance is stopping"
+	}
+	return o.agreement.NotReady()
 }
 
 func (o *operators) handler() http.Handler {
 	r := chi.NewRouter()
-	process.StatusRoutes(r, o.instance.notReady)
+	process.StatusRoutes(r, o.notReady)
+	r.Get("/v1/status", o.status)
+	r.Post("/v1/notes", o.publishNote)
+	r.Post("/v1/notes/check", o.checkNote)
+	r.Get("/v1/notes", o.notes)
+	r.Post("/v1/datacentres/{name}/out", o.takeOut)
+	r.Post("/v1/datacentres/{name}/in", o.bringIn)
 	return r
 }
+
+// Answers of the operators' API, in JSON.
+type (
+	// Status is what an entry instance knows of the fleet.
+	Status struct {
+		Instance   fleet.InstanceID      `json:"instance"`
+		DataCentre fleet.DataCentre      `json:"dataCentre"`
+		Revision   uint64                `json:"revision"`
+		Note       uint64                `json:"note"`
+		NotReady   string                `json:"notReady,omitempty"`
+		Group      *agreement.Group      `json:"group,omitempty"`
+		Centres    []agreed.CentreRecord `json:"dataCentres,omitempty"`
+		Servers    []ServerStatus        `json:"servers"`
+		Remote     []fleet.Summary       `json:"remote,omitempty"`
+		Peers      map[string]uint64     `json:"peers"` // revision that each entry instance in reach had in force at its last word
+	}
+	// ServerStatus is one backend server.
+	ServerStatus struct {
+		Server   fleet.ServerID `json:"server"`
+		Excluded string         `json:"excluded,omitempty"` // why it receives no new work
+		Running  int            `json:"running"`
+		Limit    int            `json:"limit"`
+		Phase    fleet.Phase    `json:"phase"`
+	}
+	// NoteAnswer is the outcome of publishing or checking a release note.
+	NoteAnswer struct {
+		Accepted bool               `json:"accepted"`
+		Code     agreed.Code        `json:"code"`
+		Detail   string             `json:"detail,omitempty"`
+		Note     *agreed.NoteRecord `json:"note,omitempty"`
+		Findings []release.Finding  `json:"findings,omitempty"`
+		Impact   *release.Impact    `json:"impact,omitempty"`
+	}
+	// CentreAnswer is the outcome of taking a data centre out or bringing it back.
+	CentreAnswer struct {
+		Accepted bool                 `json:"accepted"`
+		Detail   string               `json:"detail,omitempty"`
+		Record   *agreed.CentreRecord `json:"record,omitempty"`
+	}
+)
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(v)
+}
+
+func (o *operators) status(w http.ResponseWriter, _ *http.Request) {
+	view := o.loop.View()
+	agreedView := o.agreement.View()
+	status := Status{
+		Instance:   o.settings.Instance,
+		DataCentre: o.settings.DataCentre,
+		Revision:   agreedView.Revision,
+		Note:       agreedView.Config.Number,
+		NotReady:   o.notReady(),
+		Group:      o.agreement.Group(),
+		Centres:    o.agreement.Centres(),
+		Remote:     view.Remote,
+		Peers:      view.PeerRevisions(),
+	}
+	for i := range view.Servers {
+		server := &view.Servers[i]
+		status.Servers = append(status.Servers, ServerStatus{
+			Server: server.Server, Excluded: server.Excluded,
+			Running: server.Load.Running, Limit: server.Load.Limit, Phase: server.Load.Phase,
+		})
+	}
+	writeJSON(w, status)
+}
+
+// readNote parses the release note in a request.
+func readNote(r *http.Request) (*release.Note, error) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, protocol.MaxMessageBytes+1))
+	if err != nil {
+		return nil, problem.New(problem.BadRequest, "the note could not be read: send it again")
+	}
+	note, problems := settings.ParseNote("note", data)
+	if len(problems) > 0 {
+		return nil, problem.New(problem.BadRequest, "%s", problems[0].Error())
+	}
+	return note, nil
+}
+
+// impactView is what this instance knows when it judges a note.
+func (o *operators) impactView(now time.Time) *release.View {
+	view := o.loop.View()
+	known := &release.View{
+		Now:    now,
+		Config: o.agreement.View().Config,
+		Local:  o.settings.DataCentre,
+		Remote: view.Remote,
+		Out:    view.Agreed.Out,
+	}
+	for i := range view.Servers {
+		known.Servers = append(known.Servers, view.Servers[i].Announcement)
+	}
+	return known
+}
+
+// judge returns the findings of a note and what it cuts off.
+func (o *operators) judge(note *release.Note, now time.Time) ([]release.Finding, *release.Impact) {
+	findings := release.Validate(note)
+	if release.Refused(findings) {
+		return findings, nil
+	}
+	known := o.impactView(now)
+	findings = append(findings, release.Check(note, known.Config)...)
+	if release.Refused(findings) {
+		return findings, nil
+	}
+	impact := release.ImpactOf(note, known)
+	return append(findings, impact.Findings...), &impact
+}
+
+func (o *operators) checkNote(w http.ResponseWriter, r *http.Request) {
+	note, err := readNote(r)
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	findings, impact := o.judge(note, time.Now())
+	writeJSON(w, NoteAnswer{Accepted: !release.Refused(findings), Findings: findings, Impact: impact})
+}
+
+func (o *operators) publishNote(w http.ResponseWriter, r *http.Request) {
+	note, err := readNote(r)
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	now := time.Now()
+	command := &agreed.PublishNote{Note: *note, At: now.Unix()}
+	if findings, impact := o.judge(note, now); impact != nil && !release.Refused(findings) {
+		command.Observed = impact.ObservedLeft()
+	}
+	// The digest names the proposal, so that the same note sent again after a lost answer gets the first answer.
+	result, err := o.agreement.Propose(r.Context(), "note/"+note.Digest().String(), command)
+	if err != nil {
+		problem.Write(w, problem.New(problem.OutcomeUnknown,
+			"the group did not answer (%v): publish the same note again; it is accepted once", err).After(time.Second))
+		return
+	}
+	writeJSON(w, NoteAnswer{
+		Accepted: result.Accepted(), Code: result.Code, Detail: result.Detail, Note: result.Note, Findings: result.Findings,
+	})
+}
+
+func (o *operators) notes(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, o.agreement.View().Config)
+}
+
+// CentreRequest says who takes a data centre out or brings it back, and why.
+type CentreRequest struct {
+	Author string `json:"author"`
+	Reason string `json:"reason"`
+}
+
+func readCentreRequest(r *http.Request) (CentreRequest, error) {
+	var body CentreRequest
+	err := json.NewDecoder(io.LimitReader(r.Body, 4096)).Decode(&body)
+	if err != nil || body.Author == "" {
+		return body, problem.New(problem.BadRequest, "the request names no author: set \"author\"")
+	}
+	return body, nil
+}
+
+func (o *operators) takeOut(w http.ResponseWriter, r *http.Request) {
+	body, err := readCentreRequest(r)
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	name := fleet.DataCentre(chi.URLParam(r, "name"))
+	if !o.knows(name) {
+		problem.Write(w, problem.New(problem.BadRequest, "data centre %q is not known: check the name", name))
+		return
+	}
+	record := o.agreement.TakeOut(name, body.Author, body.Reason, time.Now())
+	writeJSON(w, CentreAnswer{Accepted: true, Record: &record})
+}
+
+// knows reports whether a data centre is named by a note or has instances or a record.
+func (o *operators) knows(name fleet.DataCentre) bool {
+	view := o.loop.View()
+	if name == o.settings.DataCentre || len(view.Peers(name)) > 0 || agreed.Find(o.agreement.Centres(), name).Term > 0 {
+		return true
+	}
+	for _, known := range o.agreement.View().Config.DataCentres {
+		if known.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *operators) bringIn(w http.ResponseWriter, r *http.Request) {
+	body, err := readCentreRequest(r)
+	if err != nil {
+		problem.Write(w, err)
+		return
+	}
+	name := fleet.DataCentre(chi.URLParam(r, "name"))
+	result, err := o.agreement.BringIn(r.Context(), name, body.Author, body.Reason, time.Now())
+	if err != nil {
+		problem.Write(w, problem.New(problem.OutcomeUnknown,
+			"only the agreement group can bring a data centre back, and it did not answer (%v): send the command again", err).
+			After(time.Second))
+		return
+	}
+	writeJSON(w, CentreAnswer{Accepted: result.Accepted(), Detail: result.Detail, Record: result.Centre})
+}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -62,3 +62,8 @@
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(results)
 }
+
+// All returns all experiments.
+func All() []Experiment {
+	return []Experiment{Routing()}
+}
