--- a/decide/agreed/claims.go
+++ b/decide/agreed/claims.go
@@ -111,9 +111,10 @@
 }
 
 func checkClaim(c *Claim) (Result, bool) {
-	if c.Key == "" || len(c.Key) > MaxKeyBytes || c.Attempt == (Attempt{}) || c.Server == "" || c.Organisation == "" {
+	if c.Key == "" || len(c.Key) > MaxKeyBytes || c.Attempt == (Attempt{}) || !nameFits(string(c.Server)) ||
+		!nameFits(string(c.Organisation)) {
 		return Result{Code: Refused, Detail: fmt.Sprintf(
-			"the claim lacks a field or its key exceeds %d bytes: shorten the key", MaxKeyBytes)}, false
+			"the claim lacks a field, a name in it is too long, or its key exceeds %d bytes: shorten the key", MaxKeyBytes)}, false
 	}
 	return Result{}, true
 }
--- a/decide/agreed/coordination.go
+++ b/decide/agreed/coordination.go
@@ -17,8 +17,10 @@
 	keptDecisions = 8
 )
 
+func nameFits(name string) bool { return name != "" && len(name) <= maxNameBytes }
+
 func (s *State) grantFencing(index uint64, c *GrantFencing) Result {
-	if c.Scope == "" || len(c.Scope) > maxNameBytes || c.Holder == "" {
+	if !nameFits(c.Scope) || !nameFits(string(c.Holder)) {
 		return Result{Code: Refused, Detail: "the scope or holder is missing or too long: name both"}
 	}
 	i, found := slices.BinarySearchFunc(s.fencing, c.Scope, func(r FencingRecord, scope string) int {
@@ -51,7 +53,7 @@
 
 func (s *State) decideMap(index uint64, c *DecideMap) Result {
 	d := c.Decision
-	if d.Group == "" || len(d.Group) > maxNameBytes || d.Version == 0 || len(d.Digest) > maxMapDigest ||
+	if !nameFits(d.Group) || d.Version == 0 || len(d.Digest) > maxMapDigest ||
 		(!d.Abort && d.FromStep == 0) {
 		return Result{Code: Refused, Detail: "the decision lacks group, version or step: give all three"}
 	}
--- a/decide/agreed/uses.go
+++ b/decide/agreed/uses.go
@@ -86,7 +86,9 @@
 	changed, lost := 0, 0
 	for i := range c.Uses {
 		use := &c.Uses[i]
-		if len(s.uses.last) >= s.limits.Uses && !s.uses.holds(use) {
+		fits := nameFits(string(use.Server)) && nameFits(string(use.Organisation)) && nameFits(use.Name) &&
+			len(use.DataCentre) <= maxNameBytes && len(use.Adapter) <= maxNameBytes
+		if !fits || (len(s.uses.last) >= s.limits.Uses && !s.uses.holds(use)) {
 			lost++
 			continue
 		}
--- /dev/null
+++ b/internal/protocol/snapshots.go
@@ -0,0 +1,123 @@
+package protocol
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/banyanfront/banyanfront/decide/agreed"
+)
+
+// snapshotMessage is a snapshot with its large lists packed into byte strings: a million key records as CBOR maps would
+// take more than twice the bytes and an allocation for each field.
+type snapshotMessage struct {
+	Index         uint64              `cbor:"1,keyasint"`
+	View          agreed.View         `cbor:"2,keyasint"`
+	Notes         []agreed.NoteRecord `cbor:"3,keyasint,omitempty"`
+	LastToken     uint64              `cbor:"4,keyasint"`
+	Clock         uint32              `cbor:"5,keyasint"`
+	Servers       []string            `cbor:"6,keyasint,omitempty"`
+	Organisations []string            `cbor:"7,keyasint,omitempty"`
+	Keys          []byte              `cbor:"8,keyasint,omitempty"`
+	OldKeys       []byte              `cbor:"9,keyasint,omitempty"`
+	UsesSince     int64               `cbor:"10,keyasint"`
+	UsesSwept     int64               `cbor:"11,keyasint"`
+	Uses          []byte              `cbor:"12,keyasint,omitempty"`
+	UseNames      agreed.UseNames     `cbor:"13,keyasint"`
+}
+
+// Sizes of packed records in bytes.
+const (
+	keyRecordBytes = 16 + 16 + 16 + 8 + 4 + 4 + 4 + 2 + 1
+	useRecordBytes = 4 + 2 + 2 + 4
+)
+
+// EncodeSnapshot encodes the whole state of a voter.
+func EncodeSnapshot(s *agreed.Snapshot) ([]byte, error) {
+	return encodeAgreed([]byte{agreedFormat}, &snapshotMessage{
+		Index: s.Index, View: s.View, Notes: s.Notes, LastToken: s.LastToken, Clock: s.Clock,
+		Servers: s.Servers, Organisations: s.Organisations, Keys: packKeys(s.Keys), OldKeys: packKeys(s.OldKeys),
+		UsesSince: s.UsesSince, UsesSwept: s.UsesSwept, Uses: packUses(s.Uses), UseNames: s.UseNames,
+	}, MaxSnapshotBytes)
+}
+
+// DecodeSnapshot decodes what EncodeSnapshot has encoded.
+func DecodeSnapshot(data []byte) (*agreed.Snapshot, error) {
+	var m snapshotMessage
+	if err := decodeAgreed(data, 1, &m, MaxSnapshotBytes); err != nil {
+		return nil, err
+	}
+	s := &agreed.Snapshot{
+		Index: m.Index, View: m.View, Notes: m.Notes, LastToken: m.LastToken, Clock: m.Clock,
+		Servers: m.Servers, Organisations: m.Organisations, UsesSince: m.UsesSince, UsesSwept: m.UsesSwept, UseNames: m.UseNames,
+	}
+	var err error
+	if s.Keys, err = unpack(m.Keys, keyRecordBytes, unpackKey); err != nil {
+		return nil, err
+	}
+	if s.OldKeys, err = unpack(m.OldKeys, keyRecordBytes, unpackKey); err != nil {
+		return nil, err
+	}
+	if s.Uses, err = unpack(m.Uses, useRecordBytes, unpackUse); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func packKeys(records []agreed.KeyRecord) []byte {
+	b := make([]byte, 0, len(records)*keyRecordBytes)
+	for i := range records {
+		r := &records[i]
+		b = append(b, r.ID[:]...)
+		b = append(b, r.Digest[:]...)
+		b = append(b, r.Attempt[:]...)
+		b = binary.LittleEndian.AppendUint64(b, r.Boot)
+		b = binary.LittleEndian.AppendUint32(b, r.At)
+		b = binary.LittleEndian.AppendUint32(b, r.Server)
+		b = binary.LittleEndian.AppendUint32(b, r.Organisation)
+		b = binary.LittleEndian.AppendUint16(b, r.Status)
+		b = append(b, byte(r.Outcome))
+	}
+	return b
+}
+
+func unpackKey(b []byte) (r agreed.KeyRecord) {
+	copy(r.ID[:], b)
+	copy(r.Digest[:], b[16:])
+	copy(r.Attempt[:], b[32:])
+	r.Boot = binary.LittleEndian.Uint64(b[48:])
+	r.At = binary.LittleEndian.Uint32(b[56:])
+	r.Server = binary.LittleEndian.Uint32(b[60:])
+	r.Organisation = binary.LittleEndian.Uint32(b[64:])
+	r.Status = binary.LittleEndian.Uint16(b[68:])
+	r.Outcome = agreed.Outcome(b[70])
+	return r
+}
+
+func packUses(records []agreed.UseRecord) []byte {
+	b := make([]byte, 0, len(records)*useRecordBytes)
+	for _, r := range records {
+		b = binary.LittleEndian.AppendUint32(b, r.Server)
+		b = binary.LittleEndian.AppendUint16(b, r.Organisation)
+		b = binary.LittleEndian.AppendUint16(b, r.Target)
+		b = binary.LittleEndian.AppendUint32(b, r.Last)
+	}
+	return b
+}
+
+func unpackUse(b []byte) agreed.UseRecord {
+	return agreed.UseRecord{
+		Server: binary.LittleEndian.Uint32(b), Organisation: binary.LittleEndian.Uint16(b[4:]),
+		Target: binary.LittleEndian.Uint16(b[6:]), Last: binary.LittleEndian.Uint32(b[8:]),
+	}
+}
+
+func unpack[T any](b []byte, size int, one func([]byte) T) ([]T, error) {
+	if len(b)%size != 0 {
+		return nil, fmt.Errorf("packed records of %d bytes are cut off: fetch the snapshot again", len(b))
+	}
+	result := make([]T, 0, len(b)/size)
+	for ; len(b) > 0; b = b[size:] {
+		result = append(result, one(b[:size]))
+	}
+	return result, nil
+}
