--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -288,6 +288,7 @@
 // applyRoster takes over whether the server is withdrawn, unless another instance had a newer state, and connects to all
 // entry instances that any of them names: one that has just started does not know all others yet.
 func (a *Agent) applyRoster(from fleet.InstanceID, m *protocol.Roster) {
+	a.orders.raise(m.Fencing)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if m.Revision >= a.revision {
--- a/internal/agreement/service.go
+++ b/internal/agreement/service.go
@@ -199,6 +199,9 @@
 	}()
 }
 
+// OrderScope names the fencing scope of orders to the backend servers of a data centre.
+func OrderScope(dataCentre fleet.DataCentre) string { return "orders/" + string(dataCentre) }
+
 // publish gives the control loop what routing needs. The caller holds the lock.
 func (s *Service) publish() {
 	out := make(map[fleet.DataCentre]bool)
@@ -209,6 +212,7 @@
 		Revision: s.view.Revision,
 		Out:      out,
 		Config:   s.view.Config,
+		Fencing:  s.view.Token(OrderScope(s.config.DataCentre)),
 	})
 }
 
--- a/internal/control/agreed.go
+++ b/internal/control/agreed.go
@@ -14,6 +14,7 @@
 	Revision uint64
 	Out      map[fleet.DataCentre]bool // taken out, by the log or by word of other instances
 	Config   *release.Config
+	Fencing  uint64 // token in force for orders to the servers of the own data centre
 }
 
 // config returns the configuration, which is empty before the state has been received.
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -207,6 +207,7 @@
 		Addresses: s.localAddresses(),
 		Revision:  s.agreed.Revision,
 		Draining:  s.agreed.excluded(known.announcement.Server) != "",
+		Fencing:   s.agreed.Fencing,
 	}
 	for _, session := range known.sessions {
 		_ = session.Send(roster) // the next one repeats it
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -77,6 +77,7 @@
 	Addresses []string `cbor:"1,keyasint"`
 	Revision  uint64   `cbor:"2,keyasint"`
 	Draining  bool     `cbor:"3,keyasint,omitempty"` // the server must take no new work
+	Fencing   uint64   `cbor:"4,keyasint,omitempty"` // orders with a lower token are refused
 }
 
 // Header is one HTTP header field.
