--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,8 @@
 	KeepAnswers     int // bytes
 	KeepAnswersFor  time.Duration
 	ReportInterval  time.Duration
+	// Dial opens connections to the backend server. Default: TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Sessions keeps sessions to the entry instances of the data centre.
@@ -76,7 +79,7 @@
 
 // New returns an agent that is not connected yet.
 func New(config Config) (*Agent, error) {
-	backend, err := newBackend(config.BackendURL)
+	backend, err := newBackend(config.BackendURL, config.Dial)
 	if err != nil {
 		return nil, err
 	}
@@ -105,6 +108,7 @@
 	defer ticker.Stop()
 	probe := time.NewTicker(probeInterval)
 	defer probe.Stop()
+	defer a.backend.close()
 	a.probe(ctx)
 	for {
 		select {
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -28,6 +28,9 @@
 	headerOrganisation   = "X-Organisation"
 )
 
+// dialTimeout bounds connecting to the backend server, which is on the same instance.
+const dialTimeout = 2 * time.Second
+
 // backend sends requests to the backend server beside the agent.
 type backend struct {
 	base *url.URL
@@ -38,16 +41,18 @@
 	single *http.Client
 }
 
-func newBackend(base string) (*backend, error) {
+func newBackend(base string, dial func(context.Context, string, string) (net.Conn, error)) (*backend, error) {
 	u, err := url.Parse(base)
 	if err != nil || u.Host == "" {
 		return nil, fmt.Errorf("backend url %q is not an absolute URL: set it to, for example, http://127.0.0.1:8000", base)
 	}
-	dialer := &net.Dialer{Timeout: 2 * time.Second}
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	transport := func(keepAlive bool) *http.Client {
 		return &http.Client{
 			Transport: &http.Transport{
-				DialContext:           dialer.DialContext,
+				DialContext:           dial,
 				DisableKeepAlives:     !keepAlive,
 				DisableCompression:    true,
 				MaxIdleConnsPerHost:   256,
@@ -60,6 +65,12 @@
 	return &backend{base: u, shared: transport(true), single: transport(false)}, nil
 }
 
+// close ends idle connections.
+func (b *backend) close() {
+	b.shared.CloseIdleConnections()
+	b.single.CloseIdleConnections()
+}
+
 // response is an answer of the backend server, or the error that came instead.
 type response struct {
 	*http.Response
--- a/internal/agreement/member.go
+++ b/internal/agreement/member.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,9 +20,6 @@
 	"github.com/banyanfront/banyanfront/internal/transport"
 )
 
-// logFolder is the part of the data folder that holds the replicated log.
-const logFolder = "log"
-
 // joinTimeout bounds the wait for one change of the group's members.
 const joinTimeout = 10 * time.Second
 
@@ -43,8 +39,8 @@
 	admitting bool
 }
 
-func newMember(config Config, sessions Sessions, install func(*agreed.View, *agreed.Change)) (*member, error) {
-	m := &member{config: config, sessions: sessions, machine: newMachine(install)}
+func newMember(config Config, folder storage.FS, sessions Sessions, install func(*agreed.View, *agreed.Change)) (*member, error) {
+	m := &member{config: config, sessions: sessions, fs: folder, machine: newMachine(install)}
 	if err := m.openFolder(); err != nil {
 		return nil, err
 	}
@@ -53,13 +49,7 @@
 
 // openFolder starts the member if its folder belongs to a group; otherwise it prepares to found or join one.
 func (m *member) openFolder() error {
-	dir := filepath.Join(m.config.DataFolder, logFolder)
-	fs, err := storage.OS(dir)
-	if err != nil {
-		return err
-	}
-	m.fs = fs
-	founded, err := belongsToGroup(fs)
+	founded, err := belongsToGroup(m.fs)
 	if err != nil {
 		return err
 	}
--- a/internal/agreement/service.go
+++ b/internal/agreement/service.go
@@ -17,6 +17,7 @@
 	"github.com/banyanfront/banyanfront/internal/control"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/replica"
+	"github.com/banyanfront/banyanfront/internal/storage"
 	"github.com/banyanfront/banyanfront/internal/transport"
 )
 
@@ -40,7 +41,6 @@
 	DataCentre fleet.DataCentre
 	Address    string
 	Voters     []Voter
-	DataFolder string // empty on instances without a disk
 }
 
 // Sessions finds sessions to entry instances.
@@ -65,8 +65,8 @@
 	confirmed bool                            // the view came from the group since the start
 }
 
-// New returns a service that has not heard of the group yet.
-func New(config Config, sessions Sessions, loop *control.Loop) (*Service, error) {
+// New returns a service that has not heard of the group yet. folder is nil on instances without a disk.
+func New(config Config, folder storage.FS, sessions Sessions, loop *control.Loop) (*Service, error) {
 	s := &Service{
 		config:   config,
 		sessions: sessions,
@@ -75,10 +75,10 @@
 		view:     agreed.EmptyView(),
 		watchers: make(map[transport.Session]time.Time),
 	}
-	if config.DataFolder == "" {
+	if folder == nil {
 		return s, nil
 	}
-	m, err := newMember(config, sessions, s.install)
+	m, err := newMember(config, folder, sessions, s.install)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/entry/core.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/apex/log"
+	"go.uber.org/dig"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/agreement"
+	"github.com/banyanfront/banyanfront/internal/control"
+	"github.com/banyanfront/banyanfront/internal/gateway"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/settings"
+	"github.com/banyanfront/banyanfront/internal/storage"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+// Surroundings are what an entry instance needs from outside: the network to other instances and its disk. Tests replace
+// them.
+type Surroundings struct {
+	// Connector returns the function that opens sessions to an inner address.
+	Connector func(address string, hello func() protocol.Hello, h transport.Handler) transport.ConnectFunc
+	// Folder holds the replicated log, nil on instances without a disk.
+	Folder storage.FS
+}
+
+// Core is an entry instance without its listeners.
+type Core struct {
+	Loop      *control.Loop
+	Gateway   *gateway.Gateway
+	Agreement *agreement.Service
+	ledger    *agreement.Ledger
+	pool      *transport.Pool
+	settings  *settings.Front
+	identity  identity
+}
+
+// identity is how an instance presents itself in sessions.
+type identity struct {
+	instance   fleet.InstanceID
+	boot       fleet.Boot
+	dataCentre fleet.DataCentre
+	address    string
+}
+
+// hello returns the greeting of the instance.
+func (id identity) hello(loop *control.Loop) protocol.Hello {
+	return protocol.Hello{
+		Version:    protocol.Version,
+		Instance:   id.instance,
+		Boot:       id.boot,
+		DataCentre: id.dataCentre,
+		Address:    id.address,
+		Revision:   loop.View().Revision,
+	}
+}
+
+// NewCore assembles an entry instance without listeners.
+func NewCore(s *settings.Front, boot fleet.Boot, surroundings Surroundings) (*Core, error) {
+	container := dig.New()
+	for _, constructor := range []any{
+		func() *settings.Front { return s },
+		func() Surroundings { return surroundings },
+		func() identity { return identity{s.Instance, boot, s.DataCentre, s.InnerAddress} },
+		newLoop,
+		newPool,
+		newAgreement,
+		agreement.NewLedger,
+		newGateway,
+		newCore,
+	} {
+		if err := container.Provide(constructor); err != nil {
+			return nil, err
+		}
+	}
+	var core *Core
+	err := container.Invoke(func(c *Core) { core = c })
+	return core, dig.RootCause(err)
+}
+
+func newLoop(id identity) *control.Loop {
+	return control.New(control.Config{
+		Instance:   id.instance,
+		Boot:       id.boot,
+		DataCentre: id.dataCentre,
+		Address:    id.address,
+	})
+}
+
+func newPool(surroundings Surroundings, id identity, loop *control.Loop) *transport.Pool {
+	return transport.NewPool(func(address string) transport.ConnectFunc {
+		return surroundings.Connector(address, func() protocol.Hello { return id.hello(loop) }, loop)
+	}, loop)
+}
+
+func newAgreement(s *settings.Front, surroundings Surroundings, id identity, pool *transport.Pool, loop *control.Loop) (*agreement.Service, error) {
+	voters := make([]agreement.Voter, 0, len(s.Voters))
+	for _, v := range s.Voters {
+		voters = append(voters, agreement.Voter{Instance: v.Instance, Address: v.Address})
+	}
+	return agreement.New(agreement.Config{
+		Instance:   s.Instance,
+		Boot:       id.boot,
+		DataCentre: s.DataCentre,
+		Address:    s.InnerAddress,
+		Voters:     voters,
+	}, surroundings.Folder, pool, loop)
+}
+
+func newGateway(s *settings.Front, loop *control.Loop, ledger *agreement.Ledger) *gateway.Gateway {
+	organisations := make([]gateway.Organisation, 0, len(s.Organisations))
+	for _, o := range s.Organisations {
+		organisations = append(organisations, gateway.Organisation{
+			Name: o.Name, Key: o.Key, Weight: o.Weight, MaxConcurrent: o.MaxConcurrent,
+		})
+	}
+	return gateway.New(gateway.Config{
+		Instance:        s.Instance,
+		DataCentre:      s.DataCentre,
+		Organisations:   organisations,
+		DefaultDeadline: s.DefaultDeadline,
+		MaxBodyBytes:    int64(s.MaxBodyBytes),
+		QueueMax:        s.QueueMax,
+		RetryBudget:     s.RetryBudget,
+	}, loop, ledger)
+}
+
+// newCore connects the parts that receive messages from sessions.
+func newCore(s *settings.Front, id identity, loop *control.Loop, g *gateway.Gateway, a *agreement.Service,
+	ledger *agreement.Ledger, pool *transport.Pool) *Core {
+	loop.SetStreamSink(g.ServeSpilled)
+	loop.SetMessageSink(func(session transport.Session, m protocol.Message) {
+		if !g.MessageReceived(session, m) && !a.MessageReceived(session, m) {
+			log.WithField("type", m.Type()).Debug("message without a receiver")
+		}
+	})
+	return &Core{Loop: loop, Gateway: g, Agreement: a, ledger: ledger, pool: pool, settings: s, identity: id}
+}
+
+// Hello returns the instance's greeting for a session that is opened now.
+func (c *Core) Hello() protocol.Hello { return c.identity.hello(c.Loop) }
+
+// Run serves until the context ends, and then at once closes all sessions. Drain ends the calls before.
+func (c *Core) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { c.Loop.Run(ctx) })
+	group.Go(func() { c.Gateway.Run(ctx) })
+	group.Go(func() { c.Agreement.Run(ctx) })
+	c.pool.Set(c.neighbours())
+	<-ctx.Done()
+	c.pool.Close("the entry instance has stopped")
+	group.Wait()
+}
+
+// neighbours returns the voters and the entry instances named in the settings.
+func (c *Core) neighbours() []string {
+	addresses := slices.Clone(c.settings.Peers)
+	for _, v := range c.settings.Voters {
+		addresses = append(addresses, v.Address)
+	}
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == c.identity.address })
+}
+
+// Drain refuses new calls as not run, waits for the open ones, and leaves the agreement group in an orderly way.
+func (c *Core) Drain(ctx context.Context) error {
+	err := c.Gateway.Drain(ctx)
+	c.ledger.Close()
+	c.Agreement.Close()
+	return err
+}
+
+// NotReady returns why the instance takes no calls, or "".
+func (c *Core) NotReady() string {
+	if !c.Gateway.Ready() {
+		return "the instance is stopping"
+	}
+	return c.Agreement.NotReady()
+}
+
+// LiveServers returns the number of backend servers that take new work here.
+func (c *Core) LiveServers() int {
+	n := 0
+	view := c.Loop.View()
+	for i := range view.Servers {
+		if view.Servers[i].Excluded == "" {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -3,32 +3,35 @@
 
 import (
 	"context"
+	"net/http"
+	"path/filepath"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
-	"go.uber.org/dig"
+	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
 
-	"github.com/banyanfront/banyanfront/internal/agreement"
-	"github.com/banyanfront/banyanfront/internal/control"
 	"github.com/banyanfront/banyanfront/internal/gateway"
 	"github.com/banyanfront/banyanfront/internal/process"
+	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/settings"
+	"github.com/banyanfront/banyanfront/internal/storage"
+	"github.com/banyanfront/banyanfront/internal/transport"
 )
 
-// balancerGrace is how long a stopping instance goes on accepting, so that the platform's load balancer notices that
-// it is no longer ready before connections are refused.
-const balancerGrace = 500 * time.Millisecond
+const (
+	// balancerGrace is how long a stopping instance goes on accepting, so that the platform's load balancer notices that
+	// it is no longer ready before connections are refused.
+	balancerGrace = 500 * time.Millisecond
+	// logFolder is the part of the data folder that holds the replicated log.
+	logFolder = "log"
+)
 
-// Instance is an assembled entry instance.
+// Instance is an entry instance with its listeners.
 type Instance struct {
-	settings  *settings.Front
-	loop      *control.Loop
-	gateway   *gateway.Gateway
-	inner     *inner
-	agreement *agreement.Service
-	ledger    *agreement.Ledger
-	listeners listeners
+	*Core
+	callers, inner, operators *process.Server
 }
 
 // Serve runs an entry instance until the context ends, then drains.
@@ -42,114 +45,128 @@
 
 // New assembles an entry instance and opens its listeners.
 func New(s *settings.Front) (*Instance, error) {
-	container := dig.New()
-	for _, constructor := range []any{
-		func() *settings.Front { return s },
-		newIdentity,
-		newSessionConfig,
-		newLoop,
-		newInner,
-		newAgreement,
-		agreement.NewLedger,
-		newGateway,
-		newOperators,
-		newListeners,
-		newInstance,
-	} {
-		if err := container.Provide(constructor); err != nil {
+	client, err := process.ClientTLS(s.TLS.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	config := transport.Config{FleetKey: []byte(s.FleetKey), TLS: client, AllowPlaintext: s.Plaintext}
+	surroundings := Surroundings{Connector: dialler(s, config)}
+	if s.DataFolder != "" {
+		if surroundings.Folder, err = storage.OS(filepath.Join(s.DataFolder, logFolder)); err != nil {
 			return nil, err
 		}
 	}
-	var instance *Instance
-	err := container.Invoke(func(i *Instance) { instance = i })
-	return instance, dig.RootCause(err)
+	core, err := NewCore(s, process.NewBoot(), surroundings)
+	if err != nil {
+		return nil, err
+	}
+	i := &Instance{Core: core}
+	return i, i.listen(config)
 }
 
-// CallersAddress returns the address of the callers' listener.
-func (i *Instance) CallersAddress() string { return i.listeners.callers.Address() }
-
-// OperatorsAddress returns the address of the operators' listener.
-func (i *Instance) OperatorsAddress() string { return i.listeners.operators.Address() }
-
-// InnerAddress returns the address of the inner listener.
-func (i *Instance) InnerAddress() string { return i.settings.InnerAddress }
+// dialler connects to other instances over WebSocket.
+func dialler(s *settings.Front, config transport.Config) func(string, func() protocol.Hello, transport.Handler) transport.ConnectFunc {
+	return func(address string, hello func() protocol.Hello, h transport.Handler) transport.ConnectFunc {
+		dialer := &transport.Dialer{
+			Address: transport.SessionURL(address, s.TLS.CertFile != "", s.Plaintext),
+			Config:  config,
+			Hello:   hello,
+			Handler: h,
+		}
+		return dialer.Connect
+	}
+}
 
-// NotReady returns why the instance takes no calls, or "".
-func (i *Instance) NotReady() string {
-	if !i.gateway.Ready() {
-		return "the instance is stopping"
+// listen opens the listeners of callers, of the other processes and of operators.
+func (i *Instance) listen(config transport.Config) error {
+	s := i.settings
+	certificate, err := process.ServerTLS(s.TLS.CertFile, s.TLS.KeyFile)
+	if err != nil {
+		return err
+	}
+	if i.callers, err = process.Listen("callersListen", s.CallersListen, callersHandler(i.Gateway), certificate); err != nil {
+		return err
 	}
-	return i.agreement.NotReady()
+	if i.inner, err = process.Listen("innerListen", s.InnerListen, i.innerHandler(config), certificate); err != nil {
+		return err
+	}
+	operators := &operators{core: i.Core}
+	i.operators, err = process.Listen("operatorsListen", s.OperatorsListen, operators.handler(), certificate)
+	return err
 }
 
-// LiveServers returns the number of backend servers that take new work here.
-func (i *Instance) LiveServers() int {
-	n := 0
-	view := i.loop.View()
-	for s := range view.Servers {
-		if view.Servers[s].Excluded == "" {
-			n++
+// callersHandler adds the health pages that the platform's load balancer asks.
+func callersHandler(g *gateway.Gateway) http.Handler {
+	r := chi.NewRouter()
+	r.Use(middleware.Recoverer)
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-	}
-	return n
+	})
+	r.Mount("/", g.Handler())
+	return r
 }
 
+// innerHandler accepts sessions of agents and other entry instances.
+func (i *Instance) innerHandler(config transport.Config) http.Handler {
+	r := chi.NewRouter()
+	r.Get(transport.SessionPath, func(w http.ResponseWriter, req *http.Request) {
+		if _, err := transport.Accept(w, req, config, i.Hello(), i.Loop); err != nil {
+			log.WithError(err).WithField("from", req.RemoteAddr).Warn("session refused")
+		}
+	})
+	return r
+}
+
+// CallersAddress returns the address of the callers' listener.
+func (i *Instance) CallersAddress() string { return i.callers.Address() }
+
+// OperatorsAddress returns the address of the operators' listener.
+func (i *Instance) OperatorsAddress() string { return i.operators.Address() }
+
+// InnerAddress returns the address of the inner listener.
+func (i *Instance) InnerAddress() string { return i.settings.InnerAddress }
+
 // Run serves until the context ends. Then it refuses new calls as not run, waits for the open ones, and closes.
 func (i *Instance) Run(ctx context.Context) error {
 	running, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	start := func(f func()) {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			f()
-		}()
-	}
-	start(func() { i.loop.Run(running) })
-	start(func() { i.gateway.Run(running) })
-	start(func() { i.agreement.Run(running) })
-	start(i.listeners.callers.Serve)
-	start(i.listeners.inner.Serve)
-	start(i.listeners.operators.Serve)
-	i.inner.connect(i.settings)
+	group.Go(func() { i.Core.Run(running) })
+	group.Go(i.callers.Serve)
+	group.Go(i.inner.Serve)
+	group.Go(i.operators.Serve)
 	log.WithFields(log.Fields{
 		"instance":  i.settings.Instance,
-		"callers":   i.listeners.callers.Address(),
-		"inner":     i.listeners.inner.Address(),
-		"operators": i.listeners.operators.Address(),
+		"callers":   i.callers.Address(),
+		"inner":     i.inner.Address(),
+		"operators": i.operators.Address(),
 	}).Info("entry instance serves")
 
 	<-ctx.Done()
 	err := i.drain()
-	i.ledger.Close()
-	i.agreement.Close()
-	i.inner.pool.Close("the entry instance has stopped")
-	i.listeners.inner.Close()
-	i.listeners.operators.Close()
 	stop()
+	i.inner.Close()
+	i.operators.Close()
 	group.Wait()
 	log.WithField("instance", i.settings.Instance).Info("entry instance has stopped")
 	return err
 }
 
-// drain ends the open calls.
+// drain ends the open calls and closes the callers' listener.
 func (i *Instance) drain() error {
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.DrainTimeout)
 	defer cancel()
-	err := i.gateway.Drain(ctx)
+	err := i.Drain(ctx)
 	if err != nil {
 		log.WithError(err).Error("drain timeout passed: requests are cut; raise drainTimeout")
 	}
 	time.Sleep(balancerGrace)
 	shutdown, cancelShutdown := context.WithTimeout(context.Background(), time.Second)
 	defer cancelShutdown()
-	if i.listeners.callers.Shutdown(shutdown) != nil {
-		i.listeners.callers.Close()
+	if i.callers.Shutdown(shutdown) != nil {
+		i.callers.Close()
 	}
 	return err
 }
-
-// listeners are the three HTTP servers of an entry instance.
-type listeners struct {
-	callers, inner, operators *process.Server
-}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -12,8 +12,6 @@
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/decide/release"
 	"github.com/banyanfront/banyanfront/internal/agreement"
-	"github.com/banyanfront/banyanfront/internal/control"
-	"github.com/banyanfront/banyanfront/internal/gateway"
 	"github.com/banyanfront/banyanfront/internal/problem"
 	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -22,27 +20,12 @@
 
 // operators serves the command line and monitoring. It listens on loopback by default.
 type operators struct {
-	settings  *settings.Front
-	loop      *control.Loop
-	gateway   *gateway.Gateway
-	agreement *agreement.Service
-}
-
-func newOperators(s *settings.Front, loop *control.Loop, g *gateway.Gateway, a *agreement.Service) *operators {
-	return &operators{settings: s, loop: loop, gateway: g, agreement: a}
-}
-
-// notReady returns why the instance takes no calls, or "".
-func (o *operators) notReady() string {
-	if !o.gateway.Ready() {
-		return "the instance is stopping"
-	}
-	return o.agreement.NotReady()
+	core *Core
 }
 
 func (o *operators) handler() http.Handler {
 	r := chi.NewRouter()
-	process.StatusRoutes(r, o.notReady)
+	process.StatusRoutes(r, o.core.NotReady)
 	r.Get("/v1/status", o.status)
 	r.Post("/v1/notes", o.publishNote)
 	r.Post("/v1/notes/check", o.checkNote)
@@ -100,16 +83,16 @@
 }
 
 func (o *operators) status(w http.ResponseWriter, _ *http.Request) {
-	view := o.loop.View()
-	agreedView := o.agreement.View()
+	view := o.core.Loop.View()
+	agreedView := o.core.Agreement.View()
 	status := Status{
-		Instance:   o.settings.Instance,
-		DataCentre: o.settings.DataCentre,
+		Instance:   o.core.settings.Instance,
+		DataCentre: o.core.settings.DataCentre,
 		Revision:   agreedView.Revision,
 		Note:       agreedView.Config.Number,
-		NotReady:   o.notReady(),
-		Group:      o.agreement.Group(),
-		Centres:    o.agreement.Centres(),
+		NotReady:   o.core.NotReady(),
+		Group:      o.core.Agreement.Group(),
+		Centres:    o.core.Agreement.Centres(),
 		Remote:     view.Remote,
 		Peers:      view.PeerRevisions(),
 	}
@@ -138,11 +121,11 @@
 
 // impactView is what this instance knows when it judges a note.
 func (o *operators) impactView(now time.Time) *release.View {
-	view := o.loop.View()
+	view := o.core.Loop.View()
 	known := &release.View{
 		Now:    now,
-		Config: o.agreement.View().Config,
-		Local:  o.settings.DataCentre,
+		Config: o.core.Agreement.View().Config,
+		Local:  o.core.settings.DataCentre,
 		Remote: view.Remote,
 		Out:    view.Agreed.Out,
 	}
@@ -189,7 +172,7 @@
 		command.Observed = impact.ObservedLeft()
 	}
 	// The digest names the proposal, so that the same note sent again after a lost answer gets the first answer.
-	result, err := o.agreement.Propose(r.Context(), "note/"+note.Digest().String(), command)
+	result, err := o.core.Agreement.Propose(r.Context(), "note/"+note.Digest().String(), command)
 	if err != nil {
 		problem.Write(w, problem.New(problem.OutcomeUnknown,
 			"the group did not answer (%v): publish the same note again; it is accepted once", err).After(time.Second))
@@ -201,7 +184,7 @@
 }
 
 func (o *operators) notes(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, o.agreement.View().Config)
+	writeJSON(w, o.core.Agreement.View().Config)
 }
 
 // CentreRequest says who takes a data centre out or brings it back, and why.
@@ -230,17 +213,17 @@
 		problem.Write(w, problem.New(problem.BadRequest, "data centre %q is not known: check the name", name))
 		return
 	}
-	record := o.agreement.TakeOut(name, body.Author, body.Reason, time.Now())
+	record := o.core.Agreement.TakeOut(name, body.Author, body.Reason, time.Now())
 	writeJSON(w, CentreAnswer{Accepted: true, Record: &record})
 }
 
 // knows reports whether a data centre is named by a note or has instances or a record.
 func (o *operators) knows(name fleet.DataCentre) bool {
-	view := o.loop.View()
-	if name == o.settings.DataCentre || len(view.Peers(name)) > 0 || agreed.Find(o.agreement.Centres(), name).Term > 0 {
+	view := o.core.Loop.View()
+	if name == o.core.settings.DataCentre || len(view.Peers(name)) > 0 || agreed.Find(o.core.Agreement.Centres(), name).Term > 0 {
 		return true
 	}
-	for _, known := range o.agreement.View().Config.DataCentres {
+	for _, known := range o.core.Agreement.View().Config.DataCentres {
 		if known.Name == name {
 			return true
 		}
@@ -255,7 +238,7 @@
 		return
 	}
 	name := fleet.DataCentre(chi.URLParam(r, "name"))
-	result, err := o.agreement.BringIn(r.Context(), name, body.Author, body.Reason, time.Now())
+	result, err := o.core.Agreement.BringIn(r.Context(), name, body.Author, body.Reason, time.Now())
 	if err != nil {
 		problem.Write(w, problem.New(problem.OutcomeUnknown,
 			"only the agreement group can bring a data centre back, and it did not answer (%v): send the command again", err).
