Bound the pull of a server whose report is wrong

A limit of 0 with an own request just ended counted as a free slot.

Change: limits count up to 2 to 4 times the median of the warm candidates, impossible reports count as one slot, the running requests as at least this instance's own, and an announced capacity as an upper bound.

--- a/decide/routing/affinity.go
+++ b/decide/routing/affinity.go
@@ -202,7 +202,7 @@
 }
 
 func (a *Affinity) tick(now time.Time) uint32 {
-	return uint32(now.Sub(a.epoch)/time.Second) & tickMask
+	return uint32(max(now.Sub(a.epoch), 0)/time.Second) & tickMask
 }
 
 // set returns the slots in which the block can be and its tag.
@@ -215,21 +215,20 @@
 func (a *Affinity) store(block uint64, handle uint16, tick uint32, guess uint64) {
 	set, tag := a.set(block)
 	word := usedBit | guess | tag<<tagShift | uint64(handle)<<tickBits | uint64(tick)
-	target, oldest := 0, uint32(0)
+	target, oldest := 0, int64(-1)
 	for i := range set {
 		w := set[i].Load()
-		if w&usedBit == 0 {
-			target, oldest = i, ^uint32(0)
-			continue
-		}
-		if w>>tagShift&tagMask == tag && w>>tickBits&handleMask == uint64(handle) {
-			if guess != 0 && w&guessBit == 0 && tick-uint32(w&tickMask) < uint32(guessTTL/time.Second) {
-				return // a fresh cache event outlives a guess
+		age := int64((tick - uint32(w&tickMask)) & tickMask)
+		switch {
+		case w&usedBit == 0:
+			age = tickMask + 1 // an empty slot goes before the oldest entry
+		case w>>tagShift&tagMask == tag && w>>tickBits&handleMask == uint64(handle):
+			if guess != 0 && w&guessBit == 0 && age < int64(guessTTL/time.Second) {
+				return // a cache event is believed for longer than a guess
 			}
-			target = i
-			break
+			age = tickMask + 2
 		}
-		if age := (tick - uint32(w&tickMask)) & tickMask; age >= oldest && oldest != ^uint32(0) {
+		if age > oldest {
 			target, oldest = i, age
 		}
 	}
--- a/decide/routing/pick_bench_test.go
+++ b/decide/routing/pick_bench_test.go
@@ -64,3 +64,31 @@
 		})
 	}
 }
+
+// BenchmarkPickSaturated measures the worst case: every server is full, so that all are examined.
+func BenchmarkPickSaturated(b *testing.B) {
+	s := testSnapshot(300, 24)
+	for i := range s.Servers {
+		s.Servers[i].Load.Running = 20
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	r := &Request{Target: fleet.Target{Name: "model"}}
+	policy := New(nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		policy.Pick(s, r, rng)
+	}
+}
+
+// BenchmarkAffinityApply measures one cache event of 16 blocks.
+func BenchmarkAffinityApply(b *testing.B) {
+	s := testSnapshot(300, 24)
+	a := NewAffinity(0, testStart)
+	a.Sync(s, testStart)
+	e := CacheEvent{Server: "engine-0002", Boot: 1, Stored: testPrefix(1, 16)}
+	b.ReportAllocs()
+	for b.Loop() {
+		e.Sequence++
+		a.Apply(testStart, &e)
+	}
+}
--- a/decide/routing/policy.go
+++ b/decide/routing/policy.go
@@ -60,7 +60,7 @@
 	d := &p.decision
 	switch {
 	case p.count > 0:
-		level := p.levels.level()
+		level := p.level()
 		if b.affinity == nil || len(r.Prefix) == 0 || !p.holder(b.affinity, level) {
 			p.choose(level)
 		}
@@ -89,8 +89,8 @@
 
 	within    [sample + enough]estimate // candidates with a slot within this instance's share
 	count     int
-	levels    histogram
-	beyond    int // random server with a free slot beyond the share, -1 if none
+	usual     float32 // highest limit counted on
+	beyond    int     // random server with a free slot beyond the share, -1 if none
 	beyondFew int
 	decision  Decision
 }
@@ -130,9 +130,8 @@
 	}
 	switch {
 	case e.share > 0:
-		p.levels.add(e)
 		p.count = min(p.count+1, len(p.within))
-	case e.free() > 0:
+	case e.free > 0:
 		p.beyondFew++
 		if p.rng.IntN(p.beyondFew) == 0 {
 			p.beyond = position
@@ -140,6 +139,20 @@
 	}
 }
 
+// level bounds outliers and returns the load up to which the candidates are filled.
+func (p *pick) level() float32 {
+	all := p.within[:p.count]
+	p.usual = highestUsual(all)
+	var levels histogram
+	for i := range all {
+		if all[i].limit > p.usual {
+			all[i].bound(p.usual, p.instances)
+		}
+		levels.add(&all[i])
+	}
+	return levels.level()
+}
+
 // choose picks one of the candidates at random, with a weight by the free slots below the level, so that instances that
 // see the same reports do not all choose the same server.
 func (p *pick) choose(level float32) {
@@ -163,7 +176,12 @@
 }
 
 // chance returns the weight of a server in the random choice: its free slots below the level.
-func (e *estimate) chance(level float32) float32 { return max(level-e.load, 0) * e.limit }
+func (e *estimate) chance(level float32) float32 {
+	if e.share <= 0 {
+		return 0 // an outlier whose bounded limit is used up
+	}
+	return max(level-e.load, 0) * e.limit
+}
 
 func (p *pick) take(e *estimate) {
 	p.decision.Server = int(e.position)
@@ -186,6 +204,9 @@
 		}
 		var e estimate
 		e.observe(server, int(position), p.kept, p.instances)
+		if e.limit > p.usual {
+			e.bound(p.usual, p.instances)
+		}
 		if e.share <= 0 {
 			continue
 		}
