Compare the learned limit with ramps that do not learn

Adds the ramping experiment and rewrites the limiter: tickets tie evidence to the boot and to the limit that it was seen at, a band below the bound in which the limit rests, a budget of one slow first token in 20 for a warm server (the target is a 95th percentile), and avoidance of a limit at which the server died.

--- a/decide/limits/limiter.go
+++ b/decide/limits/limiter.go
@@ -7,23 +7,37 @@
 )
 
 const (
-	// doubling is the shortest time in which the limit doubles in slow start. A cold engine shows overload in its time
-	// to first token only after requests have queued, so the growth leaves time to see it.
+	// doubling is the shortest time in which the limit doubles. An engine shows overload in its time to first token only
+	// after requests have queued, so growth leaves time to see it.
 	doubling = 4 * time.Second
-	// hold is how long the limit rests after a halving.
+	// hold is how long the limit rests after a halving: long enough for a request of the lower limit to show its first
+	// token.
 	hold = 2 * time.Second
-	// coldStreak is the number of halvings without a good first token between them that indicates a cold server.
+	// fastShare and steadyShare are the shares of the bound up to which first tokens allow fast and slow growth. Between
+	// steadyShare and the bound the limit stays, which avoids a sawtooth at the server's true limit.
+	fastShare   = 0.5
+	steadyShare = 0.8
+	// slowBudget is the credit that a good first token gives against a slow one. The target is a 95th percentile, so one
+	// slow first token in 20 is within it.
+	slowBudget = 1.0 / 19
+	// slowEnough is the number of slow first tokens beyond the budget that halves the limit of a warm server.
+	slowEnough = 2
+	// coldStreak is the number of halvings without goodEnough good first tokens between them that indicates a cold server.
 	coldStreak = 2
-	// coldFactor times the bound is a first token so late that one indicates a cold server.
+	goodEnough = 3
+	// coldFactor times the bound is a first token that counts as slowEnough slow ones, or the silence while requests wait
+	// for their first token that indicates a cold or hung server.
 	coldFactor = 4
-	// silentFactor times the bound without any first token while requests wait for one indicates a hung server.
-	silentFactor = 4
-	// fastShare is the share of the bound below which a first token allows the growth of slow start.
-	fastShare = 0.5
-	// firstAvoid is how long a limit at which the server failed is not tried again; it doubles with each further
-	// failure, up to maxAvoid.
+	// resume is the share of the last good limit up to which the limit grows fast after a halving.
+	resume = 0.8
+	// crashWindow is how long after a decrease the limit before it is held responsible for a crash.
+	crashWindow = 30 * time.Second
+	// firstAvoid is how long a limit at which the server died is not reached again; it doubles with each further death up
+	// to maxAvoid, because each attempt costs all requests in flight.
 	firstAvoid = time.Minute
 	maxAvoid   = time.Hour
+	// avoidMargin is the share of the avoided limit that is allowed meanwhile.
+	avoidMargin = 0.7
 )
 
 // Limiter learns the concurrency limit of one server. It is not safe for concurrent use.
@@ -33,39 +47,57 @@
 	limit    float64
 	phase    Phase
 	inFlight int
-	epoch    uint64 // grows with each decrease; evidence from earlier epochs is void
-
-	since     time.Time // of the phase
-	grownAt   time.Time // last growth in slow start
-	streak    int       // halvings since the last good first token
-	waiting   int       // admitted requests without a first token
-	heard     time.Time // last first token, or admission while none waited
-	avoid     float64   // limit at which the server failed, 0 if none
+	epoch    uint64 // grows with each decrease; what requests of earlier epochs show says nothing about the present limit
+
+	grownAt   time.Time
+	decreased time.Time
+	before    float64 // limit before the last decrease
+	known     float64 // last limit that was good, 0 if none
+	slow      float64 // slow first tokens beyond the budget
+	good      int     // good first tokens of this epoch
+	streak    int     // halvings without goodEnough good first tokens between them
+	waiting   int     // requests of this boot without a first token
+	heard     time.Time
+
+	avoid     float64 // limit at which the server died, 0 if none
 	avoidTill time.Time
 	avoidFor  time.Duration
 }
 
 // New returns a limiter in slow start.
 func New(config Config, now time.Time, boot fleet.Boot) *Limiter {
-	l := &Limiter{config: config.withDefaults()}
-	l.Reset(now, boot)
+	l := &Limiter{config: config.withDefaults(), boot: boot}
+	l.cold(now)
+	l.before = 0
 	return l
 }
 
-// Reset starts over for a new boot of the server. Requests of the earlier boot stay counted until they are finished, so
-// that a server that was taken for dead by mistake is not overloaded; their outcomes are ignored.
+// Reset starts over for a new boot of the server. If the earlier boot ended with requests in flight or soon after a
+// failure, its limit is avoided for a while. Requests of the earlier boot stay counted until they are finished, so that
+// a server that was taken for dead by mistake is not overloaded; what they show is ignored.
 func (l *Limiter) Reset(now time.Time, boot fleet.Boot) {
-	l.boot = boot
-	l.avoid, l.avoidFor, l.waiting = 0, 0, 0
+	if boot == l.boot {
+		return
+	}
+	top := 0.0
+	if l.before > 0 && now.Sub(l.decreased) < crashWindow {
+		top = l.before
+	}
+	if l.inFlight > 0 {
+		top = max(top, float64(l.inFlight))
+	}
+	if top > float64(l.config.Start) {
+		l.avoidFor = min(max(l.avoidFor*2, firstAvoid), maxAvoid)
+		l.avoid, l.avoidTill = top, now.Add(l.avoidFor)
+	}
+	l.boot, l.waiting = boot, 0
 	l.cold(now)
+	l.before = 0
 }
 
-// Admit asks whether one more request may be forwarded. An admitted request must be reported to Finished exactly once.
+// Admit asks whether one more request may be forwarded. Each admitted request must be reported to Finished.
 func (l *Limiter) Admit(now time.Time) (Ticket, Refusal) {
-	if l.waiting > 0 && now.Sub(l.heard) > silentFactor*l.config.Bound {
-		if l.phase != SlowStart || l.limit > float64(l.config.Start) {
-			l.cold(now)
-		}
+	if l.silent(now) {
 		return Ticket{}, ServerSilent
 	}
 	if l.inFlight >= l.Limit() {
@@ -76,47 +108,68 @@
 	}
 	l.inFlight++
 	l.waiting++
-	return Ticket{epoch: l.epoch, at: now, boot: uint64(l.boot)}, Admitted
+	return Ticket{epoch: l.epoch, boot: l.boot, admitted: true}, Admitted
+}
+
+// silent reports whether requests have waited for a first token for so long that the server may be cold or hung, and
+// returns to slow start if so.
+func (l *Limiter) silent(now time.Time) bool {
+	if l.waiting == 0 || now.Sub(l.heard) <= coldFactor*l.config.Bound {
+		return false
+	}
+	if l.limit > float64(l.config.Start) {
+		l.cold(now)
+	}
+	return true
 }
 
-// FirstToken reports the time to first token of an admitted request as soon as it is known. It is optional; Finished is
-// then given 0.
-func (l *Limiter) FirstToken(now time.Time, t Ticket, firstToken time.Duration) {
-	if t.boot != uint64(l.boot) {
+// FirstToken reports the time to first token of an admitted request as soon as it is known. A caller that does not see
+// first tokens gives the time to Finished instead.
+func (l *Limiter) FirstToken(now time.Time, t *Ticket, firstToken time.Duration) {
+	if !t.admitted || t.answered || t.boot != l.boot {
 		return
 	}
-	l.waiting = max(l.waiting-1, 0)
+	t.answered = true
+	l.waiting--
 	l.heard = now
-	switch {
-	case t.epoch != l.epoch:
-	case firstToken > coldFactor*l.config.Bound:
-		l.cold(now)
-	case firstToken > l.config.Bound:
-		l.halve(now)
-	default:
-		l.streak = 0
+	if t.epoch != l.epoch {
+		return
+	}
+	if firstToken <= l.config.Bound {
+		l.good++
+		l.slow = max(l.slow-slowBudget, 0)
+		if l.good >= goodEnough {
+			l.streak = 0
+		}
 		l.grow(now, firstToken)
+		return
+	}
+	l.slow++
+	if l.phase == SlowStart || l.slow >= slowEnough || firstToken > coldFactor*l.config.Bound {
+		l.halve(now)
 	}
 }
 
-// Finished reports the end of an admitted request. firstToken is 0 if there was none or if FirstToken has reported it.
-func (l *Limiter) Finished(now time.Time, t Ticket, outcome Outcome, firstToken time.Duration) {
-	l.inFlight = max(l.inFlight-1, 0)
-	if t.boot != uint64(l.boot) {
+// Finished reports the end of an admitted request. firstToken is its time to first token, 0 if there was none or if
+// FirstToken has reported it. Further calls with the same ticket do nothing.
+func (l *Limiter) Finished(now time.Time, t *Ticket, outcome Outcome, firstToken time.Duration) {
+	if !t.admitted {
 		return
 	}
 	if firstToken > 0 {
 		l.FirstToken(now, t, firstToken)
 	}
-	if outcome == Failed || outcome == Overload {
-		l.waiting = min(l.waiting, l.inFlight)
-		if t.epoch != l.epoch {
-			return
-		}
-		l.avoidLimit(now)
+	t.admitted = false
+	l.inFlight--
+	if t.boot != l.boot {
+		return
+	}
+	if !t.answered {
+		l.waiting--
+	}
+	if (outcome == Failed || outcome == Overload) && t.epoch == l.epoch {
 		l.halve(now)
 	}
-	l.waiting = min(l.waiting, l.inFlight)
 }
 
 // Limit returns the requests that may be in flight, at least 1.
@@ -138,55 +191,67 @@
 
 // cold returns to the starting limit.
 func (l *Limiter) cold(now time.Time) {
-	l.limit = float64(l.config.Start)
-	l.phase, l.since, l.grownAt = SlowStart, now, now
-	l.streak = 0
-	l.epoch++
+	l.decrease(now, float64(l.config.Start), SlowStart)
+	l.known, l.streak = 0, 0
 }
 
+// halve halves the limit, or returns to the starting limit if the last halving has not helped.
 func (l *Limiter) halve(now time.Time) {
 	l.streak++
 	if l.streak >= coldStreak {
 		l.cold(now)
 		return
 	}
-	l.limit = max(l.limit/2, 1)
-	l.phase, l.since = BackedOff, now
-	l.epoch++
+	l.known = l.limit
+	l.decrease(now, l.limit/2, BackedOff)
 }
 
-func (l *Limiter) avoidLimit(now time.Time) {
-	l.avoidFor = min(max(l.avoidFor*2, firstAvoid), maxAvoid)
-	l.avoid, l.avoidTill = l.limit, now.Add(l.avoidFor)
+func (l *Limiter) decrease(now time.Time, limit float64, phase Phase) {
+	l.before, l.decreased = max(l.limit, 1), now
+	l.limit, l.phase = max(limit, 1), phase
+	l.grownAt = now
+	l.slow, l.good = 0, 0
+	l.epoch++
 }
 
 // grow raises the limit after a good first token, if the limit is in use.
 func (l *Limiter) grow(now time.Time, firstToken time.Duration) {
-	if float64(l.inFlight) < l.limit/2 {
-		return
+	if l.phase == BackedOff && now.Sub(l.decreased) >= hold {
+		l.phase, l.grownAt = Growth, now
 	}
-	top := float64(l.config.Ceiling)
-	if l.avoid > 0 && now.Before(l.avoidTill) {
-		top = min(top, max(l.avoid*0.9, 1))
+	quality := float64(firstToken) / float64(l.config.Bound)
+	if l.phase == BackedOff || quality > steadyShare || float64(l.inFlight) < l.limit/2 {
+		l.grownAt = now
+		return
 	}
-	switch l.phase {
-	case SlowStart:
-		if firstToken > time.Duration(float64(l.config.Bound)*fastShare) {
-			l.phase, l.since = Growth, now
-			return
+	// The growth of one doubling time at most is made up for at once.
+	elapsed := min(float64(now.Sub(l.grownAt))/float64(doubling), 1)
+	step := min(1, l.limit*elapsed)
+	switch {
+	case quality > fastShare:
+		if l.phase == SlowStart {
+			l.phase = Growth
 		}
-		// One more for each good first token, but not faster than the doubling time.
-		allowed := l.limit * (float64(now.Sub(l.grownAt)) / float64(doubling))
-		l.limit += min(1, allowed)
-		l.grownAt = now
-	case BackedOff:
-		if now.Sub(l.since) < hold {
-			return
+		step = min(step, 1/l.limit)
+	case l.phase == Growth && l.limit >= l.known*resume:
+		step = min(step, 1/l.limit)
+	}
+	l.grownAt = now
+	top := l.top(now)
+	if l.limit+step >= top {
+		step = max(top-l.limit, 0)
+		if l.phase == SlowStart && top >= float64(l.config.Ceiling) {
+			l.phase = Growth
 		}
-		l.phase, l.since = Growth, now
-		fallthrough
-	case Growth:
-		l.limit += 1 / l.limit
 	}
-	l.limit = min(l.limit, top)
+	l.limit += step
+}
+
+// top returns the highest limit that may be reached now.
+func (l *Limiter) top(now time.Time) float64 {
+	top := float64(l.config.Ceiling)
+	if l.avoid > 0 && now.Before(l.avoidTill) {
+		top = min(top, max(l.avoid*avoidMargin, float64(l.config.Start)))
+	}
+	return top
 }
--- a/decide/limits/limits.go
+++ b/decide/limits/limits.go
@@ -5,6 +5,8 @@
 
 import (
 	"time"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
 )
 
 // Phase is a stage of the limiter.
@@ -64,11 +66,12 @@
 	Cancelled                // the caller or the entry instance ended it; says nothing about the server
 )
 
-// Ticket identifies an admitted request towards FirstToken and Finished.
+// Ticket belongs to one admitted request. The caller keeps it and passes it to FirstToken and Finished.
 type Ticket struct {
-	epoch uint64 // of the limit when the request was admitted
-	at    time.Time
-	boot  uint64
+	epoch    uint64 // of the limiter when the request was admitted
+	boot     fleet.Boot
+	admitted bool
+	answered bool // the first token was reported
 }
 
 // Config holds a limiter's settings. The zero value of a field means its default.
--- /dev/null
+++ b/internal/experiment/ramping_test.go
@@ -0,0 +1,6 @@
+package experiment
+
+import "testing"
+
+// BenchmarkRamping prints the comparison: go test -run xxx -bench Ramping -benchtime 1x ./internal/experiment
+func BenchmarkRamping(b *testing.B) { printOnce(b, Ramping()) }
