Judge first tokens as soon as they are overdue and smooth the rest

Cause: one long prompt ended the fast growth for good, and a server that turned cold was noticed only when its late first tokens arrived.

Change: growth follows the smoothed time to first token, a request that waits beyond the bound counts as slow at once, and the doubling time is exact (a test found a growth by e instead of 2 in 4 s).

--- a/decide/limits/limiter.go
+++ b/decide/limits/limiter.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"math"
 	"time"
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
@@ -13,10 +14,12 @@
 	// hold is how long the limit rests after a halving: long enough for a request of the lower limit to show its first
 	// token.
 	hold = 2 * time.Second
-	// fastShare and steadyShare are the shares of the bound up to which first tokens allow fast and slow growth. Between
-	// steadyShare and the bound the limit stays, which avoids a sawtooth at the server's true limit.
+	// fastShare and steadyShare are the shares of the bound up to which the smoothed time to first token allows fast and
+	// slow growth. Between steadyShare and the bound the limit stays, which avoids a sawtooth at the server's true limit.
 	fastShare   = 0.5
 	steadyShare = 0.8
+	// smoothing is the weight of one first token: one long prompt must not end the fast growth.
+	smoothing = 1.0 / 8
 	// slowBudget is the credit that a good first token gives against a slow one. The target is a 95th percentile, so one
 	// slow first token in 20 is within it.
 	slowBudget = 1.0 / 19
@@ -25,11 +28,9 @@
 	// coldStreak is the number of halvings without goodEnough good first tokens between them that indicates a cold server.
 	coldStreak = 2
 	goodEnough = 3
-	// coldFactor times the bound is a first token that counts as slowEnough slow ones, or the silence while requests wait
-	// for their first token that indicates a cold or hung server.
+	// coldFactor times the bound is a first token that counts as slowEnough slow ones, and the time without any first token
+	// while requests wait after which no more are admitted.
 	coldFactor = 4
-	// resume is the share of the last good limit up to which the limit grows fast after a halving.
-	resume = 0.8
 	// crashWindow is how long after a decrease the limit before it is held responsible for a crash.
 	crashWindow = 30 * time.Second
 	// firstAvoid is how long a limit at which the server died is not reached again; it doubles with each further death up
@@ -42,7 +43,8 @@
 
 // Limiter learns the concurrency limit of one server. It is not safe for concurrent use.
 type Limiter struct {
-	config   Config
+	given    Config
+	config   Config // with defaults
 	boot     fleet.Boot
 	limit    float64
 	phase    Phase
@@ -52,11 +54,11 @@
 	grownAt   time.Time
 	decreased time.Time
 	before    float64 // limit before the last decrease
-	known     float64 // last limit that was good, 0 if none
 	slow      float64 // slow first tokens beyond the budget
 	good      int     // good first tokens of this epoch
+	smooth    float64 // smoothed time to first token as a share of the bound
 	streak    int     // halvings without goodEnough good first tokens between them
-	waiting   int     // requests of this boot without a first token
+	waiting   waiting // requests of this boot without a first token
 	heard     time.Time
 
 	avoid     float64 // limit at which the server died, 0 if none
@@ -66,7 +68,7 @@
 
 // New returns a limiter in slow start.
 func New(config Config, now time.Time, boot fleet.Boot) *Limiter {
-	l := &Limiter{config: config.withDefaults(), boot: boot}
+	l := &Limiter{given: config, config: config.withDefaults(), boot: boot}
 	l.cold(now)
 	l.before = 0
 	return l
@@ -90,62 +92,83 @@
 		l.avoidFor = min(max(l.avoidFor*2, firstAvoid), maxAvoid)
 		l.avoid, l.avoidTill = top, now.Add(l.avoidFor)
 	}
-	l.boot, l.waiting = boot, 0
+	l.boot = boot
+	l.waiting.clear()
 	l.cold(now)
 	l.before = 0
 }
 
+// Announced takes over a changed capacity that the server announces.
+func (l *Limiter) Announced(capacity int) {
+	l.given.Capacity = capacity
+	l.config = l.given.withDefaults()
+	l.limit = min(l.limit, float64(l.config.Ceiling))
+}
+
 // Admit asks whether one more request may be forwarded. Each admitted request must be reported to Finished.
 func (l *Limiter) Admit(now time.Time) (Ticket, Refusal) {
-	if l.silent(now) {
+	l.overdue(now)
+	if l.waiting.count > 0 && now.Sub(l.heard) > coldFactor*l.config.Bound {
+		if l.limit > float64(l.config.Start) {
+			l.cold(now)
+		}
 		return Ticket{}, ServerSilent
 	}
 	if l.inFlight >= l.Limit() {
 		return Ticket{}, AboveLimit
 	}
-	if l.waiting == 0 {
+	if l.waiting.count == 0 {
 		l.heard = now
 	}
 	l.inFlight++
-	l.waiting++
-	return Ticket{epoch: l.epoch, boot: l.boot, admitted: true}, Admitted
+	number := l.waiting.add(now, l.epoch)
+	return Ticket{number: number, epoch: l.epoch, boot: l.boot, admitted: true}, Admitted
 }
 
-// silent reports whether requests have waited for a first token for so long that the server may be cold or hung, and
-// returns to slow start if so.
-func (l *Limiter) silent(now time.Time) bool {
-	if l.waiting == 0 || now.Sub(l.heard) <= coldFactor*l.config.Bound {
-		return false
-	}
-	if l.limit > float64(l.config.Start) {
-		l.cold(now)
+// overdue counts requests that have waited for their first token for longer than the bound as slow, without waiting for
+// the token: a server that has turned cold may take many more requests before it shows one.
+func (l *Limiter) overdue(now time.Time) {
+	for {
+		epoch, ok := l.waiting.overdue(now.Add(-l.config.Bound))
+		if !ok {
+			return
+		}
+		if epoch == l.epoch {
+			l.slowToken(now, 1)
+		}
 	}
-	return true
 }
 
 // FirstToken reports the time to first token of an admitted request as soon as it is known. A caller that does not see
 // first tokens gives the time to Finished instead.
 func (l *Limiter) FirstToken(now time.Time, t *Ticket, firstToken time.Duration) {
-	if !t.admitted || t.answered || t.boot != l.boot {
+	if firstToken < 0 || !t.admitted || t.answered || t.boot != l.boot {
 		return
 	}
 	t.answered = true
-	l.waiting--
+	counted := l.waiting.remove(t.number)
 	l.heard = now
-	if t.epoch != l.epoch {
-		return
-	}
-	if firstToken <= l.config.Bound {
+	switch {
+	case t.epoch != l.epoch:
+	case firstToken > coldFactor*l.config.Bound:
+		l.slowToken(now, slowEnough)
+	case counted:
+	case firstToken > l.config.Bound:
+		l.slowToken(now, 1)
+	default:
 		l.good++
 		l.slow = max(l.slow-slowBudget, 0)
 		if l.good >= goodEnough {
 			l.streak = 0
 		}
 		l.grow(now, firstToken)
-		return
 	}
-	l.slow++
-	if l.phase == SlowStart || l.slow >= slowEnough || firstToken > coldFactor*l.config.Bound {
+}
+
+// slowToken counts slow first tokens and halves the limit if they are more than the budget.
+func (l *Limiter) slowToken(now time.Time, n float64) {
+	l.slow += n
+	if l.phase == SlowStart || l.slow >= slowEnough {
 		l.halve(now)
 	}
 }
@@ -165,7 +188,7 @@
 		return
 	}
 	if !t.answered {
-		l.waiting--
+		l.waiting.remove(t.number)
 	}
 	if (outcome == Failed || outcome == Overload) && t.epoch == l.epoch {
 		l.halve(now)
@@ -192,7 +215,7 @@
 // cold returns to the starting limit.
 func (l *Limiter) cold(now time.Time) {
 	l.decrease(now, float64(l.config.Start), SlowStart)
-	l.known, l.streak = 0, 0
+	l.streak = 0
 }
 
 // halve halves the limit, or returns to the starting limit if the last halving has not helped.
@@ -202,7 +225,6 @@
 		l.cold(now)
 		return
 	}
-	l.known = l.limit
 	l.decrease(now, l.limit/2, BackedOff)
 }
 
@@ -210,7 +232,7 @@
 	l.before, l.decreased = max(l.limit, 1), now
 	l.limit, l.phase = max(limit, 1), phase
 	l.grownAt = now
-	l.slow, l.good = 0, 0
+	l.slow, l.good, l.smooth = 0, 0, 0
 	l.epoch++
 }
 
@@ -220,21 +242,22 @@
 		l.phase, l.grownAt = Growth, now
 	}
 	quality := float64(firstToken) / float64(l.config.Bound)
-	if l.phase == BackedOff || quality > steadyShare || float64(l.inFlight) < l.limit/2 {
+	if l.smooth == 0 {
+		l.smooth = quality
+	}
+	l.smooth += (quality - l.smooth) * smoothing
+	if l.phase == BackedOff || l.smooth > steadyShare || float64(l.inFlight) < l.limit/2 {
 		l.grownAt = now
 		return
 	}
 	// The growth of one doubling time at most is made up for at once.
-	elapsed := min(float64(now.Sub(l.grownAt))/float64(doubling), 1)
-	step := min(1, l.limit*elapsed)
-	switch {
-	case quality > fastShare:
+	elapsed := min(max(float64(now.Sub(l.grownAt))/float64(doubling), 0), 1)
+	step := min(1, l.limit*(math.Exp2(elapsed)-1))
+	if l.smooth > fastShare {
+		step = min(step, 1/l.limit)
 		if l.phase == SlowStart {
 			l.phase = Growth
 		}
-		step = min(step, 1/l.limit)
-	case l.phase == Growth && l.limit >= l.known*resume:
-		step = min(step, 1/l.limit)
 	}
 	l.grownAt = now
 	top := l.top(now)
--- a/decide/limits/limits.go
+++ b/decide/limits/limits.go
@@ -68,6 +68,7 @@
 
 // Ticket belongs to one admitted request. The caller keeps it and passes it to FirstToken and Finished.
 type Ticket struct {
+	number   uint64
 	epoch    uint64 // of the limiter when the request was admitted
 	boot     fleet.Boot
 	admitted bool
--- a/internal/experiment/ramping.go
+++ b/internal/experiment/ramping.go
@@ -33,6 +33,7 @@
 	warmUp   time.Duration // work until the server is warm
 	coldAt   time.Duration // when the warm server turns cold without warning, 0 if never
 	failures float64       // share of requests that fail for reasons of their own
+	silent   bool          // the time to first token does not rise before the server dies
 }
 
 // admission is a way to decide how much a server gets.
@@ -52,6 +53,7 @@
 		{name: "slow cold start", announce: rampFull, warmUp: 4 * time.Minute},
 		{name: "turns cold after 3 minutes without warning", announce: rampFull, warmUp: 30 * time.Second, coldAt: 3 * time.Minute},
 		{name: "one request in 500 fails by itself", announce: rampFull, warmUp: time.Minute, failures: 0.002},
+		{name: "dies without a slower first token", announce: rampFull, warmUp: time.Minute, silent: true},
 	}
 	return Experiment{Name: "ramping", Run: func(seed uint64) []Result {
 		var results []Result
@@ -190,6 +192,9 @@
 	}
 	q := &rampRequest{ticket: ticket, admitted: r.now, fails: r.rng.Float64() < r.failures}
 	x := float64(len(r.inFlight)+1) / r.bears()
+	if r.silent {
+		x = 0
+	}
 	wait := float64(rampFirstToken) * (1 + rampSteepness*min(x*x*x*x, 10)) * (0.85 + 0.3*r.rng.Float64())
 	if r.rng.Float64() < rampLongPrompt {
 		wait *= 3
