--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -163,13 +163,13 @@
 
 func (a *Agent) leaving() bool { return a.draining.Load() || a.withdrawn.Load() }
 
-func (a *Agent) firstToken(ticket limits.Ticket, after time.Duration) {
+func (a *Agent) firstToken(ticket *limits.Ticket, after time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.limiter.FirstToken(time.Now(), ticket, after)
 }
 
-func (a *Agent) finished(ticket limits.Ticket, outcome limits.Outcome) {
+func (a *Agent) finished(ticket *limits.Ticket, outcome limits.Outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.limiter.Finished(time.Now(), ticket, outcome, 0)
--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -54,9 +54,9 @@
 		a.attempts.finish(record, protocol.OutcomeNotRun, answer{}, time.Now())
 		return notRun(reason)
 	}
-	run := execution{agent: a, stream: st, open: open, ticket: ticket, started: time.Now()}
+	run := execution{agent: a, stream: st, open: open, ticket: &ticket, started: time.Now()}
 	end := run.run()
-	a.finished(ticket, run.serverOutcome(end.Outcome))
+	a.finished(&ticket, run.serverOutcome(end.Outcome))
 	a.attempts.finish(record, end.Outcome, run.answer, time.Now())
 	return end
 }
@@ -70,7 +70,7 @@
 	agent     *Agent
 	stream    transport.Stream
 	open      *protocol.Open
-	ticket    limits.Ticket
+	ticket    *limits.Ticket
 	answer    answer
 	started   time.Time
 	lastPart  time.Time
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -36,6 +36,7 @@
 	view     atomic.Pointer[View]
 	messages atomic.Pointer[MessageSink]
 	streams  atomic.Pointer[StreamSink]
+	done     chan struct{} // closed when Run has ended
 }
 
 // MessageSink receives the messages that do not concern the control state, such as Inquiry and Consensus. It must not
@@ -49,7 +50,7 @@
 
 // New returns a loop with an empty fleet.
 func New(config Config) *Loop {
-	l := &Loop{config: config, events: make(chan func(*state, time.Time), eventQueue)}
+	l := &Loop{config: config, events: make(chan func(*state, time.Time), eventQueue), done: make(chan struct{})}
 	l.view.Store(newState(config).view(time.Now()))
 	return l
 }
@@ -65,6 +66,7 @@
 
 // Run applies events until the context ends.
 func (l *Loop) Run(ctx context.Context) {
+	defer close(l.done)
 	s := newState(l.config)
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -96,8 +98,13 @@
 	}
 }
 
-// Post applies an event on the control goroutine. It waits while the queue is full.
-func (l *Loop) Post(event func(*state, time.Time)) { l.events <- event }
+// Post applies an event on the control goroutine. It waits while the queue is full, and drops the event after Run.
+func (l *Loop) Post(event func(*state, time.Time)) {
+	select {
+	case l.events <- event:
+	case <-l.done:
+	}
+}
 
 // offer applies an event unless the queue is full; it is for events that a later one replaces.
 func (l *Loop) offer(event func(*state, time.Time)) {
