History runs of the real shells under faults (first version); founding waits for no lock

Found by the first run: a session's reader waited for the lock that founding held while it synced the data folder. Reports of other voters now go through a bounded queue.

--- a/internal/agreement/member.go
+++ b/internal/agreement/member.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,15 +31,26 @@
 	replica  atomic.Pointer[replica.Replica]
 	machine  *machine
 
-	mu      sync.Mutex
+	reports chan founding.Report // from other voters
+	// admitting is set while a change of the group's members for a joiner is under way.
+	admitting atomic.Bool
+
+	// Only tick touches these.
 	voter   *founding.Voter   // nil once the folder belongs to a group
 	members []founding.Member // founding members, once known
-	// admitting is set while a change of the group's members for a joiner is under way.
-	admitting bool
 }
 
+// maxReports bounds the queued reports of other voters; they are repeated each tick.
+const maxReports = 64
+
 func newMember(config Config, folder storage.FS, sessions Sessions, install func(*agreed.View, *agreed.Change)) (*member, error) {
-	m := &member{config: config, sessions: sessions, fs: folder, machine: newMachine(install)}
+	m := &member{
+		config:   config,
+		sessions: sessions,
+		fs:       folder,
+		machine:  newMachine(install),
+		reports:  make(chan founding.Report, maxReports),
+	}
 	if err := m.openFolder(); err != nil {
 		return nil, err
 	}
@@ -129,8 +139,7 @@
 
 // tick takes the next step of founding or joining.
 func (m *member) tick(now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.hear(now)
 	if m.voter != nil {
 		step, members := m.voter.Next(now)
 		if err := m.take(step, members); err != nil {
@@ -143,6 +152,20 @@
 	}
 }
 
+// hear takes in the reports of other voters.
+func (m *member) hear(now time.Time) {
+	for {
+		select {
+		case report := <-m.reports:
+			if m.voter != nil {
+				m.voter.Heard(now, report)
+			}
+		default:
+			return
+		}
+	}
+}
+
 func (m *member) take(step founding.Step, members []founding.Member) error {
 	switch step {
 	case founding.Found:
@@ -204,10 +227,9 @@
 		for _, f := range message.Members {
 			report.Members = append(report.Members, founding.Member(f))
 		}
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		if m.voter != nil {
-			m.voter.Heard(time.Now(), report)
+		select {
+		case m.reports <- report:
+		default:
 		}
 	case *protocol.Join:
 		go m.admit(founding.Member(message.Member))
@@ -217,21 +239,13 @@
 // admit takes in a voter whose data folder is new, in place of the member that had its address. Only the leader does.
 func (m *member) admit(joiner founding.Member) {
 	r := m.replica.Load()
-	if r == nil || r.Status().Leader != m.id || !m.isVoter(joiner) {
+	if r == nil || r.Status().Leader != r.Status().ID || !m.isVoter(joiner) {
 		return
 	}
-	m.mu.Lock()
-	busy := m.admitting
-	m.admitting = true
-	m.mu.Unlock()
-	if busy {
+	if !m.admitting.CompareAndSwap(false, true) {
 		return
 	}
-	defer func() {
-		m.mu.Lock()
-		m.admitting = false
-		m.mu.Unlock()
-	}()
+	defer m.admitting.Store(false)
 	members := r.Status().Members
 	if members.Find(consensus.ID(joiner.ID)) != nil {
 		return
--- /dev/null
+++ b/internal/history/world/callers.go
@@ -0,0 +1,211 @@
+package world
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/banyanfront/banyanfront/internal/history"
+	"github.com/banyanfront/banyanfront/internal/problem"
+	"github.com/banyanfront/banyanfront/internal/standin"
+)
+
+const (
+	callersPerInstance = 4
+	maxTries           = 5 // of one keyed request
+	deadlineMS         = "8000"
+	callPause          = 150 * time.Millisecond
+	tokens             = 12
+)
+
+// call sends one request to an instance and returns what the caller got.
+func (w *World) call(i *instance, method, path, key string, body []byte) (status int, answer []byte, err error) {
+	handler := w.handlerOf(i)
+	if handler == nil {
+		return 0, nil, errUnreachable
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	req := httptest.NewRequestWithContext(ctx, method, path, bytes.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("Banyan-Deadline-Ms", deadlineMS)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	recorder := &lockedRecorder{ResponseRecorder: httptest.NewRecorder()}
+	finished := make(chan error, 1)
+	go func() {
+		defer func() {
+			if recover() != nil {
+				finished <- io.ErrUnexpectedEOF // the connection was closed within the answer
+			}
+		}()
+		handler.ServeHTTP(recorder, req)
+		finished <- nil
+	}()
+	select {
+	case err = <-finished:
+	case <-w.deathOf(i):
+		err = io.ErrUnexpectedEOF // the instance has died
+	}
+	recorder.mu.Lock()
+	defer recorder.mu.Unlock()
+	return recorder.Code, recorder.Body.Bytes(), err
+}
+
+// lockedRecorder lets a caller read what it has received while a dying instance still writes.
+type lockedRecorder struct {
+	mu sync.Mutex
+	*httptest.ResponseRecorder
+}
+
+// Write implements http.ResponseWriter.
+func (r *lockedRecorder) Write(data []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ResponseRecorder.Write(data)
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (r *lockedRecorder) WriteHeader(status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ResponseRecorder.WriteHeader(status)
+}
+
+// Flush implements http.Flusher.
+func (r *lockedRecorder) Flush() {}
+
+// result translates what a caller got. check returns what is wrong with an answer, or "".
+func result(status int, answer []byte, err error, check func([]byte) string) (history.Result, bool, string) {
+	if err != nil {
+		return history.NoAnswer, false, err.Error()
+	}
+	if status < http.StatusBadRequest {
+		wrong := check(answer)
+		return history.Answered, wrong == "", wrong
+	}
+	var document struct {
+		Kind   problem.Kind `json:"kind"`
+		Detail string       `json:"detail"`
+		Ran    *bool        `json:"ran"`
+	}
+	if json.Unmarshal(answer, &document) != nil || document.Kind == "" {
+		return history.Unknown, false, fmt.Sprintf("status %d", status)
+	}
+	detail := string(document.Kind) + ": " + document.Detail
+	if document.Ran != nil && !*document.Ran {
+		return history.NotRun, false, detail
+	}
+	return history.Unknown, false, detail
+}
+
+// caller sends requests until the context ends.
+func (w *World) caller(ctx context.Context, home int, name string, rng *rand.Rand) {
+	for n := 0; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("%s-%d", name, n)
+		switch rng.IntN(5) {
+		case 0, 1:
+			w.order(home, id, rng)
+		case 2:
+			w.complete(home, id, true)
+		case 3:
+			w.complete(home, id, false)
+		default:
+			w.lookup(home, id)
+		}
+		time.Sleep(callPause + time.Duration(rng.Int64N(int64(callPause))))
+	}
+}
+
+func (w *World) note(r history.Request) {
+	r.Ended = w.now()
+	w.recorder.Record(func(h *history.History) { h.Requests = append(h.Requests, r) })
+}
+
+// order sends a keyed request, and again with the same key at other instances until it is answered.
+func (w *World) order(home int, id string, rng *rand.Rand) {
+	for range maxTries {
+		i := w.instances[home]
+		r := history.Request{ID: id, Keyed: true, Instance: i.settings.Instance, Begun: w.now()}
+		status, answer, err := w.call(i, http.MethodPost, "/services/"+serviceName+"/orders", id, []byte(`{"pane":"`+id+`"}`))
+		r.Result, r.Complete, r.Detail = result(status, answer, err, func(body []byte) string {
+			var created struct {
+				ID string `json:"id"`
+			}
+			if json.Unmarshal(body, &created) != nil || created.ID == "" {
+				return fmt.Sprintf("no order in %q", body)
+			}
+			return ""
+		})
+		w.note(r)
+		if r.Result == history.Answered {
+			return
+		}
+		home = rng.IntN(len(w.instances))
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+func (w *World) complete(home int, id string, stream bool) {
+	i := w.instances[home]
+	prompt := "prompt " + id
+	body, _ := json.Marshal(map[string]any{"model": modelName, "prompt": prompt, "max_tokens": tokens, "stream": stream})
+	r := history.Request{ID: requestID(body), Instance: i.settings.Instance, Begun: w.now()}
+	status, answer, err := w.call(i, http.MethodPost, "/v1/completions", "", body)
+	r.Result, r.Complete, r.Detail = result(status, answer, err, func(body []byte) string {
+		want := standin.Answer(modelName, prompt, tokens)
+		if got := completionText(body, stream); got != want {
+			return fmt.Sprintf("%q instead of %q", got, want)
+		}
+		return ""
+	})
+	w.note(r)
+}
+
+func (w *World) lookup(home int, id string) {
+	i := w.instances[home]
+	path := "/prices?request=" + id
+	r := history.Request{ID: path, Instance: i.settings.Instance, Begun: w.now()}
+	status, answer, err := w.call(i, http.MethodGet, "/services/"+serviceName+path, "", nil)
+	r.Result, r.Complete, r.Detail = result(status, answer, err, func([]byte) string { return "" })
+	w.note(r)
+}
+
+// completionText returns the text of a completion; a stream without its closing event gives no text.
+func completionText(body []byte, stream bool) string {
+	type chunk struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if !stream {
+		var whole chunk
+		if json.Unmarshal(body, &whole) != nil || len(whole.Choices) == 0 {
+			return ""
+		}
+		return whole.Choices[0].Text
+	}
+	var text strings.Builder
+	for event := range strings.SplitSeq(string(body), "\n\n") {
+		payload, ok := strings.CutPrefix(event, "data: ")
+		if payload == "[DONE]" {
+			return text.String()
+		}
+		var c chunk
+		if ok && json.Unmarshal([]byte(payload), &c) == nil {
+			for _, choice := range c.Choices {
+				text.WriteString(choice.Text)
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/history/world/world_test.go
@@ -0,0 +1,58 @@
+package world
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/banyanfront/banyanfront/internal/history"
+)
+
+// seeds returns the seeds to run: a fixed set, or as many as HISTORY_SEEDS says, from HISTORY_FIRST on.
+func seeds() (first, count uint64) {
+	first, count = 1, 6
+	if n, err := strconv.ParseUint(os.Getenv("HISTORY_SEEDS"), 10, 64); err == nil {
+		count = n
+	}
+	if n, err := strconv.ParseUint(os.Getenv("HISTORY_FIRST"), 10, 64); err == nil {
+		first = n
+	}
+	return first, count
+}
+
+// Guards against every broken guarantee that random faults can bring about: real entry instances, agents and agreement
+// group run over an in-memory network and disk, and the histories of callers and servers are checked afterwards.
+func TestGuaranteesHoldUnderFaults(t *testing.T) {
+	log.SetHandler(discard.Default)
+	first, count := seeds()
+	for seed := first; seed < first+count; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, err := New(seed).Run(8)
+				if err != nil {
+					t.Fatal(err)
+				}
+				summarise(t, h)
+				for _, v := range history.Check(h) {
+					t.Errorf("%s broken: %s", v.Guarantee, v.Detail)
+				}
+			})
+		})
+	}
+}
+
+// summarise logs how callers fared, and fails if the run proves nothing because too little was answered.
+func summarise(t *testing.T, h *history.History) {
+	counts := make(map[history.Result]int)
+	for _, r := range h.Requests {
+		counts[r.Result]++
+	}
+	t.Logf("%d requests: %v, %d runs, %v", len(h.Requests), counts, len(h.Runs), h.End)
+	if counts[history.Answered]*2 < len(h.Requests) {
+		t.Errorf("fewer than half of the requests were answered: %v", counts)
+	}
+}
