--- /dev/null
+++ b/decide/membership/simulation_test.go
@@ -0,0 +1,153 @@
+package membership
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+)
+
+// network runs detectors in virtual time over links that can be cut in one direction, slowed or lossy.
+type network struct {
+	now     time.Time
+	random  *rand.Rand
+	queue   events
+	nodes   []*node
+	byID    map[fleet.InstanceID]*node
+	cut     func(from, to int) bool
+	delay   func(from, to int) time.Duration
+	loss    float64
+	changes []change
+	serial  int
+}
+
+type node struct {
+	*Detector
+	index  int
+	down   bool
+	paused time.Time // until when the process does not run
+	held   []Message // received while paused
+}
+
+type change struct {
+	at   time.Duration
+	node int
+	Change
+}
+
+type event struct {
+	at     time.Time
+	serial int
+	run    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || (e[i].at.Equal(e[j].at) && e[i].serial < e[j].serial)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+var start = time.Unix(1000, 0)
+
+func id(i int) fleet.InstanceID { return fleet.InstanceID(fmt.Sprintf("i%03d", i)) }
+
+func newNetwork(n int, seed uint64) *network {
+	w := &network{now: start, random: rand.New(rand.NewPCG(seed, 9)), byID: make(map[fleet.InstanceID]*node),
+		cut: func(int, int) bool { return false }, delay: func(int, int) time.Duration { return 2 * time.Millisecond }}
+	for i := range n {
+		w.boot(i, 1)
+	}
+	return w
+}
+
+// boot starts a process that knows the first two instances from its settings.
+func (w *network) boot(i int, boot fleet.Boot) {
+	x := &node{index: i, Detector: New(Config{Self: id(i), Boot: boot, Address: fmt.Sprintf("10.0.0.%d:7070", i)},
+		rand.New(rand.NewPCG(uint64(i), uint64(boot))), w.now)}
+	if i < len(w.nodes) {
+		w.nodes[i].down = true
+		w.nodes[i] = x
+	} else {
+		w.nodes = append(w.nodes, x)
+	}
+	w.byID[id(i)] = x
+	w.at(time.Duration(w.random.Int64N(int64(time.Second))), func() {
+		for seed := range 2 {
+			w.output(x, x.Join(w.now, id(seed), 1, fmt.Sprintf("10.0.0.%d:7070", seed)))
+		}
+		w.tick(x)
+	})
+}
+
+func (w *network) at(after time.Duration, run func()) {
+	w.serial++
+	heap.Push(&w.queue, event{w.now.Add(after), w.serial, run})
+}
+
+func (w *network) tick(x *node) {
+	if x.down {
+		return
+	}
+	if w.now.Before(x.paused) {
+		w.at(x.paused.Sub(w.now), func() { w.tick(x) })
+		return
+	}
+	for _, m := range x.held {
+		w.output(x, x.Receive(w.now, &m))
+	}
+	x.held = nil
+	w.output(x, x.Tick(w.now))
+	w.at(x.Next().Sub(w.now), func() { w.tick(x) })
+}
+
+func (w *network) output(x *node, out Output) {
+	for _, c := range out.Changes {
+		w.changes = append(w.changes, change{w.now.Sub(start), x.index, c})
+	}
+	for _, envelope := range out.Send {
+		to := w.byID[envelope.To]
+		if w.cut(x.index, to.index) || w.random.Float64() < w.loss {
+			continue
+		}
+		w.at(w.delay(x.index, to.index), func() {
+			switch to = w.byID[envelope.To]; {
+			case to.down:
+			case w.now.Before(to.paused):
+				to.held = append(to.held, envelope.Message)
+			default:
+				w.output(to, to.Receive(w.now, &envelope.Message))
+			}
+		})
+	}
+}
+
+func (w *network) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+// removals returns the changes since an index that removed a member.
+func (w *network) removals(since int) []change {
+	var result []change
+	for _, c := range w.changes[since:] {
+		if c.Removed {
+			result = append(result, c)
+		}
+	}
+	return result
+}
