--- a/internal/protocol/commands_test.go
+++ b/internal/protocol/commands_test.go
@@ -95,7 +95,10 @@
 	is.Equal(state.Apply(1, &agreed.PublishNote{Note: note}).Code, agreed.OK)
 	view, err := EncodeView(state.View())
 	is.NoErr(err)
-	t.Logf("note with 4,200 servers: %d bytes, view: %d bytes", len(data), len(view))
+	small := release.Note{Number: 2, Author: "marta", Servers: release.ServerChanges{Withdraw: []fleet.ServerID{"ub-north-engine-0007"}}}
+	change, err := EncodeChange(&agreed.Change{Previous: 1, Index: 2, Note: &small})
+	is.NoErr(err)
+	t.Logf("note with 4,200 servers: %d bytes, view: %d bytes, change by a note of one server: %d bytes", len(data), len(view), len(change))
 	note.Servers.Add = append(note.Servers.Add, note.Servers.Add...)
 	note.Servers.Add = append(note.Servers.Add, note.Servers.Add...)
 	_, err = EncodeCommand(&agreed.PublishNote{Note: note})
