settings: refuse deep nesting before the parser recurses

Cause: the parser of hujson recurses without a bound, and a megabyte of opening brackets overflowed the stack, which ends the process. Release notes arrive from operators at entry instances, so one bad file could have ended one.

Before: ParseFront on 1 MiB of "[" ended the test process with a stack overflow.

Conclusion: settings and notes nest 6 deep, so the bound refuses nothing useful.

--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -52,6 +52,11 @@
 		d.atOffset(i, "", "the file is not valid UTF-8 here", "save it as UTF-8")
 		return d
 	}
+	if i := tooDeep(data); i >= 0 {
+		d.broken = true
+		d.atOffset(i, "", fmt.Sprintf("objects and lists are nested more than %d deep", maxNesting), "remove the needless brackets")
+		return d
+	}
 	value, err := hujson.Parse(data)
 	if err != nil {
 		d.broken = true
@@ -75,6 +80,48 @@
 	return -1
 }
 
+// maxNesting bounds nested objects and lists; settings and notes need 6. The parser recurses, and a megabyte of opening
+// brackets overflows the stack, which ends the process.
+const maxNesting = 64
+
+// tooDeep returns the offset of the first bracket that exceeds maxNesting outside strings and comments, -1 if none does.
+func tooDeep(data []byte) int {
+	depth := 0
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '"':
+			for i++; i < len(data) && data[i] != '"'; i++ {
+				if data[i] == '\\' {
+					i++
+				}
+			}
+		case '/':
+			end := -1
+			switch {
+			case bytes.HasPrefix(data[i:], []byte("//")):
+				end = bytes.IndexByte(data[i:], '\n')
+			case bytes.HasPrefix(data[i:], []byte("/*")):
+				if end = bytes.Index(data[i+2:], []byte("*/")); end >= 0 {
+					end += len("/*") + len("*")
+				}
+			default:
+				continue
+			}
+			if end < 0 {
+				return -1 // the rest is comment
+			}
+			i += end
+		case '{', '[':
+			if depth++; depth > maxNesting {
+				return i
+			}
+		case '}', ']':
+			depth--
+		}
+	}
+	return -1
+}
+
 var syntaxPosition = regexp.MustCompile(`line (\d+), column (\d+): (.*)`)
 
 // syntax turns an error of the parser, which names line and column in its text, into a problem.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -115,6 +115,23 @@
 		"voters[0].instance voters[1].address voters[1].instance")
 }
 
+// Guards against a file whose nesting overflows the stack of the process, and against brackets in strings and comments
+// that count as nesting.
+func TestDeepNestingIsRefused(t *testing.T) {
+	is := is.New(t)
+	_, problems := ParseFront("f", []byte(strings.Repeat("[", maxFileBytes)))
+	is.Equal(len(problems), 1)
+	is.Equal(problems[0].Column, maxNesting+1)
+	is.Equal(tooDeep([]byte(strings.Repeat("/*]]*/[", 1000))), 7*(maxNesting+1)-1)
+	is.Equal(tooDeep([]byte(strings.Repeat("/*[[*/", 1000))), -1)
+	brackets := strings.Repeat("[", 100)
+	text := fmt.Sprintf(frontBase, `"region": "r" /* "`+brackets+` */ // "`+brackets)
+	_, problems = ParseFront("f", []byte(text))
+	is.Equal(problems, nil)
+	_, problems = ParseFront("f", fmt.Appendf(nil, frontBase, `"dataFolder2": "\\\"`+brackets+`"`))
+	is.Equal(len(problems), 1) // the unknown key only
+}
+
 // Guards against key files that are ignored, unreadable without a message or quoted in a message.
 func TestKeyFiles(t *testing.T) {
 	is := is.New(t)
