agreed, membership, account: close gaps that mutated code showed

Two of them hid faults: an instance that had paused blamed members for not hearing it, by their figures of its own silence, and each restart after a torn line added an empty line to the account.

A done outcome now goes before an earlier not-run one of the same attempt, as a wrong done only keeps an order from running.

Conclusion: a process forgives its own pause as soon as it handles anything.

--- a/decide/agreed/agreed_test.go
+++ b/decide/agreed/agreed_test.go
@@ -81,6 +81,8 @@
 		{"after unknown", []Command{first, outcome(1, Unknown), &ClaimKey{claim("k", 2), 101}}, []Code{OK, OK, Existing}, 1, Unknown},
 		{"proof replaces unknown", []Command{first, outcome(1, Unknown), outcome(1, Done)}, []Code{OK, OK, OK}, 1, Done},
 		{"done stays", []Command{first, outcome(1, Done), outcome(1, NotRun)}, []Code{OK, OK, OK}, 1, Done},
+		{"done goes before not run", []Command{first, outcome(1, NotRun), outcome(1, Done)}, []Code{OK, OK, OK}, 1, Done},
+		{"not run stays", []Command{first, outcome(1, NotRun), outcome(1, Unknown)}, []Code{OK, OK, OK}, 1, NotRun},
 		{"replaced", []Command{first, &ReplaceClaim{attempt(1), claim("k", 2), 101}}, []Code{OK, OK}, 2, Pending},
 		{"replaced twice", []Command{first, &ReplaceClaim{attempt(1), claim("k", 2), 101}, &ReplaceClaim{attempt(1), claim("k", 3), 101}},
 			[]Code{OK, OK, Existing}, 2, Pending},
@@ -135,6 +137,53 @@
 	is.True(s.Lookup("windows", "2") != nil)
 }
 
+// Guards against records that point to other names, or counts that drift, after unused names were dropped.
+func TestNamesAreDroppedWithTheirRecords(t *testing.T) {
+	is := is.New(t)
+	s := New(Limits{Keys: 10000, KeysPerOrganisation: 10})
+	for i := range 5000 {
+		c := claim("k", i)
+		c.Organisation, c.Server = fleet.Organisation(fmt.Sprint("o", i)), fleet.ServerID(fmt.Sprint("s", i))
+		is.Equal(s.Apply(uint64(2*i+1), &ClaimKey{c, int64(i)}).Code, OK)
+		s.Apply(uint64(2*i+2), &RecordOutcomes{[]AttemptOutcome{{c.Organisation, c.Key, c.Attempt, Done, 200}}})
+	}
+	s.Apply(20000, &ClaimKey{claim("k", 1), 24*3600 + 3999})
+	is.Equal(s.Apply(20001, &ExpireKeys{24*3600 + 3999}).Count, 4000)
+	is.Equal(len(s.keys.servers.list), 1001)
+	is.Equal(len(s.keys.organisations.list), 1001)
+	is.Equal(s.Lookup("o4500", "k").Server, fleet.ServerID("s4500"))
+	is.Equal(s.Lookup("windows", "k").Server, fleet.ServerID("pedidos-1"))
+	for _, owned := range s.keys.perOwner {
+		is.Equal(owned, 1)
+	}
+}
+
+// Guards against recorded uses that run backwards, are kept for ever or push out others when the table is full.
+func TestUses(t *testing.T) {
+	is := is.New(t)
+	s := New(Limits{Uses: 2})
+	const day = 24 * 3600
+	index := uint64(0)
+	register := func(server string, last, at int64) Result {
+		index++
+		return s.Apply(index, &RegisterUses{At: at, Uses: []release.Use{{Server: fleet.ServerID(server), Organisation: "o", Name: "m", Last: last}}})
+	}
+	is.Equal(register("a", 50, 100).Count, 1)
+	is.Equal(register("a", 40, 100).Count, 0)
+	is.Equal(register("b", 100*day, 100*day).Count, 1)
+	is.Equal(register("c", 100*day, 100*day).Lost, 1)
+	is.Equal(register("c", 102*day, 102*day).Count, 1) // "a" was dropped after 100 days
+	for use := range s.Uses() {
+		is.True(use.Server != "a")
+	}
+	is.Equal(s.UsesSince().Unix(), int64(100))
+	index++
+	s.Apply(index, &PublishNote{Note: release.Note{Number: 1, Author: "m", Servers: release.ServerChanges{Withdraw: []fleet.ServerID{"b"}}, AcceptOutage: []release.Outage{{Kind: release.KindModel, Name: "m"}}}})
+	index++
+	is.Equal(s.Apply(index, &PublishNote{Note: release.Note{Number: 2, Author: "m", Servers: release.ServerChanges{Forget: []fleet.ServerID{"b"}}}}).Code, OK)
+	is.Equal(register("d", 102*day, 102*day).Count, 1)
+}
+
 // Guards against two coordinators with one token, a stale coordinator's decision and a second decision on a version.
 func TestFencingAndMapDecisions(t *testing.T) {
 	is := is.New(t)
--- a/decide/agreed/claims.go
+++ b/decide/agreed/claims.go
@@ -178,15 +178,15 @@
 	return Result{Code: OK, Index: index, Claim: s.keys.describe(&next)}
 }
 
-// recordOutcomes stores proved outcomes. The first proved one stays; Unknown gives way to a proved one. Outcomes of
-// attempts whose claim was replaced are ignored.
+// recordOutcomes stores outcomes. Done goes before all others, as a wrong one only keeps an order from running, and
+// Unknown gives way to a proved one. Outcomes of attempts whose claim was replaced are ignored.
 func (s *State) recordOutcomes(index uint64, c *RecordOutcomes) Result {
 	changed := 0
 	for i := range c.Outcomes {
 		o := &c.Outcomes[i]
 		record := s.keys.get(keyIDOf(o.Organisation, o.Key))
 		if record == nil || record.Attempt != o.Attempt || o.Outcome == Pending || o.Outcome > Unknown ||
-			record.Outcome == Done || record.Outcome == NotRun || record.Outcome == o.Outcome {
+			record.Outcome == Done || record.Outcome == o.Outcome || (record.Outcome == NotRun && o.Outcome != Done) {
 			continue
 		}
 		record.Outcome, record.Status = o.Outcome, o.Status
--- a/decide/membership/agents.go
+++ b/decide/membership/agents.go
@@ -25,6 +25,7 @@
 // tell; 0 if it does not say.
 func (d *Detector) AgentHeard(now time.Time, id fleet.ServerID, boot fleet.Boot, silence time.Duration) Output {
 	var out Output
+	d.forgivePause(now)
 	a := d.agents[id]
 	if a == nil {
 		if len(d.agents) >= maxAgents {
--- a/decide/membership/detector.go
+++ b/decide/membership/detector.go
@@ -73,6 +73,7 @@
 	urgent   bool // news about a failure or a refutation waits to be spread
 
 	lastTick  time.Time
+	resumed   time.Time // end of this process's last pause
 	nextRound time.Time
 	nextSync  time.Time
 	selfLeft  int // messages that still carry our own update
@@ -160,12 +161,13 @@
 }
 
 // forgivePause moves all waiting times forward by the time for which this process did not run, so that its own pause does
-// not look like the silence of all others.
+// not look like the silence of all others. Messages that waited meanwhile may be handled before the next tick.
 func (d *Detector) forgivePause(now time.Time) {
 	gap := now.Sub(d.lastTick)
 	if gap <= d.config.Interval {
 		return
 	}
+	d.lastTick, d.resumed = now, now
 	for _, m := range d.members {
 		if !m.silent.IsZero() {
 			m.silent, m.waiting, m.confirmed = m.silent.Add(gap), m.waiting.Add(gap), m.confirmed.Add(gap)
--- a/decide/membership/membership_test.go
+++ b/decide/membership/membership_test.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// Guards against a process that takes its own pause for the silence of all others.
+func TestOwnPauseBlamesNobody(t *testing.T) {
+	for seed := range uint64(10) {
+		w := settled(t, 24, seed)
+		before := len(w.changes)
+		w.nodes[3].paused, w.nodes[3].deaf = w.now.Add(5*time.Second), true
+		for range 24 { // the last pings before the pause stay unanswered
+			w.output(w.nodes[3], w.nodes[3].Tick(w.now))
+		}
+		w.run(5*time.Second + 500*time.Millisecond)
+		for _, c := range w.changes[before:] {
+			if c.node == 3 && c.Instance != id(3) && c.Condition != Answering && c.Condition != Slow {
+				t.Fatalf("seed %d: %+v", seed, c)
+			}
+		}
+	}
+}
+
 // Guards against a link that fails in one direction, between two members or all around one, and that counts as a dead
 // member, or is not noticed, or is blamed on the wrong direction.
 func TestConditions(t *testing.T) {
@@ -172,6 +190,9 @@
 	is.Equal(w.nodes[1].Instances(), 23)
 	out := w.nodes[1].Receive(w.now, &Message{Kind: Ping, From: "stranger"})
 	is.Equal(out.Send[0].Message.Kind, Sync) // a member that forgot the sender exchanges tables instead of staying silent
+	w.nodes[1].Receive(w.now, &Message{Kind: Ping, From: id(2), SilenceMS: 2000})
+	told, _ := w.nodes[1].Member(id(2))
+	is.Equal(told.Condition, NotHearing) // by its own word, before our pings fail
 	w.nodes[1].SetDigest(5)
 	is.Equal(w.nodes[1].Receive(w.now, &Message{Kind: Ping, From: id(2)}).Differ, []fleet.InstanceID{id(2)})
 }
--- a/decide/membership/receive.go
+++ b/decide/membership/receive.go
@@ -13,6 +13,7 @@
 	if message.From == d.config.Self {
 		return out
 	}
+	d.forgivePause(now)
 	for _, update := range message.Updates {
 		d.learn(now, update, &out)
 	}
@@ -29,7 +30,8 @@
 	}
 	switch message.Kind {
 	case Ping:
-		if time.Duration(message.SilenceMS)*time.Millisecond >= d.config.SuspectAfter/2 {
+		silence := time.Duration(message.SilenceMS) * time.Millisecond
+		if silence >= d.config.SuspectAfter/2 && now.Add(-silence).After(d.resumed) { // else it was our pause
 			d.condition(from, NotHearing, &out)
 		}
 		d.send(from, Message{Kind: Ack, Sequence: message.Sequence}, &out)
--- a/decide/membership/simulation_test.go
+++ b/decide/membership/simulation_test.go
@@ -30,6 +30,7 @@
 	down   bool
 	paused time.Time // until when the process does not run
 	held   []Message // received while paused
+	deaf   bool      // messages are lost while paused
 }
 
 type change struct {
@@ -129,7 +130,9 @@
 			switch to = w.byID[envelope.To]; {
 			case to.down:
 			case w.now.Before(to.paused):
-				to.held = append(to.held, envelope.Message)
+				if !to.deaf {
+					to.held = append(to.held, envelope.Message)
+				}
 			default:
 				w.output(to, to.Receive(w.now, &envelope.Message))
 			}
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -111,10 +111,11 @@
 	_, err = file.WriteString(`{"time":"2026-12-0`)
 	is.NoErr(err)
 	is.NoErr(file.Close())
-	for range 2 {
+	for round := range 3 {
 		j, skipped := open()
 		is.Equal(skipped, 1)
-		is.Equal(len(j.Entries(night)), 101)
+		is.Equal(len(j.Entries(night)), 101+round)
+		j.Record(Entry{Time: at(150 + round), Kind: ServerAnnounced, Subject: "after the crash"})
 		is.True(strings.Contains(j.Report(night, at(200)), "disk failed: norte-2"))
 		is.NoErr(j.Close(at(200)))
 	}
--- a/internal/account/files.go
+++ b/internal/account/files.go
@@ -79,6 +79,7 @@
 	files Files
 	bound int
 	size  int
+	torn  bool // the current file does not end with a whole line
 }
 
 func fileName(age int) string {
@@ -105,6 +106,7 @@
 		}
 		if age == 0 {
 			r.size = len(data)
+			r.torn = len(data) > 0 && data[len(data)-1] != '\n'
 		}
 	}
 	return all, nil
--- a/internal/account/journal.go
+++ b/internal/account/journal.go
@@ -89,7 +89,7 @@
 		}
 		j.add(entry)
 	}
-	if skipped > 0 { // ends a line that was cut off, so that the next entry starts on its own line
+	if file.torn { // the next entry must start on its own line; if this fails, its write fails too
 		_ = file.write([]byte("\n"))
 	}
 	j.file = file
