Double the limit of a starting server every 12 s instead of 4 s

A server slow from its start had its limit raised from 1 to 2 by the return to slow start and was reported as serving while backed off.

--- a/decide/limits/limiter.go
+++ b/decide/limits/limiter.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// doubling is the shortest time in which the limit doubles. An engine shows overload in its time to first token only
-	// after requests have queued, so growth leaves time to see it.
+	// startDoubling is the shortest time in which the limit doubles in slow start. Some engines die from overload without
+	// slower first tokens before, so the growth leaves them time to warm up.
+	startDoubling = 12 * time.Second
+	// doubling is the same after slow start. An engine shows overload in its time to first token only after requests have
+	// queued, so growth leaves time to see it.
 	doubling = 4 * time.Second
 	// hold is how long the limit rests after a halving: long enough for a request of the lower limit to show its first
 	// token.
@@ -48,6 +51,7 @@
 	boot     fleet.Boot
 	limit    float64
 	phase    Phase
+	warm     bool // has left slow start since the last cold start
 	inFlight int
 	epoch    uint64 // grows with each decrease; what requests of earlier epochs show says nothing about the present limit
 
@@ -69,6 +73,7 @@
 // New returns a limiter in slow start.
 func New(config Config, now time.Time, boot fleet.Boot) *Limiter {
 	l := &Limiter{given: config, config: config.withDefaults(), boot: boot}
+	l.limit = float64(l.config.Start)
 	l.cold(now)
 	l.before = 0
 	return l
@@ -94,6 +99,7 @@
 	}
 	l.boot = boot
 	l.waiting.clear()
+	l.limit = float64(l.config.Start)
 	l.cold(now)
 	l.before = 0
 }
@@ -206,16 +212,16 @@
 
 // ServerPhase returns the phase that a load report gives for a server that is not leaving.
 func (l *Limiter) ServerPhase() fleet.Phase {
-	if l.phase == SlowStart {
-		return fleet.PhaseStarting
+	if l.warm {
+		return fleet.PhaseServing
 	}
-	return fleet.PhaseServing
+	return fleet.PhaseStarting
 }
 
-// cold returns to the starting limit.
+// cold returns to slow start at the starting limit, or at the present one if that is lower.
 func (l *Limiter) cold(now time.Time) {
-	l.decrease(now, float64(l.config.Start), SlowStart)
-	l.streak = 0
+	l.decrease(now, min(l.limit, float64(l.config.Start)), SlowStart)
+	l.streak, l.warm = 0, false
 }
 
 // halve halves the limit, or returns to the starting limit if the last halving has not helped.
@@ -239,7 +245,9 @@
 // grow raises the limit after a good first token, if the limit is in use.
 func (l *Limiter) grow(now time.Time, firstToken time.Duration) {
 	if l.phase == BackedOff && now.Sub(l.decreased) >= hold {
-		l.phase, l.grownAt = Growth, now
+		// A server that has shown overload in its first tokens is likely to show it again, so slow start is over even if
+		// the server is still warming up.
+		l.phase, l.grownAt, l.warm = Growth, now, true
 	}
 	quality := float64(firstToken) / float64(l.config.Bound)
 	if l.smooth == 0 {
@@ -250,13 +258,17 @@
 		l.grownAt = now
 		return
 	}
+	double := doubling
+	if l.phase == SlowStart {
+		double = startDoubling
+	}
 	// The growth of one doubling time at most is made up for at once.
-	elapsed := min(max(float64(now.Sub(l.grownAt))/float64(doubling), 0), 1)
+	elapsed := min(max(float64(now.Sub(l.grownAt))/float64(double), 0), 1)
 	step := min(1, l.limit*(math.Exp2(elapsed)-1))
 	if l.smooth > fastShare {
 		step = min(step, 1/l.limit)
 		if l.phase == SlowStart {
-			l.phase = Growth
+			l.phase, l.warm = Growth, true
 		}
 	}
 	l.grownAt = now
@@ -264,7 +276,7 @@
 	if l.limit+step >= top {
 		step = max(top-l.limit, 0)
 		if l.phase == SlowStart && top >= float64(l.config.Ceiling) {
-			l.phase = Growth
+			l.phase, l.warm = Growth, true
 		}
 	}
 	l.limit += step
--- a/decide/limits/limits_test.go
+++ b/decide/limits/limits_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
 )
 
 var (
@@ -62,17 +64,17 @@
 		phase     Phase
 	}{
 		{"just started", Config{}, func(*world) {}, 2, 2, SlowStart},
-		{"grows while fast", Config{}, func(w *world) { w.rounds(100, fast) }, 64, 512, SlowStart},
-		{"at most doubles in 4 s", Config{}, func(w *world) { w.rounds(38, fast) }, 2, 8, SlowStart},
+		{"grows while fast", Config{}, func(w *world) { w.rounds(350, fast) }, 64, 512, SlowStart},
+		{"at most doubles in 12 s", Config{}, func(w *world) { w.rounds(115, fast) }, 2, 8, SlowStart},
 		{"rests below the bound", Config{}, func(w *world) { w.rounds(100, time.Second) }, 2, 2, SlowStart},
 		{"first slow token in slow start", Config{Start: 8}, func(w *world) { w.fill(); w.FirstToken(w.now, w.tickets[0], slow) }, 4, 4, BackedOff},
 		{"failure halves", Config{Start: 8}, func(w *world) { w.fill(); w.Finished(w.now, w.tickets[0], Failed, 0) }, 4, 4, BackedOff},
 		{"overload halves", Config{Start: 8}, func(w *world) { w.fill(); w.Finished(w.now, w.tickets[0], Overload, 0) }, 4, 4, BackedOff},
 		{"eight failures of one limit halve once", Config{Start: 8}, func(w *world) { w.round(fast, Failed) }, 4, 4, BackedOff},
 		{"cancelling says nothing", Config{Start: 8}, func(w *world) { w.fill(); w.Finished(w.now, w.tickets[0], Cancelled, 0) }, 8, 8, SlowStart},
-		{"turns cold", Config{}, func(w *world) { w.rounds(100, fast); w.rounds(2, slow) }, 2, 2, SlowStart},
+		{"turns cold", Config{}, func(w *world) { w.rounds(350, fast); w.rounds(2, slow) }, 2, 2, SlowStart},
 		{"turns cold before the first slow token", Config{}, func(w *world) {
-			w.rounds(100, fast)
+			w.rounds(350, fast)
 			for range 2 {
 				w.fill()
 				w.now = w.now.Add(1200 * time.Millisecond)
@@ -83,11 +85,12 @@
 				w.tickets = nil
 			}
 		}, 2, 2, SlowStart},
-		{"hangs", Config{}, func(w *world) { w.rounds(100, fast); w.fill(); w.now = w.now.Add(5 * time.Second); w.fill() }, 2, 2, SlowStart},
+		{"slow from the start", Config{}, func(w *world) { w.rounds(10, slow) }, 1, 1, BackedOff},
+		{"hangs", Config{}, func(w *world) { w.rounds(350, fast); w.fill(); w.now = w.now.Add(5 * time.Second); w.fill() }, 2, 2, SlowStart},
 		{"announces a billion", Config{Capacity: 1_000_000_000}, func(w *world) { w.rounds(1000, fast) }, 64, 512, Growth},
-		{"announces less than nothing", Config{Capacity: -5}, func(w *world) { w.rounds(100, fast) }, 64, 512, SlowStart},
-		{"announces one", Config{Capacity: 1}, func(w *world) { w.rounds(100, fast) }, 1, 1, Growth},
-		{"lowers its announcement", Config{}, func(w *world) { w.rounds(100, fast); w.Announced(10) }, 10, 10, SlowStart},
+		{"announces less than nothing", Config{Capacity: -5}, func(w *world) { w.rounds(350, fast) }, 64, 512, SlowStart},
+		{"announces one", Config{Capacity: 1}, func(w *world) { w.rounds(350, fast) }, 1, 1, Growth},
+		{"lowers its announcement", Config{}, func(w *world) { w.rounds(350, fast); w.Announced(10) }, 10, 10, SlowStart},
 		{"reports negative times", Config{}, func(w *world) { w.rounds(100, -fast) }, 2, 2, SlowStart},
 		{"unused limit does not grow", Config{Start: 8}, func(w *world) {
 			for range 200 {
@@ -96,8 +99,8 @@
 				w.Finished(w.now, &ticket, Done, fast)
 			}
 		}, 8, 8, SlowStart},
-		{"new boot", Config{}, func(w *world) { w.rounds(100, fast); w.Reset(w.now, 2) }, 2, 2, SlowStart},
-		{"same boot", Config{}, func(w *world) { w.rounds(100, fast); w.Reset(w.now, 1) }, 64, 512, SlowStart},
+		{"new boot", Config{}, func(w *world) { w.rounds(350, fast); w.Reset(w.now, 2) }, 2, 2, SlowStart},
+		{"same boot", Config{}, func(w *world) { w.rounds(350, fast); w.Reset(w.now, 1) }, 64, 512, SlowStart},
 	}
 	for _, c := range cases {
 		w := newWorld(c.config)
@@ -108,10 +111,27 @@
 	}
 }
 
+// Guards against reporting a server as warm that has never been: slow ones alternate between slow start and back-off.
+func TestServerPhase(t *testing.T) {
+	w := newWorld(Config{Capacity: 16})
+	for i := range 10 {
+		if w.round(slow, Done); w.ServerPhase() != fleet.PhaseStarting {
+			t.Errorf("serving after %d slow rounds", i+1)
+		}
+	}
+	if w.rounds(500, fast); w.ServerPhase() != fleet.PhaseServing {
+		t.Errorf("not serving at limit %d of 16", w.Limit())
+	}
+	w.round(fast, Failed)
+	if w.ServerPhase() != fleet.PhaseServing {
+		t.Error("not serving after one failure")
+	}
+}
+
 // Guards against one long prompt in 50 halving the limit of a warm server: the target is a 95th percentile.
 func TestLimitToleratesRareSlowTokens(t *testing.T) {
 	w := newWorld(Config{Capacity: 40})
-	w.rounds(200, fast)
+	w.rounds(350, fast)
 	w.rounds(40, 700*time.Millisecond)
 	before := w.Limit()
 	for i := range 2000 {
@@ -133,7 +153,7 @@
 // Guards against reaching again a limit at which the server has just died.
 func TestLimitAvoidsDeath(t *testing.T) {
 	w := newWorld(Config{})
-	w.rounds(100, fast)
+	w.rounds(200, fast)
 	w.fill()
 	died := w.InFlight()
 	for _, ticket := range w.tickets {
--- a/internal/experiment/ramping.go
+++ b/internal/experiment/ramping.go
@@ -26,6 +26,9 @@
 	rampWindow     = 10 * time.Second
 )
 
+// rampStart is the time at which each run starts.
+var rampStart = time.Unix(1_700_000_000, 0)
+
 // rampCase is one scenario.
 type rampCase struct {
 	name     string
@@ -36,6 +39,15 @@
 	silent   bool          // the time to first token does not rise before the server dies
 }
 
+var rampCases = []rampCase{
+	{name: "cold start, announces what it bears", announce: rampFull, warmUp: time.Minute},
+	{name: "cold start, announces ten times what it bears", announce: 10 * rampFull, warmUp: time.Minute},
+	{name: "slow cold start", announce: rampFull, warmUp: 4 * time.Minute},
+	{name: "turns cold after 3 minutes without warning", announce: rampFull, warmUp: 30 * time.Second, coldAt: 3 * time.Minute},
+	{name: "one request in 500 fails by itself", announce: rampFull, warmUp: time.Minute, failures: 0.002},
+	{name: "dies without a slower first token", announce: rampFull, warmUp: time.Minute, silent: true},
+}
+
 // admission is a way to decide how much a server gets.
 type admission interface {
 	admit(now time.Time) (limits.Ticket, bool)
@@ -47,17 +59,9 @@
 // Ramping compares the learned limit with a fixed ramp and no ramp at a server that falls over under full load while
 // it is cold. The load is unlimited: a refused request is replaced at once.
 func Ramping() Experiment {
-	cases := []rampCase{
-		{name: "cold start, announces what it bears", announce: rampFull, warmUp: time.Minute},
-		{name: "cold start, announces ten times what it bears", announce: 10 * rampFull, warmUp: time.Minute},
-		{name: "slow cold start", announce: rampFull, warmUp: 4 * time.Minute},
-		{name: "turns cold after 3 minutes without warning", announce: rampFull, warmUp: 30 * time.Second, coldAt: 3 * time.Minute},
-		{name: "one request in 500 fails by itself", announce: rampFull, warmUp: time.Minute, failures: 0.002},
-		{name: "dies without a slower first token", announce: rampFull, warmUp: time.Minute, silent: true},
-	}
 	return Experiment{Name: "ramping", Run: func(seed uint64) []Result {
 		var results []Result
-		for _, c := range cases {
+		for _, c := range rampCases {
 			results = append(results, rampCompare(c, seed))
 		}
 		return results
@@ -72,22 +76,26 @@
 		Columns: []string{"requests failed", "deaths", "time to full rate (s), -1 never", "highest in flight over bearable",
 			"answers/s", "first token p95 (ms)"},
 	}
-	start := time.Unix(1_700_000_000, 0)
 	policies := []struct {
 		name      string
 		admission admission
 	}{
-		{"banyanfront", &learned{limits.New(limits.Config{Capacity: c.announce}, start, 1)}},
-		{"fixed ramp of 60 s", &fixedRamp{announce: c.announce, over: time.Minute, since: start}},
-		{"no ramp", &fixedRamp{announce: c.announce, since: start}},
+		{"banyanfront", &learned{limits.New(limits.Config{Capacity: c.announce}, rampStart, 1)}},
+		{"fixed ramp of 60 s", &fixedRamp{announce: c.announce, over: time.Minute, since: rampStart}},
+		{"no ramp", &fixedRamp{announce: c.announce, since: rampStart}},
 	}
 	for _, p := range policies {
-		run := rampRun{rampCase: c, admission: p.admission, start: start, boot: 1, rng: rand.New(rand.NewPCG(seed, 1)), fullAt: -1}
-		result.Rows = append(result.Rows, Row{Policy: p.name, Values: run.play()})
+		result.Rows = append(result.Rows, Row{Policy: p.name, Values: rampPlay(c, seed, p.admission)})
 	}
 	return result
 }
 
+// rampPlay runs one scenario with one admission and returns the figures.
+func rampPlay(c rampCase, seed uint64, a admission) []float64 {
+	run := rampRun{rampCase: c, admission: a, boot: 1, rng: rand.New(rand.NewPCG(seed, 1)), fullAt: -1}
+	return run.play()
+}
+
 // learned is the system's limiter.
 type learned struct{ *limits.Limiter }
 
@@ -138,7 +146,6 @@
 type rampRun struct {
 	rampCase
 	admission admission
-	start     time.Time
 	boot      fleet.Boot
 	rng       *rand.Rand
 
@@ -186,7 +193,7 @@
 
 // admitOne forwards one request if the admission allows it.
 func (r *rampRun) admitOne() bool {
-	ticket, ok := r.admission.admit(r.start.Add(r.now))
+	ticket, ok := r.admission.admit(rampStart.Add(r.now))
 	if !ok {
 		return false
 	}
@@ -207,7 +214,7 @@
 
 // progress reports first tokens and ends.
 func (r *rampRun) progress() {
-	now := r.start.Add(r.now)
+	now := rampStart.Add(r.now)
 	kept := r.inFlight[:0]
 	for _, q := range r.inFlight {
 		if !q.answered && r.now >= q.firstToken {
@@ -255,7 +262,7 @@
 	if r.now-r.overSince < rampStands {
 		return
 	}
-	now := r.start.Add(r.now)
+	now := rampStart.Add(r.now)
 	for _, q := range r.inFlight {
 		r.admission.finished(now, &q.ticket, limits.Failed)
 	}
--- a/internal/experiment/ramping_test.go
+++ b/internal/experiment/ramping_test.go
@@ -1,6 +1,10 @@
 package experiment
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/banyanfront/banyanfront/decide/limits"
+)
 
 // BenchmarkRamping prints the comparison: go test -run xxx -bench Ramping -benchtime 1x ./internal/experiment
 func BenchmarkRamping(b *testing.B) { printOnce(b, Ramping()) }
@@ -9,12 +13,12 @@
 // to first token, or never reaches the full rate, whatever capacity is announced.
 func TestRampingBearsColdStart(t *testing.T) {
 	for seed := range uint64(10) {
-		for _, result := range Ramping().Run(seed)[:3] {
-			row := result.Rows[0]
-			failed, deaths, full, firstToken := row.Values[0], row.Values[1], row.Values[2], row.Values[5]
+		for _, c := range rampCases[:3] {
+			figures := rampPlay(c, seed, &learned{limits.New(limits.Config{Capacity: c.announce}, rampStart, 1)})
+			failed, deaths, full, firstToken := figures[0], figures[1], figures[2], figures[5]
 			if failed > 0 || deaths > 0 || full < 0 || firstToken > 1100 {
 				t.Errorf("seed %d, %s: %.0f failed, %.0f deaths, full rate after %.0f s, first token p95 %.0f ms",
-					seed, result.Load, failed, deaths, full, firstToken)
+					seed, c.name, failed, deaths, full, firstToken)
 			}
 		}
 	}
