--- a/decide/limits/limits_test.go
+++ b/decide/limits/limits_test.go
@@ -232,9 +232,7 @@
 			}
 		}
 	}
-	for _, c := range [][3]int{{-1, 4, 0}, {4, 0, 0}, {4, -1, 0}, {4, 4, -1}} {
-		if got := Share(c[0], c[1], c[2], 0); got < 0 || got > max(c[0], 0) {
-			t.Errorf("Share(%d, %d, %d) = %d", c[0], c[1], c[2], got)
-		}
+	if Share(-1, 4, 0, 0) != 0 || Share(4, 0, 0, 0) != 4 || Share(4, -1, 0, 0) != 4 || Share(4, 4, -1, 0) != 0 {
+		t.Error("impossible limit, instances or position are not bounded")
 	}
 }
--- a/decide/routing/affinity_test.go
+++ b/decide/routing/affinity_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,9 +14,6 @@
 // makes no sense.
 func TestAffinityBelief(t *testing.T) {
 	prefix := testPrefix(1, 16)
-	stored := func(sequence uint64) CacheEvent {
-		return CacheEvent{Server: "engine-0002", Boot: 1, Sequence: sequence, Stored: prefix}
-	}
 	at := func(d time.Duration) time.Time { return testStart.Add(d) }
 	cases := []struct {
 		name   string
@@ -38,7 +36,7 @@
 		{"gap, later", func(a *Affinity, _ *fleet.Snapshot) {
 			a.Apply(at(2*time.Second), &CacheEvent{Server: "engine-0002", Boot: 1, Sequence: 5})
 		}, 5*time.Second + gapTTL, 0, AffinityStats{Stored: 16, Gaps: 1}},
-		{"repeated removal", func(a *Affinity, _ *fleet.Snapshot) {
+		{"repeated", func(a *Affinity, _ *fleet.Snapshot) {
 			a.Apply(at(time.Second), &CacheEvent{Server: "engine-0002", Boot: 1, Sequence: 1, Removed: prefix})
 		}, 2 * time.Second, 16, AffinityStats{Stored: 16, Old: 1}},
 		{"unknown server and boot", func(a *Affinity, _ *fleet.Snapshot) {
@@ -65,8 +63,7 @@
 		s := testSnapshot(12, 4)
 		a := NewAffinity(minSlots, testStart)
 		a.Sync(s, testStart)
-		event := stored(1)
-		a.Apply(testStart, &event)
+		a.Apply(testStart, &CacheEvent{Server: "engine-0002", Boot: 1, Sequence: 1, Stored: prefix})
 		c.events(a, s)
 		var found [ways]int32
 		blocks, n := a.deepest(s, prefix, at(c.after), &found)
@@ -99,6 +96,27 @@
 	}
 }
 
+// Guards against a data race between traffic goroutines that read the table and the control goroutine that writes it.
+func TestAffinityConcurrent(t *testing.T) {
+	s := testSnapshot(12, 4)
+	a := NewAffinity(minSlots, testStart)
+	var readers sync.WaitGroup
+	for i := range 4 {
+		readers.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(i), 1))
+			for range 500 {
+				r := &Request{Target: fleet.Target{Name: "model"}, Prefix: testPrefix(rng.Uint64N(9), 16), Now: testStart}
+				a.Sent(testStart, s.Servers[New(a).Pick(s, r, rng).Server].Server, r.Prefix)
+			}
+		})
+	}
+	for i := range 500 {
+		a.Sync(s, testStart)
+		a.Apply(testStart, &CacheEvent{Server: "engine-0002", Boot: 1, Sequence: uint64(i + 1), Stored: testPrefix(1, 16), Removed: testPrefix(2, 16)})
+	}
+	readers.Wait()
+}
+
 // Guards against a holder that is full, excluded or much more loaded being preferred, and against ignoring a good one.
 func TestPickPrefersHolder(t *testing.T) {
 	cases := []struct {
--- a/decide/routing/pick_bench_test.go
+++ b/decide/routing/pick_bench_test.go
@@ -37,49 +37,39 @@
 }
 
 // BenchmarkPick measures one decision with adapter, version, an exclusion and a full-length prefix. The bound is 5 µs and
-// no allocation.
+// no allocation. In the saturated case every server is full, so that all are examined.
 func BenchmarkPick(b *testing.B) {
-	for _, n := range []int{12, 300} {
-		b.Run(fmt.Sprintf("candidates=%d", n), func(b *testing.B) {
-			s := testSnapshot(n, 24)
+	for _, c := range []struct {
+		name string
+		n    int
+		full bool
+	}{{"candidates=12", 12, false}, {"candidates=300", 300, false}, {"all of 300 full", 300, true}} {
+		b.Run(c.name, func(b *testing.B) {
+			s := testSnapshot(c.n, 24)
 			affinity := NewAffinity(0, testStart)
 			affinity.Sync(s, testStart)
-			var requests []Request
-			for i := range 256 {
-				r := Request{
+			requests := make([]Request, 256)
+			for i := range requests {
+				requests[i] = Request{
 					Target: fleet.Target{Name: "model", Adapter: "b", Version: "1"}, Priority: fleet.PriorityNormal,
 					Prefix: testPrefix(uint64(i), MaxPrefixBlocks), Exclude: []fleet.ServerID{"engine-0003"}, Now: testStart,
 				}
-				affinity.Sent(testStart, s.Servers[i%n].Server, r.Prefix[:MaxPrefixBlocks/2])
-				requests = append(requests, r)
+				affinity.Sent(testStart, s.Servers[i%c.n].Server, requests[i].Prefix[:MaxPrefixBlocks/2])
 			}
-			policy := New(affinity)
-			rng := rand.New(rand.NewPCG(1, 2))
+			for i := range s.Servers {
+				if c.full {
+					s.Servers[i].Load.Running = 20
+				}
+			}
+			policy, rng := New(affinity), rand.New(rand.NewPCG(1, 2))
 			b.ReportAllocs()
-			i := 0
-			for b.Loop() {
+			for i := 0; b.Loop(); i++ {
 				policy.Pick(s, &requests[i%len(requests)], rng)
-				i++
 			}
 		})
 	}
 }
 
-// BenchmarkPickSaturated measures the worst case: every server is full, so that all are examined.
-func BenchmarkPickSaturated(b *testing.B) {
-	s := testSnapshot(300, 24)
-	for i := range s.Servers {
-		s.Servers[i].Load.Running = 20
-	}
-	rng := rand.New(rand.NewPCG(1, 2))
-	r := &Request{Target: fleet.Target{Name: "model"}}
-	policy := New(nil)
-	b.ReportAllocs()
-	for b.Loop() {
-		policy.Pick(s, r, rng)
-	}
-}
-
 // BenchmarkAffinityApply measures one cache event of 16 blocks.
 func BenchmarkAffinityApply(b *testing.B) {
 	s := testSnapshot(300, 24)
--- a/decide/routing/pick_test.go
+++ b/decide/routing/pick_test.go
@@ -243,20 +243,17 @@
 			t.Errorf("priority %d with 2 of 20 slots free: %q, want %q", priority, d.Reason, want)
 		}
 	}
-	build := func() *fleet.Snapshot {
+	sent := sendAll(func() *fleet.Snapshot {
 		s := testSnapshot(12, 4)
 		for i := range s.Servers {
 			s.Servers[i].Load.Running = 5
 		}
 		s.Servers[5].Weight = 0.5
 		return s
-	}
-	sent := sendAll(build, 4, 12, nil, func(*fleet.Snapshot) Policy { return New(nil) })
-	others := 0
-	for i, n := range sent {
-		if i != 5 {
-			others += n
-		}
+	}, 4, 12, nil, func(*fleet.Snapshot) Policy { return New(nil) })
+	others := -sent[5]
+	for _, n := range sent {
+		others += n
 	}
 	if sent[5]*11*3 > others*2 {
 		t.Errorf("slow group got %d requests, the other 11 servers %d in all", sent[5], others)
