Sample a random candidate of each run of neighbours

Cause: taking every k-th candidate misses servers that stand at regular places: with 300 servers and each 7th idle, 864 of 1000 requests went to a busy server, 580 with the idle ones at random places. Fibonacci hashing as the start in each run was too regular too (16 against 128 at each 3rd); SplitMix64 is not.

--- a/decide/routing/pick_test.go
+++ b/decide/routing/pick_test.go
@@ -88,6 +88,34 @@
 	}
 }
 
+// Guards against a sample that misses idle servers because they stand at regular places in the order: the choice must be
+// the same as with the same servers in random places.
+func TestPickSeesRegularPlaces(t *testing.T) {
+	busy := func(idle func(i int) bool) (n int) {
+		s := testSnapshot(300, 24)
+		for i := range s.Servers {
+			s.Servers[i].Load.Running = 17
+			if idle(i) {
+				s.Servers[i].Load.Running = 0
+			}
+		}
+		for seed := range uint64(1000) {
+			r := &Request{Target: fleet.Target{Name: "model"}, Priority: fleet.PriorityHigh}
+			if d := New(nil).Pick(s, r, rand.New(rand.NewPCG(seed, 1))); s.Servers[d.Server].Load.Running > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	order := rand.New(rand.NewPCG(1, 1)).Perm(300)
+	for period := 2; period <= 12; period++ {
+		regular, random := busy(func(i int) bool { return i%period == 0 }), busy(func(i int) bool { return order[i]%period == 0 })
+		if regular > random+100 || random > regular+100 {
+			t.Errorf("each %d-th server idle: %d of 1000 requests went to a busy one, %d if the idle ones are at random places", period, regular, random)
+		}
+	}
+}
+
 // sendAll lets each of the instances send n requests before the next reports and returns the requests sent to each
 // server.
 func sendAll(build func() *fleet.Snapshot, instances, n int, prefix []uint64, policy func(*fleet.Snapshot) Policy) []int {
--- a/decide/routing/policy.go
+++ b/decide/routing/policy.go
@@ -95,23 +95,33 @@
 	decision  Decision
 }
 
-// search examines candidates until enough have a free slot. Each pass takes every k-th candidate from a random one on,
-// so that all are equally likely and neighbours, which often share a group, are not examined together.
+// search examines candidates until enough have a free slot. Each pass takes one candidate of each run of neighbours, a
+// random one, so that all are equally likely, neighbours (which often share a group) are not examined together, and a
+// regular order of the servers cannot hide some of them.
 func (p *pick) search() {
 	n := len(p.positions)
-	if n == 0 {
-		return
-	}
 	stride := (n + sample - 1) / sample
-	offset := 0
+	var word uint64
 	if stride > 1 {
-		offset = p.rng.IntN(stride)
+		word = p.rng.Uint64()
 	}
 	examined := 0
 	for pass := 0; pass < stride && p.count < enough && examined < maxExamined; pass++ {
-		for i := (offset + pass) % stride; i < n; i += stride {
-			p.examine(p.positions[i])
-			examined++
+		state := word
+		for first := 0; first < n; first += stride {
+			// SplitMix64 gives each run its own start; passes go on from there. A plain multiplicative sequence is too
+			// regular: it preferred every third server.
+			state += 0x9E3779B97F4A7C15
+			mixed := (state ^ state>>30) * 0xBF58476D1CE4E5B9
+			mixed = (mixed ^ mixed>>27) * 0x94D049BB133111EB
+			at := int(mixed>>32*uint64(stride)>>32) + pass
+			if at >= stride {
+				at -= stride
+			}
+			if first+at < n {
+				p.examine(p.positions[first+at])
+				examined++
+			}
 		}
 	}
 }
