--- a/internal/transport/config.go
+++ b/internal/transport/config.go
@@ -1,8 +1,10 @@
 package transport
 
 import (
+	"context"
 	"crypto/tls"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -33,6 +35,8 @@
 	TLS *tls.Config
 	// AllowPlaintext permits sessions without TLS to and from addresses other than loopback. Default false.
 	AllowPlaintext bool
+	// DialContext opens the connection of Dial. Default: TCP.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	// PingInterval is the time without a frame after which a Ping is sent. Default 1 s.
 	PingInterval time.Duration
 	// SuspectAfter is the silence in either direction after which a session is suspect. Default 3 s.
@@ -64,6 +68,9 @@
 	if c.MaxMessage > protocol.MaxMessageBytes {
 		return c, fmt.Errorf("message limit is %d bytes: set at most %d", c.MaxMessage, protocol.MaxMessageBytes)
 	}
+	if c.DialContext == nil {
+		c.DialContext = new(net.Dialer).DialContext
+	}
 	setDefault(&c.PingInterval, DefaultPingInterval)
 	setDefault(&c.SuspectAfter, DefaultSuspectAfter)
 	setDefault(&c.GiveUpAfter, DefaultGiveUpAfter)
--- /dev/null
+++ b/internal/transport/hostile_test.go
@@ -0,0 +1,241 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/internal/protocol"
+)
+
+// batchOf returns a batch of the messages on one stream.
+func batchOf(t *testing.T, stream uint64, messages ...protocol.Message) (batch []byte) {
+	t.Helper()
+	for _, m := range messages {
+		f, err := protocol.Encode(stream, m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		batch = append(batch, make([]byte, batchPrefixSize)...)
+		putPrefix(batch[len(batch)-batchPrefixSize:], len(f))
+		batch = append(batch, f...)
+	}
+	return batch
+}
+
+// Guards against bad input on one stream that goes unnoticed, or harms other streams or the session.
+func TestBadStreamInput(t *testing.T) {
+	data := &protocol.Data{Payload: []byte("0123456789")}
+	valid := batchOf(t, 1, data)
+	oversized := make([]byte, batchPrefixSize, 2<<20)
+	putPrefix(oversized, protocol.MaxMessageBytes+1)
+	oversized = append(oversized, valid[batchPrefixSize:]...)
+	oversized = append(oversized, make([]byte, protocol.MaxMessageBytes+1+batchPrefixSize-len(oversized))...)
+	flood := bytes.Repeat(batchOf(t, 1, &protocol.Inquiry{}), maxInboxMessages+1)
+	big := batchOf(t, 1, &protocol.Data{Payload: make([]byte, 200<<10)}, &protocol.Data{Offset: 200 << 10, Payload: make([]byte, 200<<10)})
+	for name, c := range map[string]struct {
+		batch []byte
+		kind  StreamErrorKind
+	}{
+		"truncated":       {valid[:len(valid)-3], StreamMalformed},
+		"malformed":       {append([]byte{batchPrefix, 0, 0, 0, 4, 0x83, 1, byte(protocol.TypeData)}, 0xff), StreamMalformed},
+		"oversized":       {oversized, StreamTooLarge},
+		"gap":             {batchOf(t, 1, data, &protocol.Data{Offset: 11}), StreamOutOfOrder},
+		"repetition":      {batchOf(t, 1, data, data), StreamOutOfOrder},
+		"repeated token":  {batchOf(t, 1, &protocol.Data{Offset: 7, Tokens: 1}, &protocol.Data{Offset: 7, Tokens: 1}), StreamOutOfOrder},
+		"late head":       {batchOf(t, 1, data, &protocol.Head{}), StreamOutOfOrder},
+		"foreign message": {batchOf(t, 1, &protocol.Ping{}), StreamOutOfOrder},
+		"beyond credit":   {big, StreamFlow},
+		"false credit":    {batchOf(t, 1, &protocol.Credit{Bytes: 1}), StreamFlow},
+		"negative credit": {batchOf(t, 1, &protocol.Credit{Bytes: -5}), StreamFlow},
+		"flood":           {flood, StreamOverflow},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				peer := make(chan error, 1)
+				p := newPair(t, Config{}, func(st Stream, open *protocol.Open) {
+					if open.Attempt == "good" {
+						echo(3)(st, open)
+						return
+					}
+					_, err := readAll(st)
+					peer <- err
+				})
+				defer p.close()
+				bad, err := p.a.Open(context.Background(), &protocol.Open{Attempt: "bad"})
+				is.NoErr(err)
+				synctest.Wait()
+				p.faults.Inject(BToA, c.batch)
+				synctest.Wait()
+				var failed *StreamError
+				_, err = readAll(bad)
+				is.True(errors.As(err, &failed))
+				is.Equal(failed.Kind, c.kind)
+				is.True(errors.As(<-peer, &failed)) // the peer learns of it
+				is.Equal(failed.Kind, StreamCancelled)
+				good, err := p.a.Open(context.Background(), &protocol.Open{Attempt: "good"})
+				is.NoErr(err)
+				n, err := readAll(good)
+				is.Equal(n, 3)
+				is.Equal(err, io.EOF)
+			})
+		})
+	}
+}
+
+// Guards against a peer that breaks the framing, or takes stream numbers that are not its own, and keeps its session.
+func TestBadSessionInput(t *testing.T) {
+	for name, batch := range map[string][]byte{
+		"no prefix":      []byte("GET / HTTP/1.1"),
+		"no frame":       {batchPrefix, 0, 0, 0, 9},
+		"bad header":     {batchPrefix, 0, 0, 0, 1, 0xff},
+		"foreign stream": batchOf(t, 1, &protocol.Open{}),
+		"stream message": batchOf(t, 0, &protocol.Data{}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPair(t, Config{}, nil)
+				st, err := p.a.Open(context.Background(), &protocol.Open{})
+				is.NoErr(err)
+				synctest.Wait()
+				p.faults.Inject(BToA, batch)
+				<-p.a.Done()
+				<-p.b.Done()
+				var lost *SessionLost
+				_, err = st.Receive(context.Background())
+				is.True(errors.As(err, &lost))
+				is.True(strings.Contains(lost.Reason, "check the peer's version") || strings.Contains(lost.Reason, "check that both sides"))
+			})
+		})
+	}
+}
+
+// Guards against messages of newer peers or late frames of ended streams that end anything.
+func TestHarmlessInput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair(t, Config{}, echo(1))
+		defer p.close()
+		st, err := p.a.Open(context.Background(), &protocol.Open{})
+		is.NoErr(err)
+		p.faults.Inject(BToA, []byte{batchPrefix, 0, 0, 0, 5, 0x83, 1, 0x18, 200, 0xa0}) // unknown type on the stream
+		n, err := readAll(st)
+		is.Equal(n, 1)
+		is.Equal(err, io.EOF)
+		p.faults.Inject(BToA, batchOf(t, 1, &protocol.Data{}))  // of the ended stream
+		p.faults.Inject(BToA, batchOf(t, 99, &protocol.Data{})) // of a stream that never was
+		synctest.Wait()
+		is.Equal(p.a.State(), StateLive)
+		is.Equal(p.b.State(), StateLive)
+	})
+}
+
+// Guards against slow readers that together exhaust memory, and against cancelling a stream that reads well.
+func TestUnreadBytesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair(t, Config{ReceiveBytes: 100 << 10, Window: 64 << 10}, func(st Stream, open *protocol.Open) {
+			if open.Attempt == "good" {
+				echo(1000)(st, open)
+				return
+			}
+			for i := 0; ; i++ {
+				if st.Send(context.Background(), &protocol.Data{Offset: uint64(i * 1000), Payload: make([]byte, 1000)}) != nil {
+					return
+				}
+			}
+		})
+		defer p.close()
+		var slow []Stream
+		for range 3 {
+			st, err := p.a.Open(context.Background(), &protocol.Open{})
+			is.NoErr(err)
+			slow = append(slow, st)
+		}
+		good, err := p.a.Open(context.Background(), &protocol.Open{Attempt: "good"})
+		is.NoErr(err)
+		n, err := readAll(good)
+		is.Equal(n, 1000)
+		is.Equal(err, io.EOF)
+		synctest.Wait()
+		is.True(p.a.(*session).unread.Load() <= 100<<10)
+		overflown := 0
+		for _, st := range slow {
+			var failed *StreamError
+			if errors.As(st.(*stream).recvErr, &failed) && failed.Kind == StreamOverflow {
+				overflown++
+			}
+			st.Close("test")
+		}
+		is.True(overflown > 0 && overflown < 3)
+		synctest.Wait()
+		is.Equal(p.a.(*session).unread.Load(), int64(0)) // what was unread is given back
+	})
+}
+
+// Guards against a queue without bound towards a peer that takes nothing, and against a blocked sender that outlives
+// its context.
+func TestBoundedQueues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair(t, Config{QueueMessages: 10}, func(st Stream, _ *protocol.Open) { _, _ = st.Receive(context.Background()) })
+		defer p.close()
+		st, err := p.a.Open(context.Background(), &protocol.Open{})
+		is.NoErr(err)
+		synctest.Wait()
+		p.faults.Silence(AToB, true)
+		var full *QueueFull
+		for range 100 {
+			if err = p.a.Send(&protocol.Gossip{Payload: make([]byte, 100<<10)}); err != nil {
+				break
+			}
+		}
+		is.True(errors.As(err, &full))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		for err = nil; err == nil; {
+			err = st.Send(ctx, &protocol.Data{Payload: make([]byte, 10<<10)})
+		}
+		is.Equal(err, context.DeadlineExceeded)
+	})
+}
+
+// Guards against a planned stop that cuts off requests or takes new ones.
+func TestGoAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair(t, Config{}, func(st Stream, open *protocol.Open) {
+			time.Sleep(time.Minute)
+			echo(2)(st, open)
+		})
+		defer p.close()
+		st, err := p.a.Open(context.Background(), &protocol.Open{})
+		is.NoErr(err)
+		synctest.Wait()
+		p.b.GoAway("restart")
+		racing, err := p.a.Open(context.Background(), &protocol.Open{}) // before GoAway has arrived
+		is.NoErr(err)
+		synctest.Wait()
+		m, err := racing.Receive(context.Background())
+		is.NoErr(err)
+		is.Equal(m.(*protocol.End).Outcome, protocol.OutcomeNotRun)
+		var refused *Refused
+		_, err = p.a.Open(context.Background(), &protocol.Open{})
+		is.True(errors.As(err, &refused))
+		n, err := readAll(st)
+		is.Equal(n, 2)
+		is.Equal(err, io.EOF)
+		p.ha.mu.Lock()
+		defer p.ha.mu.Unlock()
+		is.Equal(p.ha.messages, []protocol.Message{&protocol.GoAway{Reason: "restart"}})
+	})
+}
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -233,6 +233,10 @@
 			return
 		}
 		s.health.received()
+		if s.State() == StateClosed {
+			putBatch(b) // only the peer's close is still awaited
+			continue
+		}
 		err = s.readBatch(*b)
 		putBatch(b)
 		if err != nil {
--- a/internal/transport/session_test.go
+++ b/internal/transport/session_test.go
@@ -92,10 +92,13 @@
 	}
 }
 
-// readAll reads a stream to its end and returns the number of Data and the final error.
+// readAll reads a stream to its end and returns the number of Data and the final error. Heartbeats keep virtual time
+// running, so a stream that never ends has to end the test by a timeout.
 func readAll(st Stream) (count int, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	defer cancel()
 	for {
-		m, err := st.Receive(context.Background())
+		m, err := st.Receive(ctx)
 		if err != nil {
 			return count, err
 		}
--- a/internal/transport/websocket.go
+++ b/internal/transport/websocket.go
@@ -121,7 +121,7 @@
 	ctx, cancel := context.WithTimeout(ctx, cfg.HandshakeTimeout)
 	defer cancel()
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{}).DialContext,
+		DialContext:         cfg.DialContext,
 		TLSClientConfig:     cfg.TLS.Clone(),
 		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{}, // a WebSocket upgrade needs HTTP/1.1
 		TLSHandshakeTimeout: cfg.HandshakeTimeout,
