--- a/decide/experts/planner_test.go
+++ b/decide/experts/planner_test.go
@@ -92,9 +92,10 @@
 	}
 }
 
-// Planning of the target size after a sudden flip of all layers, and when nothing has changed.
+// Planning of the target size after a sudden flip of all layers, without limit and with a budget of 680 experts (30 GB), and
+// when nothing has changed.
 func BenchmarkPlan(b *testing.B) {
-	for _, name := range []string{"flip", "steady"} {
+	for _, name := range []string{"flip", "flip-30GB", "steady"} {
 		b.Run(name, func(b *testing.B) {
 			random := rand.New(rand.NewPCG(1, 1))
 			even, _ := Even(60, 64, 256, 2)
@@ -102,7 +103,11 @@
 			for l := range loads {
 				loads[l] = zipf(64, 0.9, random)
 			}
-			p, _ := NewPlanner(PlannerConfig{Layers: 60, Experts: 64, Ranks: 256, SlotsPerRank: 2, ExpertBytes: 1}, even)
+			config := PlannerConfig{Layers: 60, Experts: 64, Ranks: 256, SlotsPerRank: 2, ExpertBytes: 44 << 20}
+			if name == "flip-30GB" {
+				config.BytesPerInterval = 680 * config.ExpertBytes
+			}
+			p, _ := NewPlanner(config, even)
 			if name == "steady" {
 				for range 5 {
 					plan, _ := p.Plan(loads, nil)
