Test the fair queue under random calls and after a slow spell

Cause: the accounts of the queue (shared places, waiting items) are spread over several functions. 200 seeds of 2,000 random calls: every admitted item leaves once; no fault found. A minute of slow service is forgotten after two windows of 2 s.

--- a/decide/fairness/queue_test.go
+++ b/decide/fairness/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -134,3 +135,79 @@
 	is.Equal(len(q.organisations), 0)
 	is.Equal(q.shared, 0)
 }
+
+// Guards against requests refused long after a slow spell has ended: its service times must be forgotten.
+func TestSlowSpellIsForgotten(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{})
+	is.True(q.Offer(start, item("a", 0, time.Hour)) == nil)
+	is.True(q.Offer(start, item("a", 1, time.Hour)) == nil)
+	q.Next(start)
+	q.Next(start)
+	q.Done(at(time.Minute), "a0") // a minute each; one still runs
+	refusal := q.Offer(at(time.Minute), item("a", 2, 70*time.Second))
+	is.True(refusal != nil)
+	is.Equal(refusal.Reason, ReasonDeadline)
+	is.True(q.Offer(at(65*time.Second), item("a", 3, 75*time.Second)) == nil)
+	_, ok := q.Next(at(65 * time.Second))
+	is.True(ok)
+}
+
+// Guards against an item that is lost or handed out twice, and against accounts that drift from what waits, under random
+// calls in any order.
+func TestEveryItemLeavesOnce(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		q := New(Config{MaxWaiting: 64, MaxOrganisations: 8})
+		inside, running := map[string]Item{}, []string{}
+		leave := func(i Item) {
+			if _, ok := inside[i.ID]; !ok {
+				t.Fatalf("seed %d: item %s left twice or was refused before", seed, i.ID)
+			}
+			delete(inside, i.ID)
+		}
+		now := start
+		for n := range 2000 {
+			now = now.Add(time.Duration(random.IntN(200)) * time.Millisecond)
+			i := item(string(rune('a'+random.IntN(10))), n, 0)
+			i.Priority, i.Cost = fleet.Priority(random.IntN(4)), 10*random.Float64()
+			i.Deadline = now.Add(time.Duration(random.IntN(8000)-500) * time.Millisecond)
+			switch random.IntN(6) {
+			case 0, 1, 2:
+				if q.Offer(now, i) == nil {
+					inside[i.ID] = i
+				}
+			case 3:
+				if next, ok := q.Next(now); ok {
+					leave(next)
+					running = append(running, next.ID)
+				}
+			case 4:
+				if len(running) > 0 {
+					q.Done(now, running[0])
+					running = running[1:]
+				}
+			case 5:
+				for _, expired := range q.Expire(now) {
+					leave(expired)
+				}
+				for id, waiting := range inside {
+					if random.IntN(20) == 0 && q.Cancel(now, waiting.Organisation, id) {
+						leave(waiting)
+					}
+					break
+				}
+			}
+			if q.Waiting()+len(q.expired) != len(inside) || q.Waiting() > 64 || q.Running() != len(running) {
+				t.Fatalf("seed %d: %d wait, want %d", seed, q.Waiting(), len(inside)-len(q.expired))
+			}
+			shared := 0
+			for _, o := range q.organisations {
+				shared += max(o.count-q.reserved(), 0)
+			}
+			if shared != q.shared || len(q.organisations) > 8 {
+				t.Fatalf("seed %d: %d shared places counted, %d used", seed, q.shared, shared)
+			}
+		}
+	}
+}
