Count busy weights in event order, bound SetWeight

Cause: the sum of weights ran over a map, so its last digit, and with it a decision, could differ between runs of one seed; and SetWeight could exceed MaxOrganisations (found by the random test once it set weights, seed 0). SetWeight now returns an error at the bound.

--- a/decide/fairness/admit.go
+++ b/decide/fairness/admit.go
@@ -67,13 +67,9 @@
 	}
 	o := q.organisations[item.Organisation]
 	if o == nil {
-		if len(q.organisations) >= q.config.MaxOrganisations {
-			q.sweep()
-		}
-		if len(q.organisations) >= q.config.MaxOrganisations {
+		if o = q.add(item.Organisation); o == nil {
 			return &Refusal{Reason: ReasonFull, RetryAfter: q.config.Window}
 		}
-		o = q.add(item.Organisation)
 	}
 	if refusal := q.judge(now, o, item); refusal != nil {
 		q.forget(o)
@@ -127,11 +123,9 @@
 			total = float64(q.slots) / perCost
 		}
 	}
-	weights := o.weight
-	for _, other := range q.organisations {
-		if other != o && (other.count > 0 || other.running > 0) {
-			weights += other.weight
-		}
+	weights := q.busyWeight
+	if !o.busy {
+		weights += o.weight
 	}
 	received := 0.0
 	if o.count > 0 {
--- a/decide/fairness/queue.go
+++ b/decide/fairness/queue.go
@@ -4,6 +4,7 @@
 package fairness
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
@@ -42,6 +43,8 @@
 	running       map[string]run
 	waiting       map[string]struct{}
 	shared        int     // waiting items above their organisation's reserved places
+	busyWeight    float64 // weights of the organisations that have items waiting or running
+	busy          int     // their number
 	virtual       float64 // virtual time: start tag of the item served last
 	slots         int
 	meter         meter
@@ -58,6 +61,7 @@
 	cost     [priorities]float64 // cost waiting at each priority
 	count    int
 	running  int
+	busy     bool      // counted in the queue's busyWeight
 	served   window    // cost handed out while the organisation had items waiting
 	returnAt time.Time // when the last refused request was told to come back
 }
@@ -98,20 +102,52 @@
 	}
 }
 
-// SetWeight sets the organisation's weight relative to the default of 1. A weight of 0 or less restores the default.
-func (q *Queue) SetWeight(name fleet.Organisation, weight float64) {
+// SetWeight sets the organisation's weight relative to the default of 1. A weight of 0 or less restores the default. It
+// fails if the queue already knows as many organisations as it may.
+func (q *Queue) SetWeight(name fleet.Organisation, weight float64) error {
 	o := q.organisations[name]
 	if weight <= 0 {
 		if o != nil {
-			o.weight, o.explicit = 1, false
+			q.reweigh(o, 1)
+			o.explicit = false
 			q.forget(o)
 		}
-		return
+		return nil
 	}
 	if o == nil {
-		o = q.add(name)
+		if o = q.add(name); o == nil {
+			return fmt.Errorf("weight of organisation %q: the queue holds at most %d organisations: raise MaxOrganisations",
+				name, q.config.MaxOrganisations)
+		}
+	}
+	q.reweigh(o, weight)
+	o.explicit = true
+	return nil
+}
+
+func (q *Queue) reweigh(o *organisation, weight float64) {
+	if o.busy {
+		q.busyWeight += weight - o.weight
 	}
-	o.weight, o.explicit = weight, true
+	o.weight = weight
+}
+
+// occupy keeps busyWeight up to date after the organisation's waiting or running items have changed. The sum is kept in
+// the order of events, because a sum over the map would differ in the last digit from run to run.
+func (q *Queue) occupy(o *organisation) {
+	busy := o.count > 0 || o.running > 0
+	switch {
+	case busy && !o.busy:
+		q.busy++
+		q.busyWeight += o.weight
+	case !busy && o.busy:
+		if q.busy--; q.busy == 0 {
+			q.busyWeight = 0 // drops the rounding error
+		} else {
+			q.busyWeight -= o.weight
+		}
+	}
+	o.busy = busy
 }
 
 // SetSlots tells how many requests this entry instance may have running at a time. It is used to estimate the wait until
@@ -242,8 +278,14 @@
 	return false
 }
 
-// add makes the entry of an organisation.
+// add makes the entry of an organisation, or returns nil if there are too many.
 func (q *Queue) add(name fleet.Organisation) *organisation {
+	if len(q.organisations) >= q.config.MaxOrganisations {
+		q.sweep()
+	}
+	if len(q.organisations) >= q.config.MaxOrganisations {
+		return nil
+	}
 	o := &organisation{name: name, weight: 1}
 	q.organisations[name] = o
 	return o
@@ -262,6 +304,7 @@
 		q.shared++
 	}
 	q.waiting[item.ID] = struct{}{}
+	q.occupy(o)
 }
 
 // pop takes the oldest item of the highest priority.
@@ -316,6 +359,7 @@
 
 // forget drops the entry of an idle organisation once the virtual time has passed its account.
 func (q *Queue) forget(o *organisation) {
+	q.occupy(o)
 	if o.count == 0 && o.running == 0 && !o.explicit && o.finish <= q.virtual {
 		delete(q.organisations, o.name)
 	}
--- a/decide/fairness/queue_test.go
+++ b/decide/fairness/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -27,7 +28,7 @@
 	}{{1, 25, 75}, {5, 62, 38}} {
 		is := is.New(t)
 		q := New(Config{})
-		q.SetWeight("large", test.weight)
+		is.NoErr(q.SetWeight("large", test.weight))
 		for n := range 200 {
 			is.True(q.Offer(start, item("large", n, time.Hour)) == nil)
 		}
@@ -170,6 +171,7 @@
 		for n := range 2000 {
 			now = now.Add(time.Duration(random.IntN(200)) * time.Millisecond)
 			i := item(string(rune('a'+random.IntN(10))), n, 0)
+			_ = q.SetWeight(i.Organisation, []float64{0, 0.3, 1.7}[random.IntN(3)])
 			i.Priority, i.Cost = fleet.Priority(random.IntN(4)), 10*random.Float64()
 			i.Deadline = now.Add(time.Duration(random.IntN(8000)-500) * time.Millisecond)
 			switch random.IntN(6) {
@@ -201,9 +203,15 @@
 			if q.Waiting()+len(q.expired) != len(inside) || q.Waiting() > 64 || q.Running() != len(running) {
 				t.Fatalf("seed %d: %d wait, want %d", seed, q.Waiting(), len(inside)-len(q.expired))
 			}
-			shared := 0
+			shared, weight := 0, 0.0
 			for _, o := range q.organisations {
 				shared += max(o.count-q.reserved(), 0)
+				if o.count > 0 || o.running > 0 {
+					weight += o.weight
+				}
+			}
+			if math.Abs(weight-q.busyWeight) > 1e-9 {
+				t.Fatalf("seed %d: weight %v counted as busy, want %v", seed, q.busyWeight, weight)
 			}
 			if shared != q.shared || len(q.organisations) > 8 {
 				t.Fatalf("seed %d: %d shared places counted, %d used", seed, q.shared, shared)
