--- a/decide/consensus/node.go
+++ b/decide/consensus/node.go
@@ -98,6 +98,10 @@
 			}
 		}
 	}
+	// The founding snapshot has a term that no member has voted in.
+	if term := max(snap.Term, n.log.lastTerm()); term > n.hard.Term {
+		n.hard.Term, n.hard.Vote = term, 0
+	}
 	n.log.stable = n.log.last()
 	n.log.commit = min(max(n.hard.Commit, snap.Index), n.log.last())
 	n.log.applied = snap.Index
@@ -343,3 +347,6 @@
 	}
 	return s
 }
+
+// LogTerm returns the term of an entry, and false if the entry is compacted or beyond the end of the log.
+func (n *Node) LogTerm(index uint64) (uint64, bool) { return n.log.term(index) }
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/banyanfront/banyanfront/decide/consensus"
@@ -19,6 +21,7 @@
 	failure error // first storage failure; nothing is promised after it
 
 	waiting  map[string]*proposal
+	proposed uint64      // proposals so far
 	queue    []*proposal // to be handed to the node
 	retryDue time.Time
 	leader   consensus.ID
@@ -109,8 +112,8 @@
 	}
 	d.retryDue = now.Add(d.options.Retry)
 	d.repeat(now)
-	for id, b := range d.barriers {
-		if !b.answered {
+	for _, id := range slices.Sorted(maps.Keys(d.barriers)) {
+		if !d.barriers[id].answered {
 			d.node.Read(now, id)
 		}
 	}
--- a/internal/replica/proposals.go
+++ b/internal/replica/proposals.go
@@ -1,6 +1,9 @@
 package replica
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +20,7 @@
 // proposal is a command on its way through the log. Callers with the same identifier share it.
 type proposal struct {
 	entry    consensus.Entry
+	order    uint64 // in which callers proposed
 	queued   bool
 	sentAt   time.Time
 	sentTerm uint64
@@ -74,7 +78,8 @@
 	if entry.Kind == consensus.EntryCommand {
 		entry.Expires = d.applied + d.options.Window
 	}
-	p := &proposal{entry: entry, done: []func(outcome){done}, callers: 1}
+	d.proposed++
+	p := &proposal{entry: entry, order: d.proposed, done: []func(outcome){done}, callers: 1}
 	d.waiting[entry.ID] = p
 	d.requeue(p)
 	return p
@@ -117,6 +122,7 @@
 	}
 	queue := d.queue
 	d.queue = nil
+	slices.SortFunc(queue, func(a, b *proposal) int { return cmp.Compare(a.order, b.order) })
 	var entries []consensus.Entry
 	size := 0
 	for _, p := range queue {
@@ -159,7 +165,7 @@
 	if s == nil {
 		return
 	}
-	for id := range d.waiting {
+	for _, id := range slices.Sorted(maps.Keys(d.waiting)) {
 		if first, ok := d.window.find(id); ok {
 			d.settle(id, outcome{index: first.Index, result: first.Result})
 		}
@@ -168,14 +174,15 @@
 
 // abandonAll ends all waits.
 func (d *driver) abandonAll(err *Error) {
-	for id, p := range d.waiting {
-		e := p.giveUp()
+	for _, id := range slices.Sorted(maps.Keys(d.waiting)) {
+		e := d.waiting[id].giveUp()
 		if KindOf(e) == NoQuorum {
 			e = err
 		}
 		d.settle(id, outcome{err: e})
 	}
-	for id, b := range d.barriers {
+	for _, id := range slices.Sorted(maps.Keys(d.barriers)) {
+		b := d.barriers[id]
 		delete(d.barriers, id)
 		b.finish(err)
 	}
@@ -224,8 +231,8 @@
 			b.answered, b.index = true, read.Index
 		}
 	}
-	for id, b := range d.barriers {
-		if b.answered && d.applied >= b.index {
+	for _, id := range slices.Sorted(maps.Keys(d.barriers)) {
+		if b := d.barriers[id]; b.answered && d.applied >= b.index {
 			delete(d.barriers, id)
 			b.finish(nil)
 		}
--- a/internal/storage/faultfs/faultfs.go
+++ b/internal/storage/faultfs/faultfs.go
@@ -105,7 +105,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.files = maps.Clone(f.history[f.rand.IntN(len(f.history))])
-	for _, node := range f.files {
+	for _, name := range slices.Sorted(maps.Keys(f.files)) {
+		node := f.files[name]
 		node.data = f.survive(node)
 		node.synced = node.data
 	}
--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -117,8 +117,8 @@
 		if e == nil && h.sequence != sequence {
 			e = &Error{Kind: Corrupt, Detail: "the segment holds another sequence number than its name says"}
 		}
-		if e != nil && e.Kind == Corrupt && last && i > 0 && len(b) <= segmentHeader2 {
-			// The crash came while the segment was created; everything before was synced.
+		if e != nil && e.Kind == Corrupt && last && i > 0 && !syncedBeyond(b, segmentHeader{version: FormatVersion, sequence: sequence}, 0) {
+			// The crash came while the segment was created; everything before was synced, and nothing was added since.
 			if err := s.fs.Remove(name); err != nil {
 				return s.failed(name, err)
 			}
@@ -142,6 +142,7 @@
 func (s *Store) readSegment(c *Contents, b []byte, h segmentHeader, last bool) error {
 	name := segmentName(h.sequence)
 	seg := segment{sequence: h.sequence, version: h.version}
+	s.hasState = false
 	offset := int64(h.size)
 	for offset < int64(len(b)) {
 		r, ok := decodeRecord(b, h, offset)
@@ -155,6 +156,7 @@
 		if !c.add(r) {
 			return s.at(&Error{Kind: Corrupt, Detail: fmt.Sprintf("entry %d does not follow the one before", r.index)}, name, offset)
 		}
+		s.hasState = s.hasState || r.kind == recordState
 		seg.maxIndex = max(seg.maxIndex, r.index)
 		offset += int64(r.size)
 	}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -31,6 +31,7 @@
 	snapshots []uint64
 	buffer    []byte
 	state     []byte // last state record, repeated at the start of each segment
+	hasState  bool   // while reading: the last segment holds a state record
 	synced    int64  // size of the last segment that is on disk
 	lastIndex uint64
 	broken    error
@@ -115,6 +116,11 @@
 	if last.version < FormatVersion {
 		return s.roll()
 	}
+	if s.state != nil && !s.hasState {
+		// The crash cut off the state at the start of the segment. The older segments that hold it may be removed.
+		s.add(recordState, 0, s.state)
+		return s.Sync()
+	}
 	return nil
 }
 
