--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = r.Close() })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replicas[r.Status().ID] = r
@@ -135,9 +136,6 @@
 		is.NoErr(err)
 		is.Equal(binary.BigEndian.Uint64(result), uint64(4)) // the first result
 		is.NoErr(replicas[1].ReadBarrier(within(time.Second)))
-		for _, r := range replicas {
-			is.NoErr(r.Close())
-		}
 	})
 }
 
@@ -166,8 +164,5 @@
 		_, result, err := leader.Propose(within(5*time.Second), "a", nil)
 		is.NoErr(err)
 		is.Equal(binary.BigEndian.Uint64(result), uint64(1)) // "b" never takes effect, "a" once
-		for _, r := range replicas {
-			is.NoErr(r.Close())
-		}
 	})
 }
--- /dev/null
+++ b/internal/replica/shell_test.go
@@ -0,0 +1,201 @@
+package replica
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/decide/consensus"
+	"github.com/banyanfront/banyanfront/internal/storage"
+	"github.com/banyanfront/banyanfront/internal/storage/faultfs"
+)
+
+// settled starts a group and waits for its leader.
+func settled(t *testing.T, o Options) (c *cluster, folders []*faultfs.FS, replicas []*Replica, leader *Replica) {
+	c, replicas = start(t, 3, func(i int) storage.FS {
+		folders = append(folders, inMemory(i).(*faultfs.FS))
+		return folders[i]
+	}, o)
+	time.Sleep(3 * time.Second)
+	if leader = leaderOf(replicas); leader == nil {
+		t.Fatal("no leader")
+	}
+	return c, folders, replicas, leader
+}
+
+// Guards against a member that goes on voting or acknowledging after its disk failed, and against a process or group
+// that stops with it.
+func TestFailedDisk(t *testing.T) {
+	for operation, fault := range []faultfs.Fault{faultfs.NoSpace, faultfs.ShortWrite, faultfs.FailedSync} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			_, folders, replicas, leader := settled(t, Options{})
+			for i, r := range replicas {
+				if r == leader {
+					folders[i].FailAt(1+operation/2, fault) // the first operation is a write, the second a sync
+				}
+			}
+			_, _, err := leader.Propose(within(3*time.Second), "a", nil)
+			is.Equal(KindOf(err), OutcomeUnknown) // the others may have it
+			_, _, err = leader.Propose(within(3*time.Second), "b", nil)
+			is.Equal(KindOf(err), StorageFailed)
+			is.Equal(KindOf(leader.ReadBarrier(within(time.Second))), StorageFailed)
+			is.Equal(storage.KindOf(leader.Status().Failure), storage.ReadOnly)
+			time.Sleep(3 * time.Second)
+			next := leaderOf(replicas)
+			is.True(next != nil && next != leader)
+			_, result, err := next.Propose(within(3*time.Second), "a", nil)
+			is.NoErr(err)
+			is.Equal(binary.BigEndian.Uint64(result), uint64(1))
+		})
+	}
+}
+
+// Guards against a planned stop of the leader that costs an election timeout, and against answers after Close.
+func TestCloseHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, _, replicas, leader := settled(t, Options{})
+		is.NoErr(leader.Close())
+		from := time.Now()
+		for _, r := range replicas {
+			if r != leader {
+				_, _, err := r.Propose(within(3*time.Second), fmt.Sprint(r.Status().ID), nil)
+				is.NoErr(err)
+			}
+		}
+		is.True(time.Since(from) < consensus.DefaultElectionTimeout) // virtual time
+		_, _, err := leader.Propose(within(time.Second), "late", nil)
+		is.Equal(KindOf(err), Closed)
+	})
+}
+
+// Guards against a caller that gives up and takes the proposal of another caller with it, against unbounded waits and
+// against commands that no message can carry.
+func TestWaitingProposals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, _, replicas, _ := settled(t, Options{MaxWaiting: 1})
+		r := replicas[0]
+		_, _, err := r.Propose(within(time.Second), "large", make([]byte, consensus.MaxEntryBytes))
+		is.Equal(KindOf(err), Refused)
+		c.mu.Lock()
+		c.cut[r.Status().ID] = true
+		c.mu.Unlock()
+		time.Sleep(3 * time.Second) // r knows no leader
+		patient := make(chan error)
+		go func() {
+			_, _, err := r.Propose(within(time.Minute), "shared", nil)
+			patient <- err
+		}()
+		_, _, err = r.Propose(within(time.Second), "shared", nil)
+		is.Equal(KindOf(err), NoQuorum)
+		_, _, err = r.Propose(within(time.Second), "other", nil)
+		is.Equal(KindOf(err), Overloaded)
+		c.mu.Lock()
+		clear(c.cut)
+		c.mu.Unlock()
+		is.NoErr(<-patient)
+	})
+}
+
+// Guards against a follower outside the group that misses commands, applies a duplicate or cannot continue from a
+// snapshot, and against a restarted member that serves duplicates whose effect it no longer knows.
+func TestTail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, folders, replicas, leader := settled(t, Options{SnapshotEntries: 40, KeepEntries: 5})
+		var copied counter
+		var at, notified uint64
+		follow := func(r *Replica) {
+			for {
+				entries, snapshot := r.EntriesAfter(at)
+				if snapshot != nil {
+					is.NoErr(copied.Restore(snapshot.State))
+					at = snapshot.Index
+				}
+				for _, e := range entries {
+					is.Equal(e.Index, at+1)
+					if at = e.Index; e.Command != nil {
+						copied.Apply(at, e.Command)
+					}
+				}
+				if snapshot == nil && len(entries) == 0 {
+					return
+				}
+			}
+		}
+		cancel := leader.Subscribe(func(index uint64) { notified = index })
+		for i := range 100 {
+			id := fmt.Sprint(i)
+			_, _, err := leader.Propose(within(time.Second), id, []byte("x"))
+			is.NoErr(err)
+			if i%10 == 0 { // a second copy in the log, as after a lost answer
+				entry := consensus.Entry{ID: id, Data: []byte("x")}
+				is.NoErr(leader.call(within(time.Second), func(now time.Time) { leader.driver.node.Propose(now, []consensus.Entry{entry}) }))
+			}
+			if i%30 == 7 {
+				follow(leader)
+				is.Equal(copied.n, uint64(i+1))
+			}
+		}
+		cancel()
+		follow(leader)
+		is.Equal(copied.n, uint64(100))
+		is.Equal(at, leader.Status().Applied)
+		is.Equal(notified, at)
+		for i, r := range replicas {
+			if r != leader {
+				is.NoErr(r.Close())
+				machine := &counter{}
+				replicas[i] = c.open(t, Options{FS: folders[i], StateMachine: machine, SnapshotEntries: 40, KeepEntries: 5})
+				is.NoErr(replicas[i].ReadBarrier(within(time.Second)))
+				is.Equal(machine.n, uint64(100))
+				copied, at = counter{}, 1
+				follow(replicas[i])
+				is.Equal(copied.n, uint64(100))
+			}
+		}
+	})
+}
+
+// Guards against a voter that lost its disk and votes again as its old self, and against a second group.
+func TestLostDiskReturnsAsNewMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, folders, replicas, leader := settled(t, Options{})
+		lost := replicas[0]
+		if lost == leader {
+			lost = replicas[1]
+		}
+		old := lost.Status()
+		is.NoErr(lost.Close())
+		is.True(Found(folders[0], old.Members.List) != nil || Found(folders[1], old.Members.List) != nil) // used folders
+		empty := inMemory(9)
+		fresh := c.open(t, Options{FS: empty})
+		now := fresh.Status()
+		is.True(now.ID != old.ID)
+		is.True(Found(inMemory(10), old.Members.List) != nil) // not among the founders
+		time.Sleep(10 * time.Second)
+		is.Equal(fresh.Status().Term, uint64(0)) // nobody speaks to it, and it does not campaign
+
+		// A message for the old identifier is dropped.
+		fresh.Receive(encode(consensus.Message{Kind: consensus.KindVote, From: leader.Status().ID, To: old.ID, Term: 99, Index: 99, LogTerm: 98}))
+		time.Sleep(time.Second)
+		is.Equal(fresh.Status().Term, uint64(0))
+
+		is.NoErr(leader.ChangeMembers(within(5*time.Second), consensus.Change{Add: &consensus.Member{ID: now.ID, Promote: true, Replaces: old.ID}}))
+		time.Sleep(2 * time.Second)
+		members := leader.Status().Members
+		is.True(members.IsVoter(now.ID) && members.Find(old.ID) == nil && members.Voters() == 3)
+		err := leader.ChangeMembers(within(5*time.Second), consensus.Change{Add: &consensus.Member{ID: old.ID}})
+		is.Equal(KindOf(err), Refused) // removed members never return
+		is.NoErr(leader.Close())
+		_, _, err = fresh.Propose(within(5*time.Second), "a", nil)
+		is.NoErr(err) // the new voter completes the majority
+	})
+}
