--- a/internal/replica/random_test.go
+++ b/internal/replica/random_test.go
@@ -135,10 +135,10 @@
 }
 
 // Guards against a lost leader that costs more than the 3 s of refused claims that the design allows. Found with a
-// repetition of failed elections only after a full election timeout (3.7 s).
+// repetition of failed elections only after a full election timeout: seed 305 took 3.7 s.
 func TestOutageAfterLostLeader(t *testing.T) {
 	for _, voters := range []int{3, 5} {
-		for seed := range uint64(300) {
+		for seed := range uint64(320) {
 			if d := outage(seed, voters); d > 3*time.Second {
 				t.Errorf("%d voters, seed %d: %v without a leader", voters, seed, d)
 			}
