--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -57,7 +57,7 @@
 	if dialler {
 		s.nextID = 1
 	}
-	s.health.init(&s.cfg)
+	s.health.init(&s.cfg, dialler)
 	return s
 }
 
@@ -233,6 +233,10 @@
 			return
 		}
 		s.health.received()
+		if s.State() == StateClosed {
+			putBatch(b) // only the peer's close is still awaited
+			continue
+		}
 		err = s.readBatch(*b)
 		putBatch(b)
 		if err != nil {
