release: name the impact of a note as the design does

Cause: the function that lists what a withdrawal cuts is called Impact in the work plan, and other packages will look for that name.

Before: ImpactOf returned an Impact. After: Impact returns Effects.

Conclusion: none beyond the name.

--- a/decide/agreed/state.go
+++ b/decide/agreed/state.go
@@ -92,7 +92,7 @@
 		findings = append(findings, release.Check(n, s.config)...)
 	}
 	if !release.Refused(findings) {
-		impact := release.ImpactOf(n, s.impactView(c))
+		impact := release.Impact(n, s.impactView(c))
 		findings = append(findings, impact.Findings...)
 	}
 	if release.Refused(findings) {
--- a/decide/release/bench_test.go
+++ b/decide/release/bench_test.go
@@ -31,7 +31,7 @@
 	v.Uses, v.Config = slices.Values(uses), (&Config{}).Apply(add)
 	b.ReportAllocs()
 	for b.Loop() {
-		if impact := ImpactOf(withdraw, &v); len(impact.Cuts) != 300 || Refused(impact.Findings) {
+		if impact := Impact(withdraw, &v); len(impact.Cuts) != 300 || Refused(impact.Findings) {
 			b.Fatal("wrong impact")
 		}
 	}
--- a/decide/release/impact.go
+++ b/decide/release/impact.go
@@ -78,24 +78,24 @@
 	Accepted      bool // the note accepts an outage of the target
 }
 
-// Impact lists what a note cuts off.
-type Impact struct {
+// Effects are what a note cuts off.
+type Effects struct {
 	Cuts      []Cut       // by server
 	Remaining []Remaining // of every target that loses a server, by kind and name
 	Findings  []Finding
 }
 
-// ImpactOf lists what the note cuts off and refuses an outage of a used model or service that the note does not accept.
+// Impact lists what the note cuts off and refuses an outage of a used model or service that the note does not accept.
 // The note must have passed Validate and Check.
-func ImpactOf(n *Note, v *View) Impact {
+func Impact(n *Note, v *View) Effects {
 	if !n.cuts() && len(n.AcceptOutage) == 0 {
-		return Impact{} // spares the pass over all recorded uses, 0.3 s at the target size
+		return Effects{} // spares the pass over all recorded uses, 0.3 s at the target size
 	}
 	next := v.Config.Apply(n)
 	uses := v.uses()
 	before := members(v, v.Config, nil)
 	after := members(v, next, n)
-	var result Impact
+	var result Effects
 	touched := make(map[fleet.Target]bool)
 	for _, id := range sortedKeys(before) {
 		cut := cutOf(before[id], after[id])
@@ -153,19 +153,19 @@
 }
 
 // addUses adds to each cut the recorded uses that it ends.
-func (i *Impact) addUses(uses iter.Seq[Use]) {
-	positions := make(map[fleet.ServerID]int, len(i.Cuts))
-	for j := range i.Cuts {
-		positions[i.Cuts[j].Server] = j
+func (e *Effects) addUses(uses iter.Seq[Use]) {
+	positions := make(map[fleet.ServerID]int, len(e.Cuts))
+	for j := range e.Cuts {
+		positions[e.Cuts[j].Server] = j
 	}
 	for u := range uses {
 		j, ok := positions[u.Server]
-		if ok && (i.Cuts[j].Whole || slices.Contains(i.Cuts[j].Lost, u.target())) {
-			i.Cuts[j].Uses = append(i.Cuts[j].Uses, u)
+		if ok && (e.Cuts[j].Whole || slices.Contains(e.Cuts[j].Lost, u.target())) {
+			e.Cuts[j].Uses = append(e.Cuts[j].Uses, u)
 		}
 	}
-	for j := range i.Cuts {
-		slices.SortFunc(i.Cuts[j].Uses, func(a, b Use) int {
+	for j := range e.Cuts {
+		slices.SortFunc(e.Cuts[j].Uses, func(a, b Use) int {
 			return cmp.Or(cmp.Compare(b.Last, a.Last), cmp.Compare(a.Organisation, b.Organisation),
 				compareTargets(a.target(), b.target()))
 		})
@@ -173,9 +173,9 @@
 }
 
 // ObservedLeft returns what an instance tells the agreement group with its proposal of a note.
-func (i *Impact) ObservedLeft() []Observed {
+func (e *Effects) ObservedLeft() []Observed {
 	var result []Observed
-	for _, r := range i.Remaining {
+	for _, r := range e.Remaining {
 		if r.After.Servers > 0 {
 			result = append(result, Observed{r.Target.Kind, r.Target.Name, r.Target.Adapter, r.After.Servers})
 		}
@@ -213,9 +213,9 @@
 }
 
 // judge refuses outages and remarks on what the records cannot tell.
-func (i *Impact) judge(n *Note, v *View) {
+func (e *Effects) judge(n *Note, v *View) {
 	var f findings
-	for _, r := range i.Remaining {
+	for _, r := range e.Remaining {
 		inService := r.Before.Servers > 0 && r.After.Servers == 0
 		last := r.Before.Servers+r.Before.InOut > 0 && r.After.Servers+r.After.InOut == 0
 		if !r.Used || (!inService && !last) || v.observed(r.Target) {
@@ -234,18 +234,18 @@
 		f.refuse(OutageRefused, "servers.withdraw", message, fmt.Sprintf(
 			`keep a server, or add {"kind": %q, "name": %q} to acceptOutage`, word, r.Target.Name))
 	}
-	for _, c := range i.Cuts {
+	for _, c := range e.Cuts {
 		if c.Whole && len(c.Uses) == 0 {
 			f.remark(NeverUsed, "servers.withdraw", fmt.Sprintf("no use of server %q is recorded", c.Server),
 				"nothing is known to depend on it")
 		}
 	}
-	if len(i.Cuts) > 0 && v.Now.Sub(v.RecordedSince) < MinRecord {
+	if len(e.Cuts) > 0 && v.Now.Sub(v.RecordedSince) < MinRecord {
 		f.remark(ShortRecord, "", "uses have been recorded for less than a week",
 			"a rare use may not have been seen yet; wait, or ask the organisations")
 	}
 	for j, o := range n.AcceptOutage {
-		caused := slices.ContainsFunc(i.Remaining, func(r Remaining) bool {
+		caused := slices.ContainsFunc(e.Remaining, func(r Remaining) bool {
 			return r.Accepted && r.Target.Name == o.Name && r.After.Servers == 0
 		})
 		if !caused {
@@ -253,7 +253,7 @@
 				fmt.Sprintf("the note causes no outage of %s %q", o.Kind, o.Name), "remove it, or check the spelling")
 		}
 	}
-	i.Findings = f
+	e.Findings = f
 }
 
 func joinOrganisations(list []fleet.Organisation) string {
--- a/decide/release/release_test.go
+++ b/decide/release/release_test.go
@@ -236,7 +236,7 @@
 			if c.view.RecordedSince.IsZero() {
 				c.view.RecordedSince = time.Unix(0, 0)
 			}
-			impact := ImpactOf(&c.note, &c.view)
+			impact := Impact(&c.note, &c.view)
 			is.Equal(codes(impact.Findings), c.want)
 			if slices.Contains(c.want, OutageRefused) && c.name == "last server" {
 				is.True(strings.Contains(impact.Findings[0].Message, "facades, windows used it, last at 1970-01-04T18:00:00Z"))
