Halve the limit of an idle server every two minutes

Cause: a limit learned before an idle half hour sent a full load to a server that had turned cold meanwhile, and killed it: nothing shows that an idle server turns cold.

--- a/decide/limits/limiter.go
+++ b/decide/limits/limiter.go
@@ -34,6 +34,9 @@
 	// coldFactor times the bound is a first token that counts as slowEnough slow ones, and the time without any first token
 	// while requests wait after which no more are admitted.
 	coldFactor = 4
+	// idleHalving is the time without any request in flight in which the limit halves: a server may turn cold while nothing
+	// shows it.
+	idleHalving = 2 * time.Minute
 	// crashWindow is how long after a decrease the limit before it is held responsible for a crash.
 	crashWindow = 30 * time.Second
 	// firstAvoid is how long a limit at which the server died is not reached again; it doubles with each further death up
@@ -64,6 +67,7 @@
 	streak    int     // halvings without goodEnough good first tokens between them
 	waiting   waiting // requests of this boot without a first token
 	heard     time.Time
+	active    time.Time // last admission or end of a request, or last halving for idleness
 
 	avoid     float64 // limit at which the server died, 0 if none
 	avoidTill time.Time
@@ -72,7 +76,7 @@
 
 // New returns a limiter in slow start.
 func New(config Config, now time.Time, boot fleet.Boot) *Limiter {
-	l := &Limiter{given: config, config: config.withDefaults(), boot: boot}
+	l := &Limiter{given: config, config: config.withDefaults(), boot: boot, active: now}
 	l.limit = float64(l.config.Start)
 	l.cold(now)
 	l.before = 0
@@ -111,13 +115,23 @@
 	l.limit = min(l.limit, float64(l.config.Ceiling))
 }
 
+// Tick applies what follows from the time alone. The agent calls it before it reports the limit; Admit calls it too.
+func (l *Limiter) Tick(now time.Time) {
+	l.overdue(now)
+	if l.waiting.count > 0 && now.Sub(l.heard) > coldFactor*l.config.Bound && l.limit > float64(l.config.Start) {
+		l.cold(now)
+	}
+	for l.inFlight == 0 && now.Sub(l.active) >= idleHalving && l.limit > float64(l.config.Start) {
+		l.decrease(now, max(l.limit/2, float64(l.config.Start)), SlowStart)
+		l.before, l.warm = 0, false
+		l.active = l.active.Add(idleHalving)
+	}
+}
+
 // Admit asks whether one more request may be forwarded. Each admitted request must be reported to Finished.
 func (l *Limiter) Admit(now time.Time) (Ticket, Refusal) {
-	l.overdue(now)
+	l.Tick(now)
 	if l.waiting.count > 0 && now.Sub(l.heard) > coldFactor*l.config.Bound {
-		if l.limit > float64(l.config.Start) {
-			l.cold(now)
-		}
 		return Ticket{}, ServerSilent
 	}
 	if l.inFlight >= l.Limit() {
@@ -127,6 +141,7 @@
 		l.heard = now
 	}
 	l.inFlight++
+	l.active = now
 	number := l.waiting.add(now, l.epoch)
 	return Ticket{number: number, epoch: l.epoch, boot: l.boot, admitted: true}, Admitted
 }
@@ -190,6 +205,7 @@
 	}
 	t.admitted = false
 	l.inFlight--
+	l.active = now
 	if t.boot != l.boot {
 		return
 	}
--- a/decide/limits/limits_test.go
+++ b/decide/limits/limits_test.go
@@ -99,6 +99,8 @@
 				w.Finished(w.now, &ticket, Done, fast)
 			}
 		}, 8, 8, SlowStart},
+		{"idle for 3 minutes", Config{Capacity: 64}, func(w *world) { w.rounds(500, fast); w.now = w.now.Add(3 * time.Minute); w.Tick(w.now) }, 32, 32, SlowStart},
+		{"idle for a night", Config{}, func(w *world) { w.rounds(350, fast); w.now = w.now.Add(8 * time.Hour); w.Tick(w.now) }, 2, 2, SlowStart},
 		{"new boot", Config{}, func(w *world) { w.rounds(350, fast); w.Reset(w.now, 2) }, 2, 2, SlowStart},
 		{"same boot", Config{}, func(w *world) { w.rounds(350, fast); w.Reset(w.now, 1) }, 64, 512, SlowStart},
 	}
--- a/internal/experiment/ramping.go
+++ b/internal/experiment/ramping.go
@@ -24,6 +24,7 @@
 	rampWork       = 4 * time.Second // after the first token
 	rampLongPrompt = 0.01            // share of requests whose first token takes three times as long
 	rampWindow     = 10 * time.Second
+	rampDrain      = 15 * time.Second // for the requests in flight to end when the load stops
 )
 
 // rampStart is the time at which each run starts.
@@ -36,6 +37,7 @@
 	warmUp   time.Duration // work until the server is warm
 	coldAt   time.Duration // when the warm server turns cold without warning, 0 if never
 	failures float64       // share of requests that fail for reasons of their own
+	idle     time.Duration // time without load before it turns cold
 	silent   bool          // the time to first token does not rise before the server dies
 }
 
@@ -45,6 +47,7 @@
 	{name: "slow cold start", announce: rampFull, warmUp: 4 * time.Minute},
 	{name: "turns cold after 3 minutes without warning", announce: rampFull, warmUp: 30 * time.Second, coldAt: 3 * time.Minute},
 	{name: "one request in 500 fails by itself", announce: rampFull, warmUp: time.Minute, failures: 0.002},
+	{name: "idle for 30 minutes after 3 minutes, then cold", announce: rampFull, warmUp: time.Minute, coldAt: 3 * time.Minute, idle: 30 * time.Minute},
 	{name: "dies without a slower first token", announce: rampFull, warmUp: time.Minute, silent: true},
 }
 
@@ -157,6 +160,7 @@
 	inFlight   []*rampRequest
 	done       []time.Duration // ends of answers within the last window
 	turnedCold bool
+	skipped    time.Duration // idle time that was skipped
 
 	failed, deaths, answers int
 	fullAt                  time.Duration
@@ -166,17 +170,20 @@
 
 func (r *rampRun) bears() float64 { return rampCold + (rampFull-rampCold)*r.warmth }
 
+// clock returns the time at which the admission sees an event.
+func (r *rampRun) clock() time.Time { return rampStart.Add(r.now + r.skipped) }
+
 // play runs the model in ticks and returns the figures.
 func (r *rampRun) play() []float64 {
 	for ; r.now < rampEnd; r.now += rampTick {
 		if r.coldAt > 0 && r.now >= r.coldAt && !r.turnedCold {
-			r.warmth, r.turnedCold, r.fullAt = 0, true, -1
+			r.warmth, r.turnedCold, r.fullAt, r.skipped = 0, true, -1, r.idle
 		}
 		if r.now < r.downTill {
 			continue
 		}
 		r.progress()
-		for r.admitOne() {
+		for !r.stopped() && r.admitOne() {
 		}
 		r.wear()
 	}
@@ -191,9 +198,14 @@
 		quantileMS(r.firstTokens, 0.95)}
 }
 
+// stopped reports whether the load has stopped before the idle time.
+func (r *rampRun) stopped() bool {
+	return r.idle > 0 && r.now >= r.coldAt-rampDrain && r.now < r.coldAt
+}
+
 // admitOne forwards one request if the admission allows it.
 func (r *rampRun) admitOne() bool {
-	ticket, ok := r.admission.admit(rampStart.Add(r.now))
+	ticket, ok := r.admission.admit(r.clock())
 	if !ok {
 		return false
 	}
@@ -214,7 +226,7 @@
 
 // progress reports first tokens and ends.
 func (r *rampRun) progress() {
-	now := rampStart.Add(r.now)
+	now := r.clock()
 	kept := r.inFlight[:0]
 	for _, q := range r.inFlight {
 		if !q.answered && r.now >= q.firstToken {
@@ -262,7 +274,7 @@
 	if r.now-r.overSince < rampStands {
 		return
 	}
-	now := rampStart.Add(r.now)
+	now := r.clock()
 	for _, q := range r.inFlight {
 		r.admission.finished(now, &q.ticket, limits.Failed)
 	}
