Bound queued requests and unread messages by bytes

Cause: Opens queued towards a peer that takes nothing, and queued or unread messages other than Data, were bounded by number only, so 64 unread messages of 1 MiB could wait on each stream.

Conclusion: memory of a session is bounded in bytes in both directions.

--- a/internal/transport/config.go
+++ b/internal/transport/config.go
@@ -47,14 +47,14 @@
 	HandshakeTimeout time.Duration
 	// Window is the number of bytes of unread Data that this side accepts per stream. Default 256 KiB.
 	Window int
-	// QueueMessages bounds the queued messages outside streams, and the queued messages other than Data of one stream.
-	// Default 4,096 messages.
+	// QueueMessages bounds the number of queued messages outside streams. Default 4,096 messages.
 	QueueMessages int
-	// QueueBytes bounds the queued messages outside streams. Default 8 MiB.
+	// QueueBytes bounds, each by itself, the queued messages outside streams, the queued Opens of all streams, and the
+	// queued messages other than Data of one stream. Default 8 MiB.
 	QueueBytes int
 	// MaxMessage bounds one encoded message. Default and maximum 1 MiB.
 	MaxMessage int
-	// MaxStreams bounds the streams that the peer may have open. Default 8,192 streams.
+	// MaxStreams bounds the open streams in each direction. Default 8,192 streams.
 	MaxStreams int
 	// ReceiveBytes bounds the unread bytes of all streams of the session. Above it, the stream with the most unread bytes
 	// is cancelled. Default 64 MiB.
--- a/internal/transport/hostile_test.go
+++ b/internal/transport/hostile_test.go
@@ -200,6 +200,13 @@
 			}
 		}
 		is.True(errors.As(err, &full))
+		var refused *Refused
+		for range 100 {
+			if _, err = p.a.Open(context.Background(), &protocol.Open{Body: make([]byte, 500<<10)}); err != nil {
+				break
+			}
+		}
+		is.True(errors.As(err, &refused))
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		for err = nil; err == nil; {
@@ -239,3 +246,42 @@
 		is.Equal(p.ha.messages, []protocol.Message{&protocol.GoAway{Reason: "restart"}})
 	})
 }
+
+// Guards against large frames that hold up heartbeats or other streams, and against a write for each small frame.
+func TestWriterIsFair(t *testing.T) {
+	is := is.New(t)
+	cfg, err := Config{FleetKey: testKey}.withDefaults()
+	is.NoErr(err)
+	s := newSession(nil, cfg, protocol.Hello{}, 4<<20, &recorder{}, true) // not started: the test is the writer
+	ctx := context.Background()
+	large, err := s.Open(ctx, &protocol.Open{Body: make([]byte, 500<<10)})
+	is.NoErr(err)
+	is.NoErr(large.Send(ctx, &protocol.Data{Payload: make([]byte, 500<<10)}))
+	for range 20 {
+		st, err := s.Open(ctx, &protocol.Open{})
+		is.NoErr(err)
+		is.NoErr(st.Send(ctx, &protocol.Head{}))
+	}
+	is.NoErr(s.Send(&protocol.Consensus{Payload: make([]byte, 50<<10)}))
+	s.sendUrgent(0, &protocol.Ping{})
+	var order []protocol.Message
+	var batches []int
+	for b := getBatch(); s.nextBatch(b); *b = (*b)[:0] {
+		batches = append(batches, len(*b))
+		for rest := *b; len(rest) > 0; {
+			size := int(rest[1])<<24 | int(rest[2])<<16 | int(rest[3])<<8 | int(rest[4])
+			_, m, err := protocol.Decode(rest[batchPrefixSize : batchPrefixSize+size])
+			is.NoErr(err)
+			order = append(order, m)
+			rest = rest[batchPrefixSize+size:]
+		}
+	}
+	is.Equal(len(order), 44)
+	is.Equal(order[0].Type(), protocol.TypePing)
+	is.Equal(order[1].Type(), protocol.TypeConsensus)
+	for _, m := range order[2:42] {
+		open, ok := m.(*protocol.Open)
+		is.True(!ok || len(open.Body) == 0) // the small streams before the large one
+	}
+	is.Equal(len(batches), 2) // the Data is taken once the Open has filled a batch
+}
--- a/internal/transport/keeper_test.go
+++ b/internal/transport/keeper_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/matryer/is"
 
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -157,6 +158,11 @@
 		"closed by the accepting side": func(_, far Session) { far.Close("test") },
 		"closed by both":               func(near, far Session) { near.Close("test"); far.Close("test") },
 		"lost":                         func(near, _ Session) { near.(*session).lose("test") },
+		"message that is never completed": func(_, far Session) {
+			ws := far.(*session).conn.(*socket).ws
+			w, _ := ws.Writer(context.Background(), websocket.MessageBinary)
+			_, _ = w.Write([]byte{batchPrefix})
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -103,6 +103,9 @@
 	case suspect:
 		s.mu.Unlock()
 		return nil, &Refused{Reason: "the connection is silent"}
+	case len(s.streams)-s.peerOpen >= s.cfg.MaxStreams:
+		s.mu.Unlock()
+		return nil, &Refused{Reason: fmt.Sprintf("%d streams are open", s.cfg.MaxStreams)}
 	}
 	id := s.nextID
 	s.nextID += 2
@@ -113,6 +116,11 @@
 		s.mu.Unlock()
 		return nil, err
 	}
+	if s.queues.openBytes > 0 && s.queues.openBytes+len(f.b) > s.cfg.QueueBytes {
+		s.mu.Unlock()
+		return nil, &Refused{Reason: "the peer takes requests too slowly"}
+	}
+	f.open = true
 	st := newStream(s, id, true)
 	s.streams[id] = st
 	s.queues.push(st, f)
@@ -283,14 +291,14 @@
 			}
 			continue
 		}
-		if err := s.dispatch(id, m); err != nil {
+		if err := s.dispatch(id, m, len(frame)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *session) dispatch(id uint64, m protocol.Message) error {
+func (s *session) dispatch(id uint64, m protocol.Message, size int) error {
 	if id == 0 {
 		return s.receiveMessage(m)
 	}
@@ -302,7 +310,7 @@
 	known := st != nil || s.wasOpened(id)
 	s.mu.Unlock()
 	if st != nil {
-		st.receive(m)
+		st.receive(m, size)
 		return nil
 	}
 	// Frames of a stream that ended here may still be under way and are dropped. A stream that never was is cancelled at
--- a/internal/transport/session_test.go
+++ b/internal/transport/session_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -110,15 +112,29 @@
 
 // Guards against lost, doubled or mixed up messages when many streams share a session over real WebSockets.
 func TestStreamsOverWebSocket(t *testing.T) {
+	for _, encrypted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("TLS %v", encrypted), func(t *testing.T) { testStreamsOverWebSocket(t, encrypted) })
+	}
+}
+
+func testStreamsOverWebSocket(t *testing.T, encrypted bool) {
 	is := is.New(t)
 	cfg := Config{FleetKey: testKey}
 	accepted := make(chan Session, 1)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s, err := Accept(w, r, cfg, protocol.Hello{Instance: "b"}, &recorder{serve: echo(50)})
 		if err == nil {
 			accepted <- s
 		}
 	}))
+	if encrypted {
+		server.StartTLS()
+		roots := x509.NewCertPool()
+		roots.AddCert(server.Certificate())
+		cfg.TLS = &tls.Config{RootCAs: roots}
+	} else {
+		server.Start()
+	}
 	defer server.Close()
 	s, err := Dial(context.Background(), "ws"+strings.TrimPrefix(server.URL, "http"), cfg, protocol.Hello{Instance: "a"}, &recorder{})
 	is.NoErr(err)
@@ -168,6 +184,10 @@
 	}
 	_, err = Dial(context.Background(), server.URL, Config{FleetKey: []byte("short")}, protocol.Hello{}, &recorder{})
 	is.True(err != nil)
+	var handshake *HandshakeError
+	_, err = Dial(context.Background(), "ws://192.0.2.1/", right, protocol.Hello{}, &recorder{})
+	is.True(errors.As(err, &handshake))
+	is.Equal(handshake.Kind, HandshakePlaintext) // without TLS, only loopback is dialled
 }
 
 // Guards against a session that looks healthy to one side while its frames do not arrive, and against giving up early
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -33,7 +33,7 @@
 
 	// Guarded by s.mu.
 	queue         frames
-	queuedOther   int // queued messages that are not Data
+	queuedOther   int // bytes of queued messages that are not Data
 	scheduled     bool
 	deficit       int // bytes that the writer may still take in this round
 	openSent      bool
@@ -47,7 +47,7 @@
 	recvMu     sync.Mutex
 	inbox      inbox
 	otherCount int // unread messages that are not Data
-	buffered   int // unread cost of Data
+	buffered   int // unread cost of all messages
 	recvCredit int // what the peer may still send
 	consumed   int // read and not yet returned as credit
 	order      order
@@ -98,7 +98,7 @@
 				st.sendCredit -= cost
 				break
 			}
-		} else if st.queuedOther < st.s.cfg.QueueMessages {
+		} else if st.queuedOther == 0 || st.queuedOther+len(f.b) <= st.s.cfg.QueueBytes {
 			break
 		}
 		st.s.mu.Unlock()
@@ -146,7 +146,7 @@
 			if credit > 0 {
 				st.s.returnCredit(st, credit)
 			}
-			return m, nil
+			return m.m, nil
 		}
 		err := st.recvErr
 		st.recvMu.Unlock()
@@ -163,16 +163,14 @@
 }
 
 // taken accounts for a message that was read and returns the credit to be sent to the peer. The caller holds recvMu.
-func (st *stream) taken(m protocol.Message) int {
-	d, ok := m.(*protocol.Data)
-	if !ok {
+func (st *stream) taken(r received) int {
+	st.buffered -= r.cost
+	st.s.unread.Add(int64(-r.cost))
+	if _, ok := r.m.(*protocol.Data); !ok {
 		st.otherCount--
 		return 0
 	}
-	cost := dataCost(d)
-	st.buffered -= cost
-	st.s.unread.Add(int64(-cost))
-	st.consumed += cost
+	st.consumed += r.cost
 	if st.consumed < st.s.cfg.Window/4 || st.recvErr != nil {
 		return 0
 	}
@@ -248,8 +246,8 @@
 	signal(st.recvWake)
 }
 
-// receive takes a message from the session's reader; it does not block.
-func (st *stream) receive(m protocol.Message) {
+// receive takes a message of the encoded size from the session's reader; it does not block.
+func (st *stream) receive(m protocol.Message, size int) {
 	if credit, ok := m.(*protocol.Credit); ok {
 		st.receiveCredit(credit.Bytes)
 		return
@@ -264,23 +262,23 @@
 		st.fail(StreamOutOfOrder, detail)
 		return
 	}
-	var unread int64
+	cost := size
 	if d, ok := m.(*protocol.Data); ok {
-		cost := dataCost(d)
+		cost = dataCost(d)
 		if st.recvCredit < needed(cost, st.s.cfg.Window) {
 			st.recvMu.Unlock()
 			st.fail(StreamFlow, fmt.Sprintf("peer sent %d bytes with a credit of %d", cost, st.recvCredit))
 			return
 		}
 		st.recvCredit -= cost
-		st.buffered += cost
-		unread = st.s.unread.Add(int64(cost))
 	} else if st.otherCount++; st.otherCount > maxInboxMessages {
 		st.recvMu.Unlock()
 		st.fail(StreamOverflow, fmt.Sprintf("more than %d messages are unread: read the stream or close it", maxInboxMessages))
 		return
 	}
-	st.inbox.push(m)
+	st.buffered += cost
+	unread := st.s.unread.Add(int64(cost))
+	st.inbox.push(received{m, cost})
 	var ended error
 	switch m := m.(type) {
 	case *protocol.End:
--- a/internal/transport/writer.go
+++ b/internal/transport/writer.go
@@ -17,6 +17,7 @@
 type frame struct {
 	b    []byte
 	data bool // holds Data
+	open bool // holds Open
 }
 
 var encodeBuffers = sync.Pool{New: func() any {
@@ -51,14 +52,18 @@
 	credits      []*stream
 	messages     frames // messages outside streams
 	messageBytes int
+	openBytes    int       // of all queued Opens
 	ring         []*stream // streams with queued frames, in turn
 }
 
 // push queues a frame of a stream.
 func (q *queues) push(st *stream, f frame) {
 	st.queue.push(f)
+	if f.open {
+		q.openBytes += len(f.b)
+	}
 	if !f.data {
-		st.queuedOther++
+		st.queuedOther += len(f.b)
 	}
 	if !st.scheduled {
 		st.scheduled = true
@@ -85,6 +90,9 @@
 
 // drop removes the queued frames of a stream.
 func (q *queues) drop(st *stream) {
+	if st.queue.len() > 0 && st.queue.peek().open {
+		q.openBytes -= len(st.queue.peek().b)
+	}
 	st.queue = frames{}
 	st.queuedOther = 0
 }
@@ -193,10 +201,12 @@
 			f := st.queue.pop()
 			st.deficit -= len(f.b)
 			st.openSent = true
+			if f.open {
+				q.openBytes -= len(f.b)
+			}
 			if !f.data {
-				if st.queuedOther--; st.queuedOther == st.s.cfg.QueueMessages-1 {
-					signal(st.sendWake)
-				}
+				st.queuedOther -= len(f.b)
+				signal(st.sendWake)
 			}
 			*b = append(*b, f.b...)
 		}
@@ -242,15 +252,21 @@
 	return x
 }
 
+// received is a message and what it takes from the bounds on unread bytes.
+type received struct {
+	m    protocol.Message
+	cost int
+}
+
 // inbox is a queue of received messages.
 type inbox struct {
-	list []protocol.Message
+	list []received
 	head int
 }
 
 func (q *inbox) len() int { return len(q.list) - q.head }
 
-func (q *inbox) push(m protocol.Message) {
+func (q *inbox) push(m received) {
 	if q.head > 0 && len(q.list) == cap(q.list) {
 		n := copy(q.list, q.list[q.head:])
 		clear(q.list[n:])
@@ -259,12 +275,12 @@
 	q.list = append(q.list, m)
 }
 
-func (q *inbox) pop() (protocol.Message, bool) {
+func (q *inbox) pop() (m received, ok bool) {
 	if q.head == len(q.list) {
-		return nil, false
+		return m, false
 	}
-	m := q.list[q.head]
-	q.list[q.head] = nil
+	m = q.list[q.head]
+	q.list[q.head] = received{}
 	q.head++
 	if q.head == len(q.list) {
 		q.list, q.head = q.list[:0], 0
