Encode and decode Data without the library

Cause: Data is the message of each streamed token; the library took 760 ns to decode and 270 ns to encode one.

--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -123,6 +123,19 @@
 	out := append(dst, frameHead)
 	out = appendHead(out, majorUint, stream)
 	out = appendHead(out, majorUint, uint64(m.Type()))
+	if d, ok := m.(*Data); ok && d.Payload != nil && d.Tokens >= 0 {
+		out = appendData(out, d)
+	} else if err := appendBody(&out, m); err != nil {
+		return dst, &MalformedError{Stream: stream, StreamKnown: true, Type: m.Type(), Err: err}
+	}
+	if size := len(out) - start; size > MaxMessageBytes {
+		return dst, &TooLargeError{Stream: stream, Type: m.Type(), Bytes: size}
+	}
+	return out, nil
+}
+
+// appendBody appends the body of a message by the library.
+func appendBody(out *[]byte, m Message) error {
 	buffer := scratch.Get().(*bytes.Buffer)
 	defer func() {
 		if buffer.Cap() <= maxPooledBytes {
@@ -131,13 +144,10 @@
 		}
 	}()
 	if err := encoding.MarshalToBuffer(m, buffer); err != nil {
-		return dst, &MalformedError{Stream: stream, StreamKnown: true, Type: m.Type(), Err: err}
-	}
-	out = append(out, buffer.Bytes()...)
-	if size := len(out) - start; size > MaxMessageBytes {
-		return dst, &TooLargeError{Stream: stream, Type: m.Type(), Bytes: size}
+		return err
 	}
-	return out, nil
+	*out = append(*out, buffer.Bytes()...)
+	return nil
 }
 
 // Decode reads one frame. The message shares no memory with data. The errors are *TooLargeError, *MalformedError and
@@ -150,6 +160,11 @@
 	if len(data) > MaxMessageBytes {
 		return stream, nil, &TooLargeError{Stream: stream, Bytes: len(data)}
 	}
+	if Type(number) == TypeData && number <= 255 {
+		if d := new(Data); decodeData(body, d) {
+			return stream, d, nil
+		}
+	}
 	m = newMessage(number)
 	if m == nil {
 		return stream, nil, &UnknownTypeError{Stream: stream, Type: number}
--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -57,6 +57,20 @@
 	}
 }
 
+// Guards against a form of Data that differs from what the library reads and writes.
+func TestDataAsTheLibrary(t *testing.T) {
+	is := is.New(t)
+	for _, d := range []*Data{{Payload: []byte{}}, {Offset: 1 << 40, Payload: make([]byte, 70000), Tokens: 300}, {Payload: []byte{1}, Tokens: 24}} {
+		var body []byte
+		is.NoErr(appendBody(&body, d))
+		is.True(bytes.Equal(appendData(nil, d), body))
+		var got, want Data
+		is.True(decodeData(body, &got))
+		is.NoErr(decoding.Unmarshal(body, &want))
+		is.True(reflect.DeepEqual(got, want))
+	}
+}
+
 // Guards against a decoder that fails on what a newer peer sends, or accepts what none sends.
 func TestDecodeStrictly(t *testing.T) {
 	is := is.New(t)
@@ -138,3 +152,29 @@
 	}
 	return false
 }
+
+// BenchmarkData measures the codec on a streamed token, the most frequent message by far.
+func BenchmarkData(b *testing.B) {
+	m := &Data{Offset: 1000, Payload: bytes.Repeat([]byte("x"), 120), Tokens: 1}
+	frame, err := Encode(12345, m)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("encode", func(b *testing.B) {
+		b.ReportAllocs()
+		buffer := make([]byte, 0, 1024)
+		for b.Loop() {
+			if _, err := AppendFrame(buffer, 12345, m); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("decode", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, _, err := Decode(frame); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
