Add session figures and tests of the stand-ins' record, cache and steps

Cause: operators and the account need the figures of a session (bytes, batches, open streams, silence in both directions); cut streams, the bounds of record and cache, and the steps of a lock-step group had no test.

Conclusion: Measured.Stats gives the figures without a change of the Session interface. The reader is now in a file of its own.

--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -144,13 +144,9 @@
 
 // hasNaN reports whether a message holds a float that differs from itself.
 func hasNaN(m Message) bool {
-	switch m := m.(type) {
-	case *Load:
-		return m.KVUsed != m.KVUsed
-	case *End:
-		return m.Load != nil && m.Load.KVUsed != m.Load.KVUsed
-	}
-	return false
+	load, _ := m.(*Load)
+	end, _ := m.(*End)
+	return load != nil && load.KVUsed != load.KVUsed || end != nil && end.Load != nil && end.Load.KVUsed != end.Load.KVUsed
 }
 
 // BenchmarkData measures the codec on a streamed token, the most frequent message by far.
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -113,7 +113,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := NewEngine(EngineConfig{Models: testModels, Slots: 1, Prefill: time.Second})
-		var order []string
 		done := make(chan string)
 		ask := func(name, priority string, ctx context.Context) {
 			go func() {
@@ -128,10 +127,9 @@
 		ask("leaves", "high", leaves)
 		ask("high", "high", context.Background())
 		leave()
-		for range 4 {
-			order = append(order, <-done)
+		for _, name := range []string{"leaves", "running", "high", "low"} {
+			is.Equal(<-done, name)
 		}
-		is.Equal(order, []string{"leaves", "running", "high", "low"})
 		is.Equal(e.Load().Running, 0)
 	})
 }
@@ -171,6 +169,51 @@
 	is.Equal(status, http.StatusOK)
 }
 
+// Guards against a record that loses how far a cut stream came, or grows without bound.
+func TestRecordOfCutStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := NewEngine(EngineConfig{Models: testModels, TokenInterval: time.Second, RecordEntries: 2})
+		for range 3 {
+			ctx, cancel := context.WithTimeout(context.Background(), 4500*time.Millisecond)
+			call(e, post("/v1/chat/completions", chatBody).WithContext(ctx))
+			cancel()
+		}
+		entries := e.Record().Entries()
+		is.Equal(len(entries), 2)
+		is.Equal(e.Record().Count(), uint64(3))
+		is.Equal(entries[1].End, EndCut)
+		is.Equal(entries[1].Tokens, 5)
+		is.Equal(entries[1].Ended.Sub(entries[1].Begun), 4500*time.Millisecond)
+	})
+}
+
+// Guards against a prefix cache without effect or bound, and against ranks that do not wait for the slowest one.
+func TestPrefillAndSteps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		group := NewGroup(2)
+		cfg := EngineConfig{Models: testModels, PrefillPerToken: time.Second, TokenInterval: time.Millisecond, CacheTokens: 64, Group: group}
+		fast := NewEngine(cfg)
+		cfg.Rank = 1
+		slow := NewEngine(cfg)
+		slow.SetSlow(50)
+		is.Equal(slow.Load().StepTime, 50*time.Millisecond)
+		ask := func(prompt string) time.Duration {
+			begun := time.Now()
+			call(fast, post("/v1/completions", `{"model":"m","max_tokens":3,"prompt":"`+prompt+`"}`))
+			return time.Since(begun)
+		}
+		long := strings.Repeat("w ", 64)
+		is.Equal(ask(long), 64*time.Second+100*time.Millisecond) // two steps of the slow rank
+		is.Equal(ask(long), 100*time.Millisecond)
+		is.Equal(ask(long[:64]+"other"), time.Second+100*time.Millisecond) // the shared prefix is found
+		ask(strings.Repeat("x ", 64))
+		is.Equal(ask(long), 64*time.Second+100*time.Millisecond) // dropped by the other prompt
+		is.True(fast.Load().KVUsed <= 1)
+	})
+}
+
 // Guards against a server that keeps running after its stop.
 func TestStart(t *testing.T) {
 	is := is.New(t)
--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -49,16 +49,14 @@
 	n *atomic.Int64
 }
 
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.n.Add(int64(n))
-	return n, err
+func (c *countingConn) Read(p []byte) (n int, err error) {
+	defer func() { c.n.Add(int64(n)) }()
+	return c.Conn.Read(p)
 }
 
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.n.Add(int64(n))
-	return n, err
+func (c *countingConn) Write(p []byte) (n int, err error) {
+	defer func() { c.n.Add(int64(n)) }()
+	return c.Conn.Write(p)
 }
 
 // BenchmarkStreams measures streamed tokens through one session, from the accepting to the dialling side.
--- a/internal/transport/hostile_test.go
+++ b/internal/transport/hostile_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -34,10 +35,8 @@
 func TestBadStreamInput(t *testing.T) {
 	data := &protocol.Data{Payload: []byte("0123456789")}
 	valid := batchOf(t, 1, data)
-	oversized := make([]byte, batchPrefixSize, 2<<20)
-	putPrefix(oversized, protocol.MaxMessageBytes+1)
-	oversized = append(oversized, valid[batchPrefixSize:]...)
-	oversized = append(oversized, make([]byte, protocol.MaxMessageBytes+1+batchPrefixSize-len(oversized))...)
+	oversized := slices.Concat([]byte{batchPrefix, 0, 0x10, 0, 1}, valid[batchPrefixSize:], // 1 MiB and one byte
+		make([]byte, protocol.MaxMessageBytes+1+batchPrefixSize-len(valid)))
 	flood := bytes.Repeat(batchOf(t, 1, &protocol.Inquiry{}), maxInboxMessages+1)
 	big := batchOf(t, 1, &protocol.Data{Payload: make([]byte, 200<<10)}, &protocol.Data{Offset: 200 << 10, Payload: make([]byte, 200<<10)})
 	for name, c := range map[string]struct {
--- a/internal/transport/keeper_test.go
+++ b/internal/transport/keeper_test.go
@@ -128,26 +128,21 @@
 }
 
 // bufferListener hands out one end of in-memory connections.
-type bufferListener struct {
-	conns chan net.Conn
-	done  chan struct{}
-}
+type bufferListener chan net.Conn
 
-func (l *bufferListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
+func (l bufferListener) Accept() (net.Conn, error) {
+	if c, ok := <-l; ok {
 		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
 	}
+	return nil, net.ErrClosed
 }
 
-func (l *bufferListener) Close() error   { close(l.done); return nil }
-func (l *bufferListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+func (l bufferListener) Close() error   { close(l); return nil }
+func (l bufferListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
 
-func (l *bufferListener) dial(context.Context, string, string) (net.Conn, error) {
+func (l bufferListener) dial(context.Context, string, string) (net.Conn, error) {
 	near, far := net.Pipe()
-	l.conns <- far
+	l <- far
 	return near, nil
 }
 
@@ -167,7 +162,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				listener := &bufferListener{conns: make(chan net.Conn, 1), done: make(chan struct{})}
+				listener := make(bufferListener, 1)
 				cfg := Config{FleetKey: testKey, DialContext: listener.dial, AllowPlaintext: true}
 				accepted := make(chan Session, 1)
 				server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/transport/receive.go
@@ -0,0 +1,181 @@
+package transport
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/banyanfront/banyanfront/internal/protocol"
+)
+
+func (s *session) readLoop() {
+	for {
+		b, err := s.conn.read()
+		if err != nil {
+			s.lose(err.Error())
+			return
+		}
+		s.health.received()
+		s.counters.received(*b)
+		if s.State() == StateClosed {
+			putBatch(b) // only the peer's close is still awaited
+			continue
+		}
+		err = s.readBatch(*b)
+		putBatch(b)
+		if err != nil {
+			s.Close(err.Error())
+			return
+		}
+	}
+}
+
+// readBatch handles the frames of one batch. An error ends the session; a bad frame of a known stream ends that only.
+func (s *session) readBatch(batch []byte) error {
+	for len(batch) > 0 {
+		if len(batch) < batchPrefixSize || batch[0] != batchPrefix {
+			return errors.New("peer sent a batch without frame lengths: check the peer's version")
+		}
+		size := uint64(batch[1])<<24 | uint64(batch[2])<<16 | uint64(batch[3])<<8 | uint64(batch[4])
+		batch = batch[batchPrefixSize:]
+		truncated := size > uint64(len(batch))
+		size = min(size, uint64(len(batch)))
+		frame := batch[:size]
+		batch = batch[size:]
+		if truncated || len(frame) > s.cfg.MaxMessage {
+			id, ok := protocol.FrameStream(frame)
+			if !ok || id == 0 {
+				return errors.New("peer sent a truncated or oversized frame outside any stream: check the peer's version")
+			}
+			if truncated {
+				s.failStream(id, StreamMalformed, "peer sent a truncated frame")
+			} else {
+				s.failStream(id, StreamTooLarge, fmt.Sprintf("peer sent a frame of %d bytes, the limit is %d", len(frame), s.cfg.MaxMessage))
+			}
+			continue
+		}
+		id, m, err := protocol.Decode(frame)
+		if err != nil {
+			var unknown *protocol.UnknownTypeError
+			var malformed *protocol.MalformedError
+			switch {
+			case errors.As(err, &unknown):
+			case errors.As(err, &malformed) && malformed.StreamKnown && id != 0:
+				s.failStream(id, StreamMalformed, err.Error())
+			default:
+				return err
+			}
+			continue
+		}
+		if err := s.dispatch(id, m, len(frame)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *session) dispatch(id uint64, m protocol.Message, size int) error {
+	if id == 0 {
+		return s.receiveMessage(m)
+	}
+	if open, ok := m.(*protocol.Open); ok {
+		return s.receiveOpen(id, open)
+	}
+	s.mu.Lock()
+	st := s.streams[id]
+	known := st != nil || s.wasOpened(id)
+	s.mu.Unlock()
+	if st != nil {
+		st.receive(m, size)
+		return nil
+	}
+	// Frames of a stream that ended here may still be under way and are dropped. A stream that never was is cancelled at
+	// the peer, but for messages that need no answer.
+	if !known {
+		switch m.(type) {
+		case *protocol.Cancel, *protocol.End, *protocol.Credit:
+		default:
+			s.sendUrgent(id, &protocol.Cancel{Reason: "stream is unknown to the receiver"})
+		}
+	}
+	return nil
+}
+
+// wasOpened reports whether the stream number has been used by the side that it belongs to. The caller holds s.mu.
+func (s *session) wasOpened(id uint64) bool {
+	if s.ownID(id) {
+		return id < s.nextID
+	}
+	return id <= s.lastPeerID
+}
+
+// ownID reports whether the number is one that this side gives to streams: the dialling side takes the odd ones.
+func (s *session) ownID(id uint64) bool { return (id%2 == 1) == s.dialler }
+
+func (s *session) receiveMessage(m protocol.Message) error {
+	switch m := m.(type) {
+	case *protocol.Ping:
+		s.health.peerHeard(time.Duration(min(max(m.SilenceMS, 0), math.MaxInt32)) * time.Millisecond)
+		s.sendUrgent(0, &protocol.Pong{Sequence: m.Sequence})
+		return nil
+	case *protocol.Pong:
+		return nil
+	case *protocol.GoAway:
+		s.mu.Lock()
+		s.peerLeaves = true
+		s.mu.Unlock()
+	case *protocol.Head, *protocol.Data, *protocol.Credit, *protocol.End, *protocol.Cancel, *protocol.Open:
+		return fmt.Errorf("peer sent a message of type %d outside a stream: check the peer's version", m.Type())
+	}
+	s.handler.MessageReceived(s, m)
+	return nil
+}
+
+func (s *session) receiveOpen(id uint64, open *protocol.Open) error {
+	if s.ownID(id) {
+		return fmt.Errorf("peer opened stream %d, which belongs to this side: check the peer's version", id)
+	}
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil
+	}
+	if id <= s.lastPeerID {
+		s.mu.Unlock()
+		s.failStream(id, StreamOutOfOrder, "peer opened the stream twice or out of order")
+		return nil
+	}
+	s.lastPeerID = id
+	refusal := ""
+	switch {
+	case s.leaving:
+		refusal = "instance is stopping: use another one"
+	case s.peerOpen >= s.cfg.MaxStreams:
+		refusal = fmt.Sprintf("session has %d open streams: use another session or wait for one to end", s.peerOpen)
+	}
+	if refusal != "" {
+		s.mu.Unlock()
+		s.sendUrgent(id, &protocol.End{Outcome: protocol.OutcomeNotRun, Reason: refusal})
+		return nil
+	}
+	st := newStream(s, id, false)
+	st.openSent = true
+	s.streams[id] = st
+	s.peerOpen++
+	s.mu.Unlock()
+	go s.handler.StreamOpened(st, open)
+	return nil
+}
+
+// failStream ends one stream because of what the peer sent, and tells the peer.
+func (s *session) failStream(id uint64, kind StreamErrorKind, detail string) {
+	s.mu.Lock()
+	st := s.streams[id]
+	s.mu.Unlock()
+	if st != nil {
+		st.fail(kind, detail)
+		return
+	}
+	s.sendUrgent(id, &protocol.Cancel{Reason: detail})
+}
--- a/internal/transport/session_test.go
+++ b/internal/transport/session_test.go
@@ -139,26 +139,21 @@
 	s, err := Dial(context.Background(), "ws"+strings.TrimPrefix(server.URL, "http"), cfg, protocol.Hello{Instance: "a"}, &recorder{})
 	is.NoErr(err)
 	other := <-accepted
+	is.Equal(s.(Measured).Stats().OpenStreams, 0)
 	is.Equal(string(s.Peer().Instance), "b")
 	is.Equal(string(other.Peer().Instance), "a")
 	var group sync.WaitGroup
-	errs := make(chan error, 100)
 	for i := range 100 {
 		group.Go(func() {
 			st, err := s.Open(context.Background(), &protocol.Open{Attempt: fmt.Sprint(i)})
-			if err == nil {
-				var n int
-				if n, err = readAll(st); err == io.EOF && n == 50 {
-					err = nil
-				}
+			if err != nil {
+				t.Error(err)
+			} else if n, err := readAll(st); err != io.EOF || n != 50 {
+				t.Errorf("%d messages, then %v", n, err)
 			}
-			errs <- err
 		})
 	}
 	group.Wait()
-	for range 100 {
-		is.NoErr(<-errs)
-	}
 	s.Close("done")
 	<-s.Done()
 	<-other.Done()
--- a/internal/transport/writer.go
+++ b/internal/transport/writer.go
@@ -126,6 +126,7 @@
 				s.lose("writing failed: " + err.Error())
 				return
 			}
+			s.counters.sent(*b)
 			*b = (*b)[:0]
 		}
 		putBatch(b)
