Plan placement for engines that split evenly

Cause: the planner relied on shares that an engine may not follow. Planning with shares is unchanged.

--- a/decide/experts/moves.go
+++ b/decide/experts/moves.go
@@ -46,9 +46,14 @@
 		if w.budget == 0 {
 			return moves, limited || skews[l.index] > w.config.Stop
 		}
-		move, ok := Move{}, false
+		var made []Move
+		ok := false
 		if skews[l.index] > w.config.Stop {
-			move, ok = w.improve(l)
+			if w.config.EvenSplit {
+				made, ok = w.improveEven(l)
+			} else {
+				made, ok = w.improve(l)
+			}
 			limited = limited || !ok
 		}
 		if !ok {
@@ -56,9 +61,11 @@
 			continue
 		}
 		skews[l.index] = planningSkew(l.loads, w.speeds)
-		moves = append(moves, move)
-		w.staged[move.Rank]++
-		w.budget--
+		moves = append(moves, made...)
+		for _, move := range made {
+			w.staged[move.Rank]++
+			w.budget--
+		}
 	}
 	return moves, limited
 }
@@ -72,7 +79,7 @@
 
 // improve makes the move that lowers the layer's largest load: it copies an expert of the most loaded rank to one of the
 // least loaded ranks, in place of the replica there that carries least. It reports false if none of the candidates helps.
-func (w *work) improve(l *layerWork) (Move, bool) {
+func (w *work) improve(l *layerWork) ([]Move, bool) {
 	hot, cold := 0, make([]int, 0, len(l.loads))
 	level := func(r int) float64 { return l.loads[r] / planningSpeed(w.speeds, r) }
 	for r := range l.loads {
@@ -116,12 +123,13 @@
 					break
 				}
 			}
-			if w.try(l, Move{Layer: l.index, Expert: e, Rank: to, Evict: evict}, squares) {
-				return Move{Layer: l.index, Expert: e, Rank: to, Evict: evict}, true
+			move := Move{Layer: l.index, Expert: e, Rank: to, Evict: evict}
+			if w.try(l, move, squares) {
+				return []Move{move}, true
 			}
 		}
 	}
-	return Move{}, false
+	return nil, false
 }
 
 // leastNeeded returns the expert on the rank that has other replicas and carries least there, -1 if there is none.
--- a/decide/experts/planner.go
+++ b/decide/experts/planner.go
@@ -17,6 +17,7 @@
 	Start                  float64 // skew at which moves of a layer begin, default 1.03
 	Stop                   float64 // skew at which they end, default 1.01
 	Smoothing              float64 // weight of the newest loads in the average, default 0.5
+	EvenSplit              bool    // the engines split an expert's tokens evenly over its replicas, whatever the shares
 }
 
 const (
@@ -128,7 +129,12 @@
 	for l, layer := range next.Layers {
 		before := planningSkew(layer.Loads(p.loads[l], p.config.Ranks), speeds)
 		work := &layerWork{index: l, layer: layer, experts: p.loads[l]}
-		work.loads = Balance(layer, p.loads[l], speeds, p.config.Ranks)
+		if p.config.EvenSplit {
+			spread(layer)
+			work.loads = layer.Loads(p.loads[l], p.config.Ranks)
+		} else {
+			work.loads = Balance(layer, p.loads[l], speeds, p.config.Ranks)
+		}
 		skews[l] = planningSkew(work.loads, speeds)
 		shifted = shifted || before > p.config.Start && before > skews[l]+minGain
 		if skews[l] > p.config.Start {
