--- a/decide/consensus/node.go
+++ b/decide/consensus/node.go
@@ -161,7 +161,7 @@
 		n.stepVote(&m)
 	case KindPreVoteReply, KindVoteReply:
 		n.stepVoteReply(&m)
-	case KindAppend, KindHeartbeat, KindSnapshot:
+	case KindAppend, KindHeartbeat, KindCommit, KindSnapshot:
 		n.follow(&m)
 		switch m.Kind {
 		case KindAppend:
@@ -169,6 +169,8 @@
 		case KindHeartbeat:
 			n.commitTo(min(m.Commit, n.log.last()))
 			n.send(Message{Kind: KindHeartbeatReply, To: m.From, Round: m.Round})
+		case KindCommit:
+			n.commitTo(min(m.Commit, n.log.last()))
 		default:
 			n.stepSnapshot(&m)
 		}
--- a/decide/consensus/replication.go
+++ b/decide/consensus/replication.go
@@ -88,11 +88,15 @@
 			return
 		}
 		entries := n.log.after(p.next-1, n.cfg.MaxBatchBytes)
-		if len(entries) == 0 && !p.probing && p.told >= n.log.commit {
+		if len(entries) == 0 && !p.probing {
+			if commit := min(n.log.commit, p.match); p.told < commit {
+				p.told = commit
+				n.sendEarly(Message{Kind: KindCommit, To: id, Commit: commit})
+			}
 			return
 		}
 		n.sendEarly(Message{Kind: KindAppend, To: id, Index: p.next - 1, LogTerm: prevTerm, Commit: n.log.commit, Entries: entries})
-		p.sentAt, p.told = n.now, n.log.commit
+		p.sentAt, p.told = n.now, max(p.told, min(n.log.commit, p.next-1+uint64(len(entries))))
 		if p.probing {
 			p.waiting = true
 		} else if len(entries) > 0 {
--- a/decide/consensus/types.go
+++ b/decide/consensus/types.go
@@ -135,6 +135,7 @@
 	KindRead           Kind = 13
 	KindReadReply      Kind = 14
 	KindTimeoutNow     Kind = 15
+	KindCommit         Kind = 16 // tells a higher commit index, without a reply
 )
 
 // Message is one message between members.
