--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -65,7 +65,7 @@
 		Detail   string             `json:"detail,omitempty"`
 		Note     *agreed.NoteRecord `json:"note,omitempty"`
 		Findings []release.Finding  `json:"findings,omitempty"`
-		Impact   *release.Impact    `json:"impact,omitempty"`
+		Impact   *release.Effects    `json:"impact,omitempty"`
 	}
 	// CentreAnswer is the outcome of taking a data centre out or bringing it back.
 	CentreAnswer struct {
@@ -136,7 +136,7 @@
 }
 
 // judge returns the findings of a note and what it cuts off.
-func (o *operators) judge(note *release.Note, now time.Time) ([]release.Finding, *release.Impact) {
+func (o *operators) judge(note *release.Note, now time.Time) ([]release.Finding, *release.Effects) {
 	findings := release.Validate(note)
 	if release.Refused(findings) {
 		return findings, nil
@@ -146,7 +146,7 @@
 	if release.Refused(findings) {
 		return findings, nil
 	}
-	impact := release.ImpactOf(note, known)
+	impact := release.Impact(note, known)
 	return append(findings, impact.Findings...), &impact
 }
 
--- a/internal/history/world/processes.go
+++ b/internal/history/world/processes.go
@@ -58,7 +58,10 @@
 	}
 	i.node.hello, i.node.handler = core.Hello, core.Loop
 	ctx, cancel := context.WithCancel(context.Background())
-	i.core, i.handler, i.stop, i.done = core, core.Gateway.Handler(), cancel, make(chan struct{})
+	i.stop, i.done = cancel, make(chan struct{})
+	w.mu.Lock()
+	i.core, i.handler = core, core.Gateway.Handler()
+	w.mu.Unlock()
 	w.network.register(i.settings.InnerAddress, i.node)
 	done := i.done
 	go func() {
@@ -86,7 +89,10 @@
 	from := w.now()
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
-	_ = i.core.Drain(ctx)
+	core := i.core
+	_ = core.Drain(ctx)
+	w.refuseCallers(i)
+	time.Sleep(time.Second) // the refusals of the last callers are on their way
 	w.setDown(i)
 	w.network.leave(i.settings.InnerAddress, i.node)
 	i.stop()
--- a/internal/history/world/world.go
+++ b/internal/history/world/world.go
@@ -95,12 +95,16 @@
 func (w *World) handlerOf(i *instance) http.Handler {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if i.core == nil {
-		return nil
-	}
 	return i.handler
 }
 
+// refuseCallers takes an instance's callers' listener away; requests that it has accepted go on.
+func (w *World) refuseCallers(i *instance) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	i.handler = nil
+}
+
 // deathOf returns a channel that is closed when the instance goes down.
 func (w *World) deathOf(i *instance) <-chan struct{} {
 	w.mu.Lock()
@@ -115,7 +119,7 @@
 func (w *World) setDown(i *instance) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	i.core = nil
+	i.core, i.handler = nil, nil
 	if ch := w.deaths[i]; ch != nil {
 		close(ch)
 		delete(w.deaths, i)
