--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -65,7 +65,7 @@
 		Detail   string             `json:"detail,omitempty"`
 		Note     *agreed.NoteRecord `json:"note,omitempty"`
 		Findings []release.Finding  `json:"findings,omitempty"`
-		Impact   *release.Effects    `json:"impact,omitempty"`
+		Impact   *release.Effects   `json:"impact,omitempty"`
 	}
 	// CentreAnswer is the outcome of taking a data centre out or bringing it back.
 	CentreAnswer struct {
--- a/internal/history/world/processes.go
+++ b/internal/history/world/processes.go
@@ -44,8 +44,7 @@
 func (w *World) startInstance(i *instance) error {
 	i.node = &node{name: string(i.settings.Instance), dataCentre: i.settings.DataCentre}
 	surroundings := entry.Surroundings{
-		Connector: func(address string, hello func() protocol.Hello, _ transport.Handler) transport.ConnectFunc {
-			i.node.hello = hello
+		Connector: func(address string, _ func() protocol.Hello, _ transport.Handler) transport.ConnectFunc {
 			return w.network.connect(i.node, address)
 		},
 	}
