Tell refused connections from cut requests in histories

A refused connection was counted as a request that a planned stop had cut; the traces show that such a request was never accepted, and the platform's load balancer sends it elsewhere.

--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -17,9 +17,11 @@
 // Results of a request.
 const (
 	Answered Result = "answered"
-	NotRun   Result = "not_run" // refused with the promise that it did not run
-	Unknown  Result = "unknown" // refused without a promise
-	NoAnswer Result = "no_answer"
+	NotRun   Result = "not_run"   // refused with the promise that it did not run
+	Unknown  Result = "unknown"   // refused without a promise
+	NoAnswer Result = "no_answer" // the connection broke
+	// Unreachable: the connection was not accepted, so the request was not sent.
+	Unreachable Result = "unreachable"
 )
 
 // Request is one request as its caller saw it. Times are since the start of the run.
--- a/internal/history/world/callers.go
+++ b/internal/history/world/callers.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -86,6 +87,9 @@
 
 // result translates what a caller got. check returns what is wrong with an answer, or "".
 func result(status int, answer []byte, err error, check func([]byte) string) (history.Result, bool, string) {
+	if errors.Is(err, errUnreachable) {
+		return history.Unreachable, false, ""
+	}
 	if err != nil {
 		return history.NoAnswer, false, err.Error()
 	}
