Leave local minima when engines split evenly

Cause: an expert with two replicas, each at 1.28 of the mean, needs a third one, which no single exchange can place. Planning for shares is unchanged.

--- a/decide/experts/even.go
+++ b/decide/experts/even.go
@@ -25,6 +25,8 @@
 const (
 	evenHotTries  = 3
 	evenColdTries = 8
+	leapTries     = 4  // ranks to which a leap copies
+	leapExchanges = 12 // exchanges that follow the copy
 )
 
 // improveEven makes the exchange that evens out the layer most: a copy, a transfer or a swap between one of the most and
@@ -56,6 +58,67 @@
 	return nil, false
 }
 
+// leap leaves a state that no single exchange improves: it copies the heaviest expert of the most loaded rank to a cold rank
+// although that rank becomes too full, and lets exchanges follow. For example, an expert whose two replicas each carry 1.28
+// of the mean needs a third one, which fits nowhere until its rank has given up half of its experts. All is undone unless
+// the layer is more even at last.
+func (w *work) leap(l *layerWork) ([]Move, bool) {
+	order := make([]int, len(l.loads))
+	for r := range order {
+		order[r] = r
+	}
+	level := func(r int) float64 { return l.loads[r] / planningSpeed(w.speeds, r) }
+	slices.SortFunc(order, func(a, b int) int { return cmp.Or(cmp.Compare(level(a), level(b)), cmp.Compare(a, b)) })
+	hot := order[len(order)-1]
+	per := func(e int) float64 { return l.experts[e] / float64(len(l.layer[e])) }
+	heaviest := -1
+	for _, e := range l.held[hot] {
+		if heaviest < 0 || per(e) > per(heaviest) {
+			heaviest = e
+		}
+	}
+	if heaviest < 0 {
+		return nil, false
+	}
+	before, budget, staged := w.squares(l.loads), w.budget, w.staged
+	layer, loads, held := l.layer.clone(), l.loads, l.held
+	defer func() { w.budget, w.staged = budget, staged }()
+	for _, to := range order[:min(leapTries, len(order)-1)] {
+		evict := -1
+		if len(l.held[to]) >= w.config.SlotsPerRank {
+			evict = l.leastNeeded(to, func(e, _ int) float64 { return per(e) })
+		}
+		if slices.Contains(l.held[to], heaviest) || staged[to] >= w.config.StagingPerRank ||
+			evict < 0 && len(l.held[to]) >= w.config.SlotsPerRank {
+			continue
+		}
+		w.budget, w.staged = budget, slices.Clone(staged)
+		l.held = make([][]int, len(held))
+		for r := range held {
+			l.held[r] = slices.Clone(held[r])
+		}
+		moves := l.apply(exchange{heaviest, hot, to, evict, false, false})
+		w.spend(moves)
+		for range leapExchanges {
+			more, ok := []Move(nil), false
+			if w.budget != 0 {
+				more, ok = w.improveEven(l)
+			}
+			if !ok {
+				break
+			}
+			moves = append(moves, more...)
+			w.spend(more)
+		}
+		if w.squares(l.loads) < before*(1-minGain/float64(len(loads))) {
+			return moves, true
+		}
+		copy(l.layer, layer.clone())
+		l.loads, l.held = loads, held
+	}
+	return nil, false
+}
+
 // exchanges lists the possible exchanges between two ranks within the limits.
 func (w *work) exchanges(l *layerWork, from, to int) []exchange {
 	if w.staged[to] >= w.config.StagingPerRank {
--- a/decide/experts/moves.go
+++ b/decide/experts/moves.go
@@ -50,7 +50,9 @@
 		ok := false
 		if skews[l.index] > w.config.Stop {
 			if w.config.EvenSplit {
-				made, ok = w.improveEven(l)
+				if made, ok = w.improveEven(l); !ok && skews[l.index] > w.config.Start {
+					made, ok = w.leap(l)
+				}
 			} else {
 				made, ok = w.improve(l)
 			}
@@ -62,14 +64,19 @@
 		}
 		skews[l.index] = planningSkew(l.loads, w.speeds)
 		moves = append(moves, made...)
-		for _, move := range made {
-			w.staged[move.Rank]++
-			w.budget--
-		}
+		w.spend(made)
 	}
 	return moves, limited
 }
 
+// spend counts moves against the limits.
+func (w *work) spend(moves []Move) {
+	for _, move := range moves {
+		w.staged[move.Rank]++
+		w.budget--
+	}
+}
+
 // Limits of the search for one move: the first candidates nearly always contain a good one.
 const (
 	coldTries  = 6
