Refuse requests for targets of other data centres as not run; put latency and bounds of organisations in force

Seen with four separate processes: after kill -9 of the instance that sends the summaries, orders for a service of another data centre were refused as unknown_model for a second. Targets are now remembered for ten minutes. hopCosts, maxConcurrent and queueMax were read and not used.

--- a/internal/command/front.go
+++ b/internal/command/front.go
@@ -24,6 +24,7 @@
 			statusCommand(),
 			experimentCommand(),
 			demoCommand(),
+			standinCommand(),
 		},
 	}
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	// forgetAfter is how long a server without a session is remembered for the account.
+	// forgetAfter is how long a server without a session, or a target of another data centre, is remembered: requests for
+	// it are refused as not run meanwhile, not as unknown.
 	forgetAfter = 10 * time.Minute
 	// summaryInterval is how often other data centres learn what is free here.
 	summaryInterval = time.Second
@@ -49,7 +50,8 @@
 	servers     map[fleet.ServerID]*server
 	peers       map[fleet.InstanceID]*peer
 	agreed      Agreed
-	roster      []string // addresses that agents were told last
+	known       map[target]time.Time // when other data centres last told of a target
+	roster      []string             // addresses that agents were told last
 	nextRoster  time.Time
 	nextSummary time.Time
 	changed     bool
@@ -61,6 +63,7 @@
 		config:  config,
 		servers: make(map[fleet.ServerID]*server),
 		peers:   make(map[fleet.InstanceID]*peer),
+		known:   make(map[target]time.Time),
 	}
 }
 
@@ -169,12 +172,13 @@
 		return
 	}
 	p.summary = p.summary[:0:0]
-	for _, target := range m.Targets {
-		if target.DataCentre != hello.DataCentre || target.Free < 0 || target.Servers < 0 {
+	for _, t := range m.Targets {
+		if t.DataCentre != hello.DataCentre || t.Free < 0 || t.Servers < 0 {
 			metricBadInput.Inc()
 			continue
 		}
-		p.summary = append(p.summary, target)
+		p.summary = append(p.summary, t)
+		s.known[target{t.Kind, t.Name}] = now
 	}
 	p.heard = now
 	s.changed = true
@@ -187,6 +191,11 @@
 			s.changed = true
 		}
 	}
+	for t, told := range s.known {
+		if now.Sub(told) > forgetAfter {
+			delete(s.known, t)
+		}
+	}
 	if addresses := s.localAddresses(); !slices.Equal(addresses, s.roster) || !now.Before(s.nextRoster) {
 		s.roster = addresses
 		s.nextRoster = now.Add(rosterInterval)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -13,8 +13,12 @@
 	Agreed   Agreed
 	sessions map[fleet.ServerID]transport.Session
 	peers    map[fleet.DataCentre][]transport.Session
+	known    map[target]bool
 }
 
+// Known reports whether any data centre has had servers for the target lately.
+func (v *View) Known(t fleet.Target) bool { return v.known[target{t.Kind, t.Name}] }
+
 // Session returns a live session to the server's agent, or nil.
 func (v *View) Session(id fleet.ServerID) transport.Session { return v.sessions[id] }
 
@@ -80,6 +84,7 @@
 		Agreed:   s.agreed,
 		sessions: make(map[fleet.ServerID]transport.Session, len(s.servers)),
 		peers:    make(map[fleet.DataCentre][]transport.Session),
+		known:    make(map[target]bool, len(s.known)),
 	}
 	snapshot := &fleet.Snapshot{
 		Revision:  s.agreed.Revision,
@@ -88,6 +93,9 @@
 		Instances: 1,
 		Servers:   make([]fleet.Server, 0, len(s.servers)),
 	}
+	for t := range s.known {
+		v.known[t] = true
+	}
 	for id, known := range s.servers {
 		if session := best(known.sessions); session != nil {
 			v.sessions[id] = session
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/apex/log"
 	"go.uber.org/dig"
@@ -117,7 +118,18 @@
 			Name: o.Name, Key: o.Key, Weight: o.Weight, MaxConcurrent: o.MaxConcurrent,
 		})
 	}
+	latency := make(map[fleet.DataCentre]time.Duration)
+	for _, hop := range s.HopCosts {
+		cost := time.Duration(hop.Milliseconds * float64(time.Millisecond))
+		switch s.DataCentre {
+		case hop.From:
+			latency[hop.To] = cost
+		case hop.To:
+			latency[hop.From] = cost
+		}
+	}
 	return gateway.New(gateway.Config{
+		Latency:         latency,
 		Instance:        s.Instance,
 		DataCentre:      s.DataCentre,
 		Organisations:   organisations,
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -65,5 +65,5 @@
 
 // All returns all experiments.
 func All() []Experiment {
-	return []Experiment{Routing()}
+	return []Experiment{Routing(), Ramping(), Overload(), Retries(), Rebalancing()}
 }
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -69,24 +69,28 @@
 type dispatcher struct {
 	config   Config
 	views    Views
-	policy   routing.Policy
+	policy   *routing.Balanced
 	affinity *routing.Affinity
 
 	mu     sync.Mutex
 	rng    *rand.Rand
 	queues map[fleet.Target]*targetQueue
 	serial uint64
+	counts map[fleet.Organisation]int // waiting requests
 }
 
 func newDispatcher(config Config, views Views) *dispatcher {
 	affinity := routing.NewAffinity(0, time.Now())
+	policy := routing.New(affinity)
+	policy.SetLatency(config.Latency)
 	return &dispatcher{
 		config:   config,
 		views:    views,
-		policy:   routing.New(affinity),
+		policy:   policy,
 		affinity: affinity,
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		queues:   make(map[fleet.Target]*targetQueue),
+		counts:   make(map[fleet.Organisation]int),
 	}
 }
 
@@ -168,6 +172,11 @@
 		q.queue.SetSlots(localSlots(d.views.View(), target))
 		d.queues[target] = q
 	}
+	if d.counts[w.call.organisation] >= d.config.QueueMax {
+		metricRefused("queue_max").Inc()
+		return nil, problem.New(problem.OverShare, "%d requests of your organisation wait at this entry instance: send fewer at a time",
+			d.config.QueueMax).After(defaultRetryAfter).WithRan(false)
+	}
 	d.serial++
 	w.id = strconv.FormatUint(d.serial, 36)
 	refusal := q.queue.Offer(now, fairness.Item{
@@ -182,6 +191,7 @@
 		return nil, refusalProblem(refusal)
 	}
 	q.waiting[w.id] = w
+	d.counts[w.call.organisation]++
 	return q, nil
 }
 
@@ -218,7 +228,7 @@
 	default:
 		w.gone = true
 		if q.queue.Cancel(time.Now(), w.call.organisation, w.id) {
-			delete(q.waiting, w.id)
+			d.unlist(q, w)
 		}
 	}
 	ran := false
@@ -229,7 +239,7 @@
 func (d *dispatcher) pump(q *targetQueue, view *control.View, now time.Time) {
 	for _, item := range q.queue.Expire(now) {
 		if w := q.waiting[item.ID]; w != nil {
-			delete(q.waiting, item.ID)
+			d.unlist(q, w)
 			w.result <- granted{err: problem.New(problem.NotRun,
 				"no server was free in time for the deadline: raise %s or retry later", HeaderDeadline).
 				After(defaultRetryAfter).WithRan(false)}
@@ -275,7 +285,7 @@
 		d.grant(q, w, place, now)
 		return routing.ReasonChosen
 	}
-	if err := unplaced(w, decision.Reason, now); err != nil {
+	if err := unplaced(w, decision.Reason, view, now); err != nil {
 		metricRefused(decision.Reason.String()).Inc()
 		d.drop(q, w, now)
 		w.result <- granted{err: err}
@@ -308,7 +318,7 @@
 
 // grant hands a placement to a request.
 func (d *dispatcher) grant(q *targetQueue, w *waiter, place placement, now time.Time) {
-	delete(q.waiting, w.id)
+	d.unlist(q, w)
 	counter := place.counter
 	if !place.spilled() {
 		d.affinity.Sent(now, place.server, w.call.prefix)
@@ -332,23 +342,36 @@
 	w.result <- granted{place: place}
 }
 
-func (d *dispatcher) drop(q *targetQueue, w *waiter, now time.Time) {
+// unlist takes a request from the list of waiting ones.
+func (d *dispatcher) unlist(q *targetQueue, w *waiter) {
+	if _, ok := q.waiting[w.id]; !ok {
+		return
+	}
 	delete(q.waiting, w.id)
+	if d.counts[w.call.organisation]--; d.counts[w.call.organisation] == 0 {
+		delete(d.counts, w.call.organisation)
+	}
+}
+
+func (d *dispatcher) drop(q *targetQueue, w *waiter, now time.Time) {
+	d.unlist(q, w)
 	q.queue.Done(now, w.id)
 }
 
 // unplaced returns the refusal of a request for which no server was found, or nil if it may wait.
-func unplaced(w *waiter, reason routing.Reason, now time.Time) error {
-	switch reason {
-	case routing.ReasonUnknown, routing.ReasonVersion, routing.ReasonRole:
+func unplaced(w *waiter, reason routing.Reason, view *control.View, now time.Time) error {
+	switch {
+	case reason == routing.ReasonNoHeadroom:
+		return nil
+	case reason == routing.ReasonUnknown && view.Known(w.call.target):
+		// Only other data centres have it, and none of them can take the request now.
+	case reason == routing.ReasonUnknown, reason == routing.ReasonVersion, reason == routing.ReasonRole:
 		kind := "model"
 		if w.call.target.Kind == fleet.KindService {
 			kind = "service"
 		}
 		return problem.New(problem.UnknownModel, "no backend server has the %s %q (%s): check the name, or announce a server for it",
 			kind, w.call.target.Name, reason).WithRan(false)
-	case routing.ReasonNoHeadroom:
-		return nil
 	}
 	if now.Sub(w.since) < maxUnplaced {
 		return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,8 @@
 	MaxBodyBytes    int64
 	QueueMax        int     // requests of one organisation that wait at a time
 	RetryBudget     float64 // retries and hedges as a share of requests
+	// Latency is the one-way latency to other data centres, where it is known.
+	Latency map[fleet.DataCentre]time.Duration
 }
 
 // Views gives the newest view of the fleet.
@@ -47,13 +49,23 @@
 
 	mu       sync.Mutex
 	open     int
+	openBy   map[fleet.Organisation]int // open calls of organisations that have a bound
+	bounds   map[fleet.Organisation]int
 	draining bool
 	idle     chan struct{} // closed when draining and no call is open
 }
 
 // New returns a gateway. Run must be called for queued requests to be served.
 func New(config Config, views Views, ledger Ledger) *Gateway {
+	bounds := make(map[fleet.Organisation]int)
+	for _, o := range config.Organisations {
+		if o.MaxConcurrent > 0 {
+			bounds[o.Name] = o.MaxConcurrent
+		}
+	}
 	return &Gateway{
+		openBy:        make(map[fleet.Organisation]int),
+		bounds:        bounds,
 		config:        config,
 		views:         views,
 		ledger:        ledger,
@@ -108,11 +120,10 @@
 
 // serve runs one call to its end.
 func (g *Gateway) serve(ctx context.Context, c *call, answer *answerBuffer) error {
-	if !g.begin() {
-		return problem.New(problem.NotRun, "this entry instance is stopping: send the request to another one").
-			After(time.Second).WithRan(false)
+	if err := g.begin(c); err != nil {
+		return err
 	}
-	defer g.end()
+	defer g.end(c)
 	if c.idempotent() {
 		ctx, cancel := context.WithDeadline(ctx, c.deadline)
 		defer cancel()
@@ -124,19 +135,31 @@
 	return g.serveKeyed(ctx, c, answer)
 }
 
-func (g *Gateway) begin() bool {
+// begin counts a call, or refuses it.
+func (g *Gateway) begin(c *call) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.draining {
-		return false
+		return problem.New(problem.NotRun, "this entry instance is stopping: send the request to another one").
+			After(time.Second).WithRan(false)
+	}
+	if bound, ok := g.bounds[c.organisation]; ok {
+		if g.openBy[c.organisation] >= bound {
+			return problem.New(problem.OverShare, "%d requests of your organisation are open at this entry instance, its bound: "+
+				"send fewer at a time", bound).After(defaultRetryAfter).WithRan(false)
+		}
+		g.openBy[c.organisation]++
 	}
 	g.open++
-	return true
+	return nil
 }
 
-func (g *Gateway) end() {
+func (g *Gateway) end(c *call) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if _, ok := g.bounds[c.organisation]; ok {
+		g.openBy[c.organisation]--
+	}
 	g.open--
 	if g.draining && g.open == 0 {
 		close(g.idle)
