--- a/internal/transport/config.go
+++ b/internal/transport/config.go
@@ -56,8 +56,8 @@
 	MaxMessage int
 	// MaxStreams bounds the open streams in each direction. Default 8,192 streams.
 	MaxStreams int
-	// ReceiveBytes bounds the unread bytes of all streams of the session. Above it, the stream with the most unread bytes
-	// is cancelled. Default 64 MiB.
+	// ReceiveBytes bounds the unread bytes of all streams of the session. Above it, of the streams with much
+	// unread the one that has not been read for the longest time is cancelled. Default 64 MiB.
 	ReceiveBytes int
 }
 
--- a/internal/transport/health.go
+++ b/internal/transport/health.go
@@ -90,6 +90,10 @@
 	return d, cause
 }
 
+func silenceReason(silence time.Duration, cause string) string {
+	return fmt.Sprintf("%s for %v", cause, silence.Round(time.Millisecond))
+}
+
 // watch sends pings, moves the session between live and suspect, gives it up, and reports each change to the handler.
 func (s *session) watch() {
 	h := &s.health
@@ -107,7 +111,7 @@
 		}
 		silence, cause := h.silence()
 		if silence >= h.cfg.GiveUpAfter {
-			s.lose(fmt.Sprintf("%s for %v", cause, silence.Round(time.Millisecond)))
+			s.lose(silenceReason(silence, cause))
 			continue
 		}
 		suspect := silence >= h.cfg.SuspectAfter
--- a/internal/transport/session_test.go
+++ b/internal/transport/session_test.go
@@ -201,6 +201,7 @@
 				time.Sleep(DefaultSuspectAfter + 10*time.Millisecond)
 				is.Equal(p.a.State(), StateSuspect)
 				is.Equal(p.b.State(), StateSuspect)
+				is.True(strings.Contains(p.a.(Measured).Stats().Reason, "peer")) // the cause can be shown
 				_, err := p.a.Open(context.Background(), &protocol.Open{})
 				var refused *Refused
 				is.True(errors.As(err, &refused))
--- a/internal/transport/stats.go
+++ b/internal/transport/stats.go
@@ -16,6 +16,7 @@
 	Queued          int           // bytes of messages outside streams that wait to be sent
 	Silence         time.Duration // since the last batch from the peer
 	PeerSilence     time.Duration // that the peer has last reported
+	Reason          string        // why the session is suspect or has ended, empty while it is live
 }
 
 // Measured is implemented by the sessions of this package.
@@ -44,6 +45,11 @@
 func (s *session) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	reason := s.reason
+	if !s.closed && s.health.state() == StateSuspect {
+		silence, cause := s.health.silence()
+		reason = silenceReason(silence, cause)
+	}
 	return Stats{
 		BytesSent:       s.counters.bytesSent.Load(),
 		BytesReceived:   s.counters.bytesReceived.Load(),
@@ -54,5 +60,6 @@
 		Queued:          s.queues.messageBytes,
 		Silence:         time.Duration(s.health.now() - s.health.lastReceived.Load()),
 		PeerSilence:     time.Duration(s.health.peerSilence.Load()),
+		Reason:          reason,
 	}
 }
