--- a/decide/consensus/node.go
+++ b/decide/consensus/node.go
@@ -288,8 +288,9 @@
 	n.afterApply()
 }
 
-// Compact replaces the newest snapshot by one that the caller has put on disk, and drops all but keep entries before it.
-func (n *Node) Compact(s Snapshot, keep uint64) {
+// Compact replaces the newest snapshot by one that the caller has put on disk. Of the entries before it, at most keep
+// with at most keepBytes stay for members that lag behind.
+func (n *Node) Compact(s Snapshot, keep uint64, keepBytes int) {
 	if s.Index <= n.snapshot.Index || s.Index > n.log.applied {
 		return
 	}
@@ -297,9 +298,11 @@
 	for len(n.members) > 1 && n.members[1].index <= s.Index {
 		n.members = n.members[1:]
 	}
-	if s.Index > keep {
-		n.log.compact(s.Index - keep)
+	last := s.Index
+	for ; last > n.log.prevIndex && s.Index-last < keep && keepBytes > 0; last-- {
+		keepBytes -= n.log.entries[last-n.log.prevIndex-1].size()
 	}
+	n.log.compact(last)
 }
 
 // SnapshotAt returns a snapshot of the applied state without its data.
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -128,3 +128,35 @@
 		})
 	}
 }
+
+// largeState is a state machine with a state of the given size.
+type largeState struct {
+	counter
+	size int
+}
+
+func (l *largeState) Snapshot() []byte     { return make([]byte, l.size) }
+func (l *largeState) Restore([]byte) error { return nil }
+
+// BenchmarkSnapshotPause measures the longest proposal while snapshots of a large state are written on a real folder.
+func BenchmarkSnapshotPause(b *testing.B) {
+	for _, mib := range []int{1, 8, 32} {
+		b.Run(fmt.Sprintf("MiB=%d", mib), func(b *testing.B) {
+			dir := must(storage.OS(b.TempDir()))
+			_, replicas := start(b, 1, func(int) storage.FS { return dir },
+				Options{StateMachine: &largeState{size: mib << 20}, SnapshotEntries: 1000})
+			var longest time.Duration
+			n := 0
+			for b.Loop() {
+				from := time.Now()
+				if _, _, err := replicas[0].Propose(within(30*time.Second), strconv.Itoa(n), nil); err != nil {
+					b.Fatal(err)
+				}
+				if n++; n > 1 { // the first waits for the election
+					longest = max(longest, time.Since(from))
+				}
+			}
+			b.ReportMetric(float64(longest.Microseconds())/1000, "longest-ms")
+		})
+	}
+}
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -36,13 +36,17 @@
 	tailFrom uint64          // entries up to here were not applied since the start, so their effect is unknown
 	skipped  map[uint64]bool // entries after tailFrom that took no effect
 
-	onApply func(index uint64)
-	tamper  func(*consensus.Ready) // breaks the implementation on purpose, set by tests only
+	compacting bool // a snapshot is being written
+	// background runs work beside the driver and then, later, done in it. The default runs both at once.
+	background func(work, done func())
+	onApply    func(index uint64)
+	tamper     func(*consensus.Ready) // breaks the implementation on purpose, set by tests only
 }
 
 func newDriver(options Options, now time.Time) (*driver, error) {
 	d := &driver{options: options.withDefaults(), waiting: map[string]*proposal{}, barriers: map[uint64]*barrier{},
-		skipped: map[uint64]bool{}, retryDue: now, onApply: func(uint64) {}}
+		skipped: map[uint64]bool{}, retryDue: now, onApply: func(uint64) {},
+		background: func(work, done func()) { work(); done() }}
 	if _, err := Prepare(options.FS); err != nil {
 		return nil, err
 	}
@@ -165,10 +169,7 @@
 		}
 		d.answer(&r)
 		d.node.Advance(&r)
-		if err := d.compact(); err != nil {
-			d.fail(err)
-			return
-		}
+		d.compact()
 	}
 }
 
@@ -235,19 +236,36 @@
 	d.settle(e.ID, outcome{index: e.Index, result: result})
 }
 
-// compact takes a snapshot when the log has grown enough.
-func (d *driver) compact() error {
+// compact takes a snapshot when the log has grown enough. The file is written in the background: with 32 MiB it held
+// up proposals and heartbeats for 186 ms.
+func (d *driver) compact() {
 	newest := d.node.NewestSnapshot()
-	if d.applied < newest.Index+d.options.SnapshotEntries && d.logBytes < d.options.SnapshotBytes {
-		return nil
+	if d.compacting || (d.applied < newest.Index+d.options.SnapshotEntries && d.logBytes < d.options.SnapshotBytes) {
+		return
 	}
 	s := d.node.SnapshotAt()
-	s.Data = encode(snapshotData{Window: d.window.queue, State: d.options.StateMachine.Snapshot()})
-	if err := d.store.SaveSnapshot(s.Index, encode(s)); err != nil {
+	data := snapshotData{Window: slices.Clone(d.window.queue), State: d.options.StateMachine.Snapshot()}
+	d.compacting, d.logBytes = true, 0
+	var err error
+	d.background(func() {
+		s.Data = encode(data)
+		err = d.store.WriteSnapshot(s.Index, encode(s))
+	}, func() {
+		d.compacting = false
+		if d.failure == nil {
+			if err := d.adopt(s, err); err != nil {
+				d.fail(err)
+			}
+		}
+	})
+}
+
+// adopt lets a snapshot on disk replace the log before it.
+func (d *driver) adopt(s consensus.Snapshot, err error) error {
+	if err := d.store.AdoptSnapshot(s.Index, err); err != nil {
 		return err
 	}
-	d.node.Compact(s, d.options.KeepEntries)
-	d.logBytes = 0
+	d.node.Compact(s, d.options.KeepEntries, d.options.SnapshotBytes)
 	first := d.node.Status().First
 	for index := range d.skipped {
 		if index < first {
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -40,8 +40,8 @@
 	// Defaults: 16,384 entries, 16 MiB.
 	SnapshotEntries uint64
 	SnapshotBytes   int
-	// KeepEntries is how many entries before the newest snapshot are kept for members and daemons that lag behind.
-	// Default: 8,192, about two days of configuration changes.
+	// KeepEntries is how many entries before the newest snapshot are kept for members and daemons that lag behind, as
+	// far as they fit into SnapshotBytes. Default: 8,192, about two days of configuration changes.
 	KeepEntries uint64
 	// Window is how many log entries the result of a proposal is remembered for. Default: 16,384.
 	Window uint64
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -33,6 +33,8 @@
 	stop    chan struct{}
 	done    chan struct{}
 	once    sync.Once
+	ended   chan struct{}  // the loop takes no more calls
+	work    sync.WaitGroup // in the background
 	status  atomic.Pointer[Status]
 	err     error // of stop, read after done
 
@@ -68,12 +70,21 @@
 		return nil, err
 	}
 	r := &Replica{driver: d, inbox: make(chan []byte, maxInboxMessages), calls: make(chan func(time.Time), 1024),
-		stop: make(chan struct{}), done: make(chan struct{}), subscribers: map[int]func(uint64){}}
+		stop: make(chan struct{}), ended: make(chan struct{}), done: make(chan struct{}), subscribers: map[int]func(uint64){}}
 	d.onApply = func(index uint64) {
 		for _, f := range r.subscribers {
 			f(index)
 		}
 	}
+	d.background = func(work, done func()) {
+		r.work.Go(func() {
+			work()
+			select {
+			case r.calls <- func(time.Time) { done() }:
+			case <-r.ended: // the next start finds the result
+			}
+		})
+	}
 	r.publish()
 	go r.loop()
 	return r, nil
@@ -109,6 +120,8 @@
 		r.driver.flush(now)
 		r.publish()
 		if stop == nil && (!now.Before(handOver) || r.driver.failure != nil || r.Status().Role != consensus.Leader) {
+			close(r.ended)
+			r.work.Wait()
 			r.err = r.driver.stop()
 			return
 		}
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -198,6 +198,15 @@
 			s.sabotage(d, r)
 		}
 	}
+	d.background = func(work, done func()) {
+		work()
+		s.after(time.Duration(s.rand.IntN(300))*time.Millisecond, func() {
+			if n.driver == d {
+				done()
+				n.flush()
+			}
+		})
+	}
 	n.driver = d
 	var tick func()
 	tick = func() {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 )
 
 // DefaultSegmentBytes is the size at which a new segment is begun. Compaction frees whole segments.
@@ -232,32 +233,51 @@
 	return nil
 }
 
-// SaveSnapshot writes a snapshot and removes older ones. It is durable on return.
-func (s *Store) SaveSnapshot(index uint64, data []byte) error {
-	if s.broken != nil {
-		return s.broken
-	}
+// WriteSnapshot writes a snapshot file; it is durable on return. It may run beside the other methods. Its result must be
+// passed to AdoptSnapshot.
+func (s *Store) WriteSnapshot(index uint64, data []byte) error {
 	name := snapshotName(index)
 	if len(data) > MaxSnapshotBytes {
 		return &Error{Kind: TooLarge, File: s.fs.Path(name), Offset: -1,
 			Detail: fmt.Sprintf("the snapshot has %d bytes, at most %d are allowed", len(data), MaxSnapshotBytes)}
 	}
-	if err := writeFile(s.fs, name, encodeBlob(magicSnapshot, index, data)); err != nil {
-		return s.breakDown(name, -1, err)
+	return writeFile(s.fs, name, encodeBlob(magicSnapshot, index, data))
+}
+
+// AdoptSnapshot takes note of a written snapshot and removes all but the newest. err is the result of WriteSnapshot: a
+// failed write makes the store read-only.
+func (s *Store) AdoptSnapshot(index uint64, err error) error {
+	switch {
+	case s.broken != nil:
+		return s.broken
+	case KindOf(err) == TooLarge:
+		return err
+	case err != nil:
+		return s.breakDown(snapshotName(index), -1, err)
 	}
+	s.snapshots = append(s.snapshots, index)
+	newest := slices.Max(s.snapshots)
 	for _, old := range s.snapshots {
-		if old >= index {
+		if old == newest {
 			continue
 		}
 		if err := s.fs.Remove(snapshotName(old)); err != nil {
 			return s.breakDown(snapshotName(old), -1, err)
 		}
 	}
-	s.snapshots = []uint64{index}
+	s.snapshots = []uint64{newest}
 	s.lastIndex = max(s.lastIndex, index)
 	return nil
 }
 
+// SaveSnapshot writes and adopts a snapshot.
+func (s *Store) SaveSnapshot(index uint64, data []byte) error {
+	if s.broken != nil {
+		return s.broken
+	}
+	return s.AdoptSnapshot(index, s.WriteSnapshot(index, data))
+}
+
 // writeFile writes a file under a temporary name, syncs it, renames it and syncs the folder.
 func writeFile(fsys FS, name string, data []byte) error {
 	file, err := fsys.Create(temporaryName + name)
