--- a/internal/replica/crash_test.go
+++ b/internal/replica/crash_test.go
@@ -1,9 +1,11 @@
 package replica
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/banyanfront/banyanfront/decide/consensus"
 	"github.com/banyanfront/banyanfront/internal/storage/faultfs"
 )
 
@@ -33,3 +35,47 @@
 		t.Error("the scenario has too few crash points")
 	}
 }
+
+// Guards against a vote that a crash makes a member forget, after which it could vote twice in a term.
+func TestVoteSurvivesCrash(t *testing.T) {
+	s := newSim(1, 3, nil)
+	n := s.nodes[0]
+	vote := func(candidate int) {
+		m := consensus.Message{Kind: consensus.KindVote, From: s.nodes[candidate].id, To: n.id, Term: 9, Index: 1, LogTerm: 1, Force: true}
+		if err := n.driver.receive(s.clock(), encode(m)); err != nil {
+			t.Fatal(err)
+		}
+		n.flush()
+	}
+	vote(1)
+	n.driver = nil
+	n.fs.Restart()
+	n.start()
+	vote(2)
+	if status := n.driver.node.Status(); status.Term != 9 || status.Vote != s.nodes[1].id {
+		t.Errorf("after the crash the vote of term %d is for %x", status.Term, status.Vote)
+	}
+}
+
+// Guards against a copy of a proposal that enters the log after the window has forgotten the first one, and takes
+// effect a second time.
+func TestLateCopyTakesNoEffect(t *testing.T) {
+	s := newSim(1, 1, nil)
+	n := s.nodes[0]
+	s.until(3*time.Second, never)
+	put := func(id string, expires uint64) {
+		n.driver.node.Propose(s.clock(), []consensus.Entry{{ID: id, Data: []byte{0}, Expires: expires}})
+		n.flush()
+	}
+	window := n.driver.options.Window
+	put("first", n.driver.applied+window)
+	expires := n.driver.applied + window - 1
+	for i := range window + 5 {
+		put(fmt.Sprint(i), 0)
+	}
+	before := n.machine.counts[0]
+	put("first", expires)
+	if n.machine.counts[0] != before {
+		t.Error("the late copy took effect")
+	}
+}
