--- a/decide/consensus/members.go
+++ b/decide/consensus/members.go
@@ -11,6 +11,7 @@
 	Add     *Member `cbor:"1,keyasint,omitempty"` // enters as a learner, whatever Learner says
 	Promote ID      `cbor:"2,keyasint,omitempty"`
 	Remove  ID      `cbor:"3,keyasint,omitempty"`
+	Move    *Member `cbor:"4,keyasint,omitempty"` // gives the member with this ID a new address
 }
 
 // catchUpEntries is how far a learner may be behind the commit index when it becomes a voter. New entries keep
@@ -50,6 +51,12 @@
 		next.List = slices.DeleteFunc(next.List, func(x Member) bool { return x.ID == c.Remove })
 		next.Removed = append(next.Removed, c.Remove)
 		next.Removed = next.Removed[max(0, len(next.Removed)-maxRemoved):]
+	case c.Move != nil:
+		member := next.Find(c.Move.ID)
+		if member == nil {
+			return m, fmt.Errorf("member %x is not in the group", c.Move.ID)
+		}
+		member.Address = c.Move.Address
 	default:
 		return m, fmt.Errorf("empty change of the configuration")
 	}
--- a/decide/consensus/node.go
+++ b/decide/consensus/node.go
@@ -153,7 +153,7 @@
 // Step takes a message from another member. Messages for another identifier are dropped.
 func (n *Node) Step(now time.Time, m Message) {
 	n.now = now
-	if m.To != n.cfg.ID || m.From == n.cfg.ID || !n.checkTerm(&m) {
+	if m.To != n.cfg.ID || m.From == n.cfg.ID || !wellFormed(&m) || !n.checkTerm(&m) {
 		return
 	}
 	switch m.Kind {
@@ -194,6 +194,19 @@
 	}
 }
 
+// wellFormed rejects an Append whose entries do not follow one another.
+func wellFormed(m *Message) bool {
+	if m.Kind != KindAppend {
+		return true
+	}
+	for i := range m.Entries {
+		if e := &m.Entries[i]; e.Index != m.Index+1+uint64(i) || e.Term > m.Term {
+			return false
+		}
+	}
+	return true
+}
+
 // checkTerm compares the message's term with the own one and reports whether the message is to be handled.
 func (n *Node) checkTerm(m *Message) bool {
 	switch {
--- a/decide/consensus/node_test.go
+++ b/decide/consensus/node_test.go
@@ -126,6 +126,9 @@
 	is.Equal(len(propose(Change{Remove: 3})), 0)
 	from(2, n, KindAppendReply, Message{Index: n.log.last()})
 	is.Equal(len(propose(Change{Add: &Member{ID: 3}})), 1)
+	is.Equal(len(propose(Change{Move: &Member{ID: 2, Address: "new"}})), 0)
+	is.Equal(n.Members().Find(2).Address, "new")
+	is.True(n.Members().IsVoter(2))
 }
 
 // Guards against a configuration that stays in force after its entry was replaced by another leader's.
@@ -155,3 +158,38 @@
 	from(3, n, KindSnapshot, Message{Term: 3, Chunk: &Chunk{Index: 99, Term: 3, Total: DefaultMaxSnapshotBytes + 1}})
 	is.True(n.incoming == nil)
 }
+
+// Guards against a panic or a damaged log on messages that no correct member sends.
+func TestStrayMessages(t *testing.T) {
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		few := func() uint64 { return r.Uint64N(12) }
+		n := member(t, 3, 4)
+		for range 300 {
+			m := Message{Kind: Kind(r.IntN(18)), From: ID(r.IntN(6)), To: 1, Term: n.hard.Term + r.Uint64N(5)/4, Index: few(),
+				LogTerm: few(), Commit: few(), Hint: few(), Round: few(), Reject: r.IntN(2) == 0, Force: r.IntN(2) == 0}
+			if term, ok := n.log.term(m.Index); ok {
+				m.LogTerm = term // often a match
+			}
+			for i := range r.IntN(3) {
+				m.Entries = append(m.Entries, Entry{Index: m.Index + uint64(i+r.IntN(6)/5) + 1, Term: m.Term + r.Uint64N(6)/5, Kind: EntryKind(r.IntN(4))})
+			}
+			if r.IntN(2) == 0 {
+				m.Chunk = &Chunk{Index: few(), Term: few(), Total: r.IntN(4) - 1, Offset: r.IntN(4) - 1, Data: make([]byte, r.IntN(3)),
+					Members: n.MembersAt(1)}
+			}
+			commit := n.Status().Commit
+			n.Step(n.now.Add(time.Duration(r.IntN(400))*time.Millisecond), m)
+			n.Tick(n.now)
+			work(n)
+			if n.Status().Commit < commit {
+				t.Fatalf("seed %d: the commit index fell from %d to %d", seed, commit, n.Status().Commit)
+			}
+			for i, e := range n.log.entries {
+				if e.Index != n.log.prevIndex+uint64(i)+1 {
+					t.Fatalf("seed %d: gap before entry %d", seed, e.Index)
+				}
+			}
+		}
+	}
+}
