--- a/decide/consensus/node.go
+++ b/decide/consensus/node.go
@@ -153,7 +153,7 @@
 // Step takes a message from another member. Messages for another identifier are dropped.
 func (n *Node) Step(now time.Time, m Message) {
 	n.now = now
-	if m.To != n.cfg.ID || m.From == n.cfg.ID || !n.checkTerm(&m) {
+	if m.To != n.cfg.ID || m.From == n.cfg.ID || !wellFormed(&m) || !n.checkTerm(&m) {
 		return
 	}
 	switch m.Kind {
@@ -194,6 +194,19 @@
 	}
 }
 
+// wellFormed rejects an Append whose entries do not follow one another.
+func wellFormed(m *Message) bool {
+	if m.Kind != KindAppend {
+		return true
+	}
+	for i := range m.Entries {
+		if e := &m.Entries[i]; e.Index != m.Index+1+uint64(i) || e.Term > m.Term {
+			return false
+		}
+	}
+	return true
+}
+
 // checkTerm compares the message's term with the own one and reports whether the message is to be handled.
 func (n *Node) checkTerm(m *Message) bool {
 	switch {
@@ -288,8 +301,9 @@
 	n.afterApply()
 }
 
-// Compact replaces the newest snapshot by one that the caller has put on disk, and drops all but keep entries before it.
-func (n *Node) Compact(s Snapshot, keep uint64) {
+// Compact replaces the newest snapshot by one that the caller has put on disk. Of the entries before it, at most keep
+// with at most keepBytes stay for members that lag behind.
+func (n *Node) Compact(s Snapshot, keep uint64, keepBytes int) {
 	if s.Index <= n.snapshot.Index || s.Index > n.log.applied {
 		return
 	}
@@ -297,9 +311,11 @@
 	for len(n.members) > 1 && n.members[1].index <= s.Index {
 		n.members = n.members[1:]
 	}
-	if s.Index > keep {
-		n.log.compact(s.Index - keep)
+	last := s.Index
+	for ; last > n.log.prevIndex && s.Index-last < keep && keepBytes > 0; last-- {
+		keepBytes -= n.log.entries[last-n.log.prevIndex-1].size()
 	}
+	n.log.compact(last)
 }
 
 // SnapshotAt returns a snapshot of the applied state without its data.
