Serve only by a confirmed state, resume only real streams, and say whether an out is in the log

The control instance now asks the group first, the gateway checks the head of a resumed answer, the agent says that the answer was not sent, and taking a data centre out says whether the log holds it.

--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -58,6 +58,13 @@
 	end := run.run()
 	a.finished(&ticket, run.serverOutcome(end.Outcome))
 	a.attempts.finish(record, end.Outcome, run.answer, time.Now())
+	if run.lost && end.Outcome == protocol.OutcomeDone {
+		// A part of the answer was not sent, so the stream must not end as if it were whole.
+		if keyed {
+			return protocol.End{Outcome: protocol.OutcomeRunning, Reason: "the answer could not be sent: inquire about it"}
+		}
+		return protocol.End{Outcome: protocol.OutcomeFailed, Reason: "the answer could not be sent"}
+	}
 	return end
 }
 
--- a/internal/agreement/centres.go
+++ b/internal/agreement/centres.go
@@ -15,16 +15,28 @@
 // logOutTimeout bounds one try to enter an out into the log; gossip repeats it.
 const logOutTimeout = 900 * time.Millisecond
 
-// TakeOut takes a data centre out at once, here and wherever the word reaches, and enters it into the log as soon as the
-// group can be reached. It returns the record in force.
-func (s *Service) TakeOut(name fleet.DataCentre, author, reason string, at time.Time) agreed.CentreRecord {
+// TakeOut takes a data centre out at once, here and wherever the word reaches, and enters it into the log. It returns
+// the record in force, and whether the log holds it. If the group cannot be reached before the context ends, the record
+// stays in force on the instances that heard of it, which repeat it to each other and try to enter it until it is in the
+// log: it is lost only if all of them stop before.
+func (s *Service) TakeOut(ctx context.Context, name fleet.DataCentre, author, reason string, at time.Time) (agreed.CentreRecord, bool) {
 	s.mu.Lock()
 	record := agreed.NextOut(agreed.Merge(s.view.Centres, s.heard), name, author, reason, at.Unix())
 	s.heard = agreed.Merge(s.heard, []agreed.CentreRecord{record})
 	s.publish()
 	s.mu.Unlock()
 	s.tellCentres()
-	return record
+	return record, s.logOut(ctx, record)
+}
+
+// logOut enters a record into the log. It reports whether the log holds it, or one that goes before it.
+func (s *Service) logOut(ctx context.Context, record agreed.CentreRecord) bool {
+	result, err := s.Propose(ctx, rand.Text(), &agreed.TakeOut{Record: record})
+	if err != nil {
+		log.WithError(err).WithField("dataCentre", record.Name).Warn("out is in force here but not in the log yet")
+		return false
+	}
+	return result.Accepted()
 }
 
 // BringIn brings a data centre back. Only the group can.
@@ -67,9 +79,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, logOutTimeout)
 			defer cancel()
-			if _, err := s.Propose(ctx, rand.Text(), &agreed.TakeOut{Record: record}); err != nil {
-				log.WithError(err).WithField("dataCentre", record.Name).Warn("out is in force here but not in the log yet")
-			}
+			s.logOut(ctx, record)
 		}()
 	}
 }
--- a/internal/agreement/follow.go
+++ b/internal/agreement/follow.go
@@ -65,6 +65,9 @@
 		return
 	}
 	s.install(view, change)
+	if view.Revision >= m.Index {
+		s.setConfirmed() // only an instance that is confirmed itself answers
+	}
 }
 
 // advance returns the view after an update.
--- a/internal/agreement/service.go
+++ b/internal/agreement/service.go
@@ -57,12 +57,16 @@
 	member   *member // nil on instances without a data folder
 	waiting  proposals
 
-	mu        sync.Mutex
-	view      *agreed.View
-	recent    []*agreed.Change // newest changes of the view, oldest first
-	heard     []agreed.CentreRecord
-	watchers  map[transport.Session]time.Time // who asked for changes, and when last
-	confirmed bool                            // the view came from the group since the start
+	mu       sync.Mutex
+	view     *agreed.View
+	recent   []*agreed.Change // newest changes of the view, oldest first
+	heard    []agreed.CentreRecord
+	watchers map[transport.Session]time.Time // who asked for changes, and when last
+	// confirmed is set once the view was at least as new as anything that the group had accepted by then. A log on disk does
+	// not show what was accepted while the instance was down.
+	confirmed bool
+	// needed is the revision that must be in force before the instance serves.
+	needed uint64
 }
 
 // New returns a service that has not heard of the group yet. folder is nil on instances without a disk.
@@ -151,13 +155,15 @@
 	if !s.confirmed {
 		return "the agreed state has not been received yet: check the sessions to the voters"
 	}
+	if s.loop.View().Revision < s.needed {
+		return "the agreed state is being put in force"
+	}
 	return ""
 }
 
 // install puts a newer view in force and passes its last change on.
 func (s *Service) install(view *agreed.View, change *agreed.Change) {
 	s.mu.Lock()
-	s.confirmed = true
 	if view.Revision < s.view.Revision {
 		s.mu.Unlock()
 		return
@@ -193,12 +199,19 @@
 			log.WithError(err).Debug("the agreement group does not answer yet")
 			return
 		}
-		s.mu.Lock()
-		s.confirmed = true
-		s.mu.Unlock()
+		s.setConfirmed()
 	}()
 }
 
+// setConfirmed notes that the view held here is as new as the group's.
+func (s *Service) setConfirmed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.confirmed {
+		s.confirmed, s.needed = true, s.view.Revision
+	}
+}
+
 // OrderScope names the fencing scope of orders to the backend servers of a data centre.
 func OrderScope(dataCentre fleet.DataCentre) string { return "orders/" + string(dataCentre) }
 
--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -170,6 +170,9 @@
 					return fmt.Errorf("not accepted: %s", answer.Detail)
 				}
 				fmt.Printf("%s: %s, term %d\n", args[0], name, answer.Record.Term)
+				if answer.Detail != "" {
+					fmt.Println(answer.Detail)
+				}
 				return nil
 			},
 		}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -18,6 +19,9 @@
 	"github.com/banyanfront/banyanfront/internal/settings"
 )
 
+// logOutTimeout bounds the wait for the log when a data centre is taken out; it is in force here at once.
+const logOutTimeout = 2 * time.Second
+
 // operators serves the command line and monitoring. It listens on loopback by default.
 type operators struct {
 	core *Core
@@ -70,6 +74,7 @@
 	// CentreAnswer is the outcome of taking a data centre out or bringing it back.
 	CentreAnswer struct {
 		Accepted bool                 `json:"accepted"`
+		Logged   bool                 `json:"logged"` // the log holds it, so that it survives the loss of this instance
 		Detail   string               `json:"detail,omitempty"`
 		Record   *agreed.CentreRecord `json:"record,omitempty"`
 	}
@@ -213,8 +218,15 @@
 		problem.Write(w, problem.New(problem.BadRequest, "data centre %q is not known: check the name", name))
 		return
 	}
-	record := o.core.Agreement.TakeOut(name, body.Author, body.Reason, time.Now())
-	writeJSON(w, CentreAnswer{Accepted: true, Record: &record})
+	ctx, cancel := context.WithTimeout(r.Context(), logOutTimeout)
+	defer cancel()
+	record, logged := o.core.Agreement.TakeOut(ctx, name, body.Author, body.Reason, time.Now())
+	answer := CentreAnswer{Accepted: true, Logged: logged, Record: &record}
+	if !logged {
+		answer.Detail = "out is in force on the instances in reach of this one, but the agreement group does not answer: " +
+			"they enter it into the log when it does; send the command at the other sides of the partition too"
+	}
+	writeJSON(w, answer)
 }
 
 // knows reports whether a data centre is named by a note or has instances or a record.
@@ -245,5 +257,5 @@
 			After(time.Second))
 		return
 	}
-	writeJSON(w, CentreAnswer{Accepted: result.Accepted(), Detail: result.Detail, Record: result.Centre})
+	writeJSON(w, CentreAnswer{Accepted: result.Accepted(), Logged: result.Accepted(), Detail: result.Detail, Record: result.Centre})
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,7 +57,7 @@
 		switch message := m.(type) {
 		case *protocol.Head:
 			status = message.Status
-			answer.head(message)
+			err = answer.head(message)
 		case *protocol.Data:
 			err = answer.add(message)
 		case *protocol.End:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -196,6 +196,7 @@
 
 var (
 	errGap        = errors.New("a part of the answer is missing")
+	errNotResumed = errors.New("the server did not go on with the stream")
 	errCallerGone = errors.New("the caller is gone")
 )
 
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -64,15 +64,20 @@
 	sent    int // bytes that were passed on
 }
 
-// head notes the head of an attempt's answer; a later attempt's head replaces it until the caller has seen one.
-func (b *answerBuffer) head(h *protocol.Head) {
+// head notes the head of an attempt's answer; a later attempt's head replaces it until the caller has seen one. After
+// that, only an attempt that goes on with the same stream can be used.
+func (b *answerBuffer) head(h *protocol.Head) error {
 	if b.started {
-		return
+		if h.Status != http.StatusOK || isEventStream(h.Headers) != b.stream {
+			return errNotResumed
+		}
+		return nil
 	}
 	b.status, b.headers = h.Status, h.Headers
 	b.stream = b.asked && h.Status == http.StatusOK && isEventStream(h.Headers)
 	b.held = b.held[:0]
 	b.offset = 0
+	return nil
 }
 
 func isEventStream(headers []protocol.Header) bool {
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -33,6 +33,7 @@
 	Ended    time.Duration
 	Result   Result
 	Complete bool // the answer is the whole answer to this request
+	Crashed  bool // the instance crashed before it answered
 	Detail   string
 }
 
@@ -42,6 +43,7 @@
 	Server     fleet.ServerID
 	DataCentre fleet.DataCentre
 	Begun      time.Duration
+	Ended      time.Duration
 	Cut        bool // the connection ended while it ran
 }
 
@@ -107,6 +109,7 @@
 	Accepts  []Accept
 	InForce  []InForce
 	Steps    []Step
+	Faults   []string // what was done to the fleet, with times, for the reader
 	End      time.Duration
 }
 
--- a/internal/history/world/faults.go
+++ b/internal/history/world/faults.go
@@ -33,6 +33,7 @@
 		w.network.silence(string(x.settings.Instance), string(y.id))
 		z := w.instances[w.rng.IntN(len(w.instances))]
 		w.network.silence(string(x.settings.Instance), string(z.settings.Instance))
+		w.noteFault("silent between %s and %s, %s", x.settings.Instance, y.id, z.settings.Instance)
 		return nil, nil
 	}},
 	{"crash an entry instance", func(w *World) (func() error, error) {
@@ -40,6 +41,7 @@
 		if i.core == nil {
 			return nil, nil
 		}
+		w.noteFault("crash of %s", i.settings.Instance)
 		w.crash(i)
 		return func() error { return w.startInstance(i) }, nil
 	}},
@@ -48,6 +50,7 @@
 		if i.core == nil {
 			return nil, nil
 		}
+		w.noteFault("stop of %s", i.settings.Instance)
 		w.stopInstance(i)
 		return func() error { return w.startInstance(i) }, nil
 	}},
@@ -84,6 +87,7 @@
 	var undos []func() error
 	for range count {
 		f := faults[w.rng.IntN(len(faults))]
+		w.noteFault(f.name)
 		undo, err := f.do(w)
 		if err != nil {
 			return fmt.Errorf("%s: %w", f.name, err)
@@ -95,6 +99,7 @@
 			time.Sleep(time.Duration(w.rng.Int64N(int64(2 * faultPause))))
 		}
 		for len(undos) > w.rng.IntN(3) {
+			w.noteFault("end of a fault")
 			if err := undos[0](); err != nil {
 				return fmt.Errorf("end of fault: %w", err)
 			}
@@ -109,9 +114,16 @@
 	return nil
 }
 
+func (w *World) noteFault(format string, args ...any) {
+	w.recorder.Record(func(h *history.History) {
+		h.Faults = append(h.Faults, fmt.Sprintf("%v "+format, append([]any{w.now()}, args...)...))
+	})
+}
+
 // partition cuts a data centre off from the others, in both directions or in one.
 func (w *World) partition(both bool) (func() error, error) {
 	cut := dataCentres[w.rng.IntN(len(dataCentres))]
+	w.noteFault("partition of %s", cut)
 	for _, other := range dataCentres {
 		if other == cut {
 			continue
@@ -163,8 +175,13 @@
 		return nil, nil
 	}
 	name := dataCentres[w.rng.IntN(len(dataCentres))]
-	i.core.Agreement.TakeOut(name, "operator", "fault", time.Now())
-	w.noteCentre(history.Centre{DataCentre: name, Out: true, Accepted: w.now(), Reached: w.reachable()})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, logged := i.core.Agreement.TakeOut(ctx, name, "operator", "fault", time.Now())
+	w.noteFault("%s out at %s, in the log: %v", name, i.settings.Instance, logged)
+	if logged {
+		w.noteCentre(history.Centre{DataCentre: name, Out: true, Accepted: w.now(), Reached: w.reachable()})
+	}
 	return func() error {
 		for range 20 {
 			if w.bringIn(name) {
--- a/internal/history/world/world.go
+++ b/internal/history/world/world.go
@@ -216,7 +216,8 @@
 			continue
 		}
 		run := history.Run{
-			Request: e.Key, Server: s.id, DataCentre: s.dataCentre, Begun: e.Begun.Sub(w.start), Cut: e.End == standin.EndCut,
+			Request: e.Key, Server: s.id, DataCentre: s.dataCentre, Begun: e.Begun.Sub(w.start), Ended: e.Ended.Sub(w.start),
+			Cut: e.End == standin.EndCut,
 		}
 		switch {
 		case strings.HasPrefix(e.Path, "/prices"):
