Let a subscription be cancelled twice

The second call blocked the member's goroutine for good: it waited for a key that the first had taken. The tail test cancels twice now and hung before.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -271,9 +271,9 @@
 	}) != nil {
 		return func() {}
 	}
-	return func() {
+	return sync.OnceFunc(func() {
 		_ = r.call(context.Background(), func(time.Time) { delete(r.subscribers, <-key) })
-	}
+	})
 }
 
 // EntriesAfter returns accepted entries after index for a follower that is not a member, oldest first and at most a few
--- a/internal/replica/shell_test.go
+++ b/internal/replica/shell_test.go
@@ -144,6 +144,7 @@
 			}
 		}
 		cancel()
+		cancel() // a second call must not block the member
 		follow(leader)
 		is.Equal(copied.n, uint64(100))
 		is.Equal(at, leader.Status().Applied)
