Hedge late idempotent requests and resume stalled streams

Cause: a request held by an engine that stalls without an error waited for its deadline. Change: when the first part of an answer is late (95th percentile of its class, or 1.1 s while too few were seen), a second attempt goes to another server under the shared budget; the first to answer wins and the other is cancelled. A stream without progress for 1 s is resumed elsewhere if the budget allows it, and waited for otherwise.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,9 +14,12 @@
 	"github.com/banyanfront/banyanfront/internal/transport"
 )
 
-// progressTimeout is how long a streamed answer may make no progress before the attempt counts as lost. The target is
-// 32 ms between tokens.
-const progressTimeout = 5 * time.Second
+// stallTimeout is how long a streamed answer may make no progress before it is resumed elsewhere, if the retry budget
+// allows it. The target is 32 ms between tokens, so 30 of them are late by then.
+const stallTimeout = time.Second
+
+// errStalled says that a stream has made no progress for stallTimeout.
+var errStalled = errors.New("the stream makes no progress")
 
 // ending is how an attempt ended.
 type ending struct {
@@ -24,6 +27,7 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
+	paid       bool  // the retry budget was charged for what follows
 	err        error // ends the call at once: the caller is gone, its deadline passed, or another instance refused it
 }
 
@@ -49,8 +53,16 @@
 	}
 	defer st.Close("the entry instance has left the attempt")
 	status := 0
+	begun := time.Now()
+	observed := false
 	for {
 		m, err := receive(ctx, st, answer.started)
+		if errors.Is(err, errStalled) {
+			if c.idempotent() && answer.stream && g.resumable(c.target) && g.retries.allow() {
+				return ending{end: retry.EndSessionLost, reason: err.Error(), paid: true}
+			}
+			continue
+		}
 		if err != nil {
 			return g.receiveFailed(ctx, c, err)
 		}
@@ -59,6 +71,10 @@
 			status = message.Status
 			err = answer.head(message)
 		case *protocol.Data:
+			if !observed {
+				observed = true
+				g.retries.lateness.observe(c, time.Since(begun))
+			}
 			err = answer.add(message)
 		case *protocol.End:
 			if message.Load != nil {
@@ -66,7 +82,7 @@
 			}
 			return endingOf(message, status)
 		}
-		if errors.Is(err, errCallerGone) {
+		if errors.Is(err, errCallerGone) || errors.Is(err, errOvertaken) {
 			return ending{end: retry.EndSessionLost, err: err}
 		}
 		if err != nil {
@@ -90,14 +106,18 @@
 	return errors.As(err, &lost) && lost.NotRun()
 }
 
-// receive returns the next message. Once the caller has seen a part of a stream, the next must come in time.
+// receive returns the next message, or errStalled if the caller has seen a part of the answer and the next is late.
 func receive(ctx context.Context, st transport.Stream, started bool) (protocol.Message, error) {
 	if !started {
 		return st.Receive(ctx)
 	}
-	limited, cancel := context.WithTimeout(ctx, progressTimeout)
+	limited, cancel := context.WithTimeout(ctx, stallTimeout)
 	defer cancel()
-	return st.Receive(limited)
+	m, err := st.Receive(limited)
+	if err != nil && ctx.Err() == nil && limited.Err() != nil {
+		return nil, errStalled
+	}
+	return m, err
 }
 
 // receiveFailed classifies an attempt whose end did not arrive.
--- a/internal/gateway/idempotent.go
+++ b/internal/gateway/idempotent.go
@@ -24,15 +24,26 @@
 	budget  *retry.Budget
 	backoff retry.Backoff
 	rng     *rand.Rand
+
+	lateness lateness
 }
 
 func newRetries(config Config) *retries {
 	return &retries{
 		budget: retry.NewBudget(retry.BudgetConfig{Share: config.RetryBudget}),
 		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+
+		lateness: lateness{byClass: make(map[latenessClass]*retry.Latency)},
 	}
 }
 
+// allowHedge takes the allowance of one hedge.
+func (r *retries) allowHedge() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Hedge(time.Now())
+}
+
 func (r *retries) allow() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -75,9 +86,10 @@
 		if err != nil {
 			return p.refusal(err)
 		}
-		p.last = g.attempt(ctx, c, place, newAttemptID(), answer)
-		place.release()
-		p.note(place)
+		for _, f := range g.raced(ctx, c, place, &p, answer) {
+			p.last = f.ending
+			p.note(f.place)
+		}
 		if p.last.err != nil {
 			return p.last.err
 		}
@@ -115,7 +127,7 @@
 		MayResend:  p.placements < maxPlacements && ctx.Err() == nil,
 	}
 	if situation.MayResend && end != retry.EndNotRun && end != retry.EndDone {
-		situation.MayResend = p.begun < maxAttempts && g.retries.allow()
+		situation.MayResend = p.begun < maxAttempts && (p.last.paid || g.retries.allow())
 	}
 	switch step := retry.Classify(situation); step {
 	case retry.StepAnswer:
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -61,7 +61,8 @@
 	started bool   // the caller has seen the head
 	offset  uint64 // tokens or bytes that were passed on
 	tokens  uint64
-	sent    int // bytes that were passed on
+	sent    int   // bytes that were passed on
+	race    *race // with other attempts of the call, nil if there are none
 }
 
 // head notes the head of an attempt's answer; a later attempt's head replaces it until the caller has seen one. After
@@ -122,6 +123,9 @@
 	if b.started {
 		return nil
 	}
+	if b.race != nil && !b.race.claim(b) {
+		return errOvertaken
+	}
 	b.started = true
 	return callerError(b.sink.head(b.status, b.headers))
 }
--- a/internal/history/world/world.go
+++ b/internal/history/world/world.go
@@ -35,6 +35,7 @@
 	instances []*instance
 	servers   []*server
 	recorder  history.Recorder
+	onStart   func() // called when the fleet serves, before the first fault
 
 	mu     sync.Mutex
 	deaths map[*instance]chan struct{}
@@ -153,6 +154,9 @@
 	}
 	samplers.Go(func() { w.sample(ctx) })
 	time.Sleep(startTime / 2)
+	if w.onStart != nil {
+		w.onStart()
+	}
 	err := w.script(faults)
 	time.Sleep(settleTime)
 	cancel()
