Measure service while a data centre leaves and returns

Cause: random runs check the guarantees but do not say how callers fare in the cases that weigh most for one of the users.

--- a/internal/history/world/world.go
+++ b/internal/history/world/world.go
@@ -128,6 +128,14 @@
 
 // Run runs the fleet under load with the given number of random faults, and returns the history.
 func (w *World) Run(faults int) (*history.History, error) {
+	load := func(ctx context.Context, home, n int, rng *rand.Rand) {
+		w.caller(ctx, home, fmt.Sprintf("c%d-%d", home, n), rng)
+	}
+	return w.run(load, settleTime, func() error { return w.script(faults) })
+}
+
+// run runs the fleet while the script runs and for the given time after it. load is one of the callers of an instance.
+func (w *World) run(load func(ctx context.Context, home, n int, rng *rand.Rand), after time.Duration, script func() error) (*history.History, error) {
 	for _, s := range w.servers {
 		s.startServer()
 	}
@@ -148,13 +156,13 @@
 	for home := range w.instances {
 		for n := range callersPerInstance {
 			rng := rand.New(rand.NewPCG(w.rng.Uint64(), 0))
-			callers.Go(func() { w.caller(ctx, home, fmt.Sprintf("c%d-%d", home, n), rng) })
+			callers.Go(func() { load(ctx, home, n, rng) })
 		}
 	}
 	samplers.Go(func() { w.sample(ctx) })
 	time.Sleep(startTime / 2)
-	err := w.script(faults)
-	time.Sleep(settleTime)
+	err := script()
+	time.Sleep(after)
 	cancel()
 	callers.Wait()
 	samplers.Wait()
