Don't refuse a spilled order as not run after its session was lost

Cause: an order that had been passed to another data centre was treated as not run when the session to the entry instance there was lost. If no other attempt was possible, the caller got not_run, but the instance that held the order went on and ran it. A caller who then used a new key got the order twice.

Conclusion: the promise is withdrawn for the whole call once a session to another data centre was lost. Repeating with the same key was and is safe.

--- a/internal/gateway/idempotent.go
+++ b/internal/gateway/idempotent.go
@@ -65,6 +65,7 @@
 	exclude    []fleet.ServerID
 	avoid      []fleet.DataCentre
 	last       ending
+	passedOn   bool // a keyed call went to another data centre over a session that was lost
 }
 
 // serveIdempotent sends attempts until one answers, within the retry budget.
--- a/internal/gateway/keyed.go
+++ b/internal/gateway/keyed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/apex/log"
@@ -23,6 +24,11 @@
 // majority, and a second attempt only after the first is proved not run.
 func (g *Gateway) serveKeyed(ctx context.Context, c *call, answer *answerBuffer) error {
 	var p progress
+	return p.keyedRefusal(g.tryKeyed(ctx, c, &p, answer))
+}
+
+// tryKeyed makes attempts until one settles the call.
+func (g *Gateway) tryKeyed(ctx context.Context, c *call, p *progress, answer *answerBuffer) error {
 	replaces := ""
 	for p.placements < maxPlacements {
 		place, err := g.dispatcher.acquire(ctx, c, p.exclude, p.avoid)
@@ -31,9 +37,9 @@
 		}
 		var notRunAttempt string
 		if place.spilled() {
-			notRunAttempt, err = g.spillKeyed(ctx, c, place, &p, answer)
+			notRunAttempt, err = g.spillKeyed(ctx, c, place, p, answer)
 		} else {
-			notRunAttempt, err = g.runKeyed(ctx, c, place, replaces, &p, answer)
+			notRunAttempt, err = g.runKeyed(ctx, c, place, replaces, p, answer)
 		}
 		place.release()
 		p.note(place)
@@ -43,7 +49,7 @@
 		if notRunAttempt != spilledNotRun {
 			replaces = notRunAttempt
 		}
-		g.forgetTried(c, &p)
+		g.forgetTried(c, p)
 		if !g.retries.pause(ctx, p.placements, 0) {
 			ran := false
 			return deadlineError(c, &ran)
@@ -53,7 +59,18 @@
 		After(max(p.last.retryAfter, defaultRetryAfter)).WithRan(false)
 }
 
-// spilledNotRun stands for an attempt that another entry instance claimed and proved not run.
+// keyedRefusal withdraws the promise of a refusal that the call did not run, if the session was lost over which the call
+// was passed to another data centre. The entry instance there goes on until the deadline and may still run it.
+func (p *progress) keyedRefusal(err error) error {
+	var refusal *problem.Error
+	if !p.passedOn || !errors.As(err, &refusal) || refusal.Kind == problem.BadRequest || refusal.Ran == nil || *refusal.Ran {
+		return err
+	}
+	return problem.New(problem.OutcomeUnknown, "the request was passed to another data centre, and the session to it was lost: "+
+		"send it again with the same key, and look up its result before you use another key").After(max(refusal.RetryAfter, defaultRetryAfter))
+}
+
+// spilledNotRun stands for an attempt that another entry instance proved not run, or whose session was lost.
 const spilledNotRun = "spilled"
 
 // runKeyed claims the key for an attempt at the placement and runs it. If the attempt of the key is proved not run, it
@@ -158,7 +175,10 @@
 		return "", p.last.err
 	case p.last.end == retry.EndDone:
 		return "", answer.flush()
-	case p.last.end == retry.EndNotRun, p.last.end == retry.EndSessionLost:
+	case p.last.end == retry.EndNotRun:
+		return spilledNotRun, nil
+	case p.last.end == retry.EndSessionLost:
+		p.passedOn = true
 		return spilledNotRun, nil
 	default:
 		return "", unknownProblem(p.last.reason)
