Keep the promise of a refusal that comes from another data centre

Cause: over_share and unknown_model from the entry instance that a request was spilled to reached the caller without "ran": false, although the instance had said that the request did not run. docs/design.md promises not run with over_share.

Conclusion: the promise crosses the data centres. It is withdrawn if an earlier attempt of the same idempotent call had begun.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,7 +130,11 @@
 		e.end = retry.EndUnknown
 	}
 	if m.Kind != "" && m.Kind != string(problem.NotRun) {
-		e.err = &problem.Error{Kind: problem.Kind(m.Kind), Detail: m.Reason, RetryAfter: e.retryAfter}
+		p := &problem.Error{Kind: problem.Kind(m.Kind), Detail: m.Reason, RetryAfter: e.retryAfter}
+		if e.end == retry.EndNotRun {
+			p = p.WithRan(false)
+		}
+		e.err = p
 	}
 	return e
 }
--- a/internal/gateway/idempotent.go
+++ b/internal/gateway/idempotent.go
@@ -79,6 +79,9 @@
 		p.last = g.attempt(ctx, c, place, newAttemptID(), answer)
 		place.release()
 		p.note(place)
+		if p.last.err != nil && p.last.end == retry.EndNotRun {
+			return p.refusal(p.last.err)
+		}
 		if p.last.err != nil {
 			return p.last.err
 		}
