Refuse calls until the agreed state is in force

Cause: an entry instance that had just started took calls before it had received the agreed state. It did not know which data centres were out or which servers were withdrawn, and sent work there until the state came. /readyz said ready meanwhile.

Conclusion: a restart no longer brings a data centre back. An instance that starts without any confirmed instance in reach refuses all calls.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -111,7 +111,7 @@
 	}, surroundings.Folder, pool, loop)
 }
 
-func newGateway(s *settings.Front, loop *control.Loop, ledger *agreement.Ledger) *gateway.Gateway {
+func newGateway(s *settings.Front, loop *control.Loop, a *agreement.Service, ledger *agreement.Ledger) *gateway.Gateway {
 	organisations := make([]gateway.Organisation, 0, len(s.Organisations))
 	for _, o := range s.Organisations {
 		organisations = append(organisations, gateway.Organisation{
@@ -137,6 +137,7 @@
 		MaxBodyBytes:    int64(s.MaxBodyBytes),
 		QueueMax:        s.QueueMax,
 		RetryBudget:     s.RetryBudget,
+		NotReady:        a.NotReady,
 	}, loop, ledger)
 }
 
@@ -188,10 +189,13 @@
 
 // NotReady returns why the instance takes no calls, or "".
 func (c *Core) NotReady() string {
+	if reason := c.Agreement.NotReady(); reason != "" {
+		return reason
+	}
 	if !c.Gateway.Ready() {
 		return "the instance is stopping"
 	}
-	return c.Agreement.NotReady()
+	return ""
 }
 
 // LiveServers returns the number of backend servers that take new work here.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -29,6 +30,9 @@
 	RetryBudget     float64 // retries and hedges as a share of requests
 	// Latency is the one-way latency to other data centres, where it is known.
 	Latency map[fleet.DataCentre]time.Duration
+	// NotReady returns why the instance must not serve yet, or "". It is not asked again after it has returned "". A nil
+	// NotReady stands for an instance that may serve at once.
+	NotReady func() string
 }
 
 // Views gives the newest view of the fleet.
@@ -53,6 +57,8 @@
 	bounds   map[fleet.Organisation]int
 	draining bool
 	idle     chan struct{} // closed when draining and no call is open
+
+	confirmed atomic.Bool // NotReady has returned ""
 }
 
 // New returns a gateway. Run must be called for queued requests to be served.
@@ -135,8 +141,24 @@
 	return g.serveKeyed(ctx, c, answer)
 }
 
+// starting returns why the instance must not serve yet, or "".
+func (g *Gateway) starting() string {
+	if g.config.NotReady == nil || g.confirmed.Load() {
+		return ""
+	}
+	reason := g.config.NotReady()
+	if reason == "" {
+		g.confirmed.Store(true)
+	}
+	return reason
+}
+
 // begin counts a call, or refuses it.
 func (g *Gateway) begin(c *call) error {
+	if reason := g.starting(); reason != "" {
+		return problem.New(problem.NotRun, "this entry instance has just started (%s): send the request to another one", reason).
+			After(defaultRetryAfter).WithRan(false)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.draining {
@@ -189,6 +211,9 @@
 
 // Ready reports whether new calls are accepted.
 func (g *Gateway) Ready() bool {
+	if g.starting() != "" {
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return !g.draining
