--- a/internal/gateway/idempotent.go
+++ b/internal/gateway/idempotent.go
@@ -76,6 +76,7 @@
 	exclude    []fleet.ServerID
 	avoid      []fleet.DataCentre
 	last       ending
+	passedOn   bool // a keyed call went to another data centre over a session that was lost
 }
 
 // serveIdempotent sends attempts until one answers, within the retry budget.
@@ -90,6 +91,9 @@
 			p.last = f.ending
 			p.note(f.place)
 		}
+		if p.last.err != nil && p.last.end == retry.EndNotRun {
+			return p.refusal(p.last.err)
+		}
 		if p.last.err != nil {
 			return p.last.err
 		}
