Measure the slopes of capacity

docs/design.md states what a daemon may cost at the target size, and no run showed it. The package measures each role at several sizes with the real packages, fits a line and prints it at the target.

--- /dev/null
+++ b/internal/capacity/bench_test.go
@@ -0,0 +1,341 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/banyanfront/banyanfront/decide/agreed"
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/decide/routing"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+)
+
+var tableSizes = []int{12, 100, 300, 1000, 4200}
+
+// sweep runs a benchmark at several sizes and reports the fit of each metric in a last one. measure returns the metrics
+// of one size.
+func sweep(b *testing.B, what string, sizes []int, target int, measure func(b *testing.B, n int) map[string]float64) {
+	log.SetLevel(log.FatalLevel)
+	points := make(map[string][]float64)
+	var xs []float64
+	for _, n := range sizes {
+		var metrics map[string]float64
+		if !b.Run(fmt.Sprintf("%s=%d", what, n), func(b *testing.B) {
+			metrics = measure(b, n)
+			for unit, value := range metrics {
+				b.ReportMetric(value, unit)
+			}
+		}) || metrics == nil {
+			return
+		}
+		xs = append(xs, float64(n))
+		for unit, value := range metrics {
+			points[unit] = append(points[unit], value)
+		}
+	}
+	if len(xs) < 2 {
+		return
+	}
+	for unit, values := range points {
+		f := FitLine(xs, values)
+		fmt.Printf("fit of %s %s: intercept %.4g, slope %.4g, residual %.3g, at %d: %.5g\n", b.Name(), unit, f.Intercept, f.Slope, f.Residual, target, f.At(float64(target)))
+	}
+}
+
+func must[T any](b *testing.B) func(T, error) T {
+	return func(value T, err error) T {
+		if err != nil {
+			b.Helper()
+			b.Fatal(err)
+		}
+		return value
+	}
+}
+
+// BenchmarkSnapshot measures one view of the control loop and what the table and one view hold.
+func BenchmarkSnapshot(b *testing.B) {
+	sweep(b, "servers", tableSizes, LocalEngines, func(b *testing.B, n int) map[string]float64 {
+		before := Heap()
+		t := NewTable(n)
+		defer t.Close()
+		held := float64(Heap() - before)
+		kept := t.View()
+		t.Rebuild()
+		both := float64(Heap() - before)
+		runtime.KeepAlive(kept)
+		for b.Loop() {
+			t.Rebuild()
+		}
+		return map[string]float64{"us/view": float64(b.Elapsed().Microseconds()) / float64(b.N), "heap-B": held, "view-B": both - held}
+	})
+}
+
+// BenchmarkLoadReport measures encoding, decoding and applying one load report.
+func BenchmarkLoadReport(b *testing.B) {
+	t := NewTable(LocalEngines)
+	defer t.Close()
+	payload := Frame(&protocol.Load{Load: Load(1, 40_000)})
+	i := 0
+	for b.Loop() {
+		i++
+		load := Load(i%LocalEngines, uint64(i+1))
+		data := must[[]byte](b)(protocol.Encode(0, &protocol.Load{Load: load}))
+		_, m, err := protocol.Decode(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		t.MessageReceived(t.agents[i%LocalEngines], m)
+	}
+	t.Publish()
+	b.ReportMetric(float64(payload), "payload-B")
+	b.ReportMetric(float64(Wire(payload, true)), "wire-B")
+}
+
+// BenchmarkRoster measures the size of a roster and what one agreed change costs in rosters to 300 agents.
+func BenchmarkRoster(b *testing.B) {
+	sweep(b, "members", []int{3, 10, 24, 100}, LocalInstances, func(b *testing.B, n int) map[string]float64 {
+		t := NewTable(LocalEngines)
+		defer t.Close()
+		for i := range n - 1 {
+			t.Peer(i+1, dataCentre)
+		}
+		time.Sleep(time.Second) // a tick tells all agents the new addresses
+		t.Publish()
+		before := t.Rosters()
+		changes := 0
+		for b.Loop() {
+			t.Publish()
+			changes++
+		}
+		payload := Frame(Roster(n))
+		perChange := t.Rosters().Sum(before.Each(-1)).Each(1 / float64(changes))
+		return map[string]float64{"payload-B": float64(payload), "wire-B": float64(Wire(payload, false)),
+			"rosters/change": perChange.Messages, "wire-B/change": perChange.Wire}
+	})
+}
+
+// BenchmarkHeartbeats measures the heartbeats of idle sessions at the accepting side, and the processor time of both
+// sides together.
+func BenchmarkHeartbeats(b *testing.B) {
+	sweep(b, "sessions", []int{3, 10, 30, 100, 300}, LocalEngines, func(b *testing.B, n int) map[string]float64 {
+		if n > 100 && testing.Short() {
+			return nil
+		}
+		before := Heap()
+		stackBefore := stack()
+		s, err := OpenSessions(n)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer s.Close()
+		heap, stacks := float64(Heap()-before), float64(stack()-stackBefore)
+		processor := OwnProcessor()
+		const during = 5 * time.Second
+		in, out := s.Heartbeats(during)
+		core := (OwnProcessor() - processor).Seconds() / (during + time.Second).Seconds()
+		return map[string]float64{"messages/s": in.Messages + out.Messages, "payload-B/s": in.Payload + out.Payload,
+			"wire-B/s": in.Wire + out.Wire, "core-%": 100 * core, "heap-B": heap / 2, "stack-B": stacks / 2}
+	})
+}
+
+func stack() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.StackInuse
+}
+
+// BenchmarkStreamMemory measures open, idle streams, on both sides together.
+func BenchmarkStreamMemory(b *testing.B) {
+	sweep(b, "streams", []int{100, 1000, 3000}, 1870, func(b *testing.B, n int) map[string]float64 {
+		s, err := OpenSessions(1)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer s.Close()
+		before, stackBefore := Heap(), stack()
+		for i := range n {
+			if _, err := s.Near[0].Open(context.Background(), &protocol.Open{Attempt: fmt.Sprint(i)}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+		return map[string]float64{"heap-B": float64(Heap() - before), "stack-B": float64(stack() - stackBefore)}
+	})
+}
+
+// BenchmarkMembership measures what one member sends, in virtual time.
+func BenchmarkMembership(b *testing.B) {
+	sweep(b, "members", []int{3, 10, 24, 30, 100, 300}, LocalInstances, func(b *testing.B, n int) map[string]float64 {
+		m := must[*Members](b)(NewMembers(n, 1))
+		sent := must[Traffic](b)(m.Sent(time.Minute))
+		return map[string]float64{"messages/s": sent.Messages, "payload-B/s": sent.Payload, "wire-B/s": sent.Wire}
+	})
+}
+
+// BenchmarkAgreedView measures the transfer of a whole view.
+func BenchmarkAgreedView(b *testing.B) {
+	sweep(b, "servers", tableSizes, Engines, func(b *testing.B, n int) map[string]float64 {
+		view := View(n)
+		var data []byte
+		for b.Loop() {
+			data = must[[]byte](b)(protocol.EncodeView(view))
+			must[*agreed.View](b)(protocol.DecodeView(data))
+		}
+		return map[string]float64{"payload-B": float64(len(data)), "us/transfer": float64(b.Elapsed().Microseconds()) / float64(b.N)}
+	})
+}
+
+// BenchmarkChange measures applying one change to a view of n servers.
+func BenchmarkChange(b *testing.B) {
+	sweep(b, "servers", tableSizes, Engines, func(b *testing.B, n int) map[string]float64 {
+		view, change := View(n), Change()
+		for b.Loop() {
+			must[*agreed.View](b)(view.Apply(change))
+		}
+		data := must[[]byte](b)(protocol.EncodeChange(change))
+		return map[string]float64{"payload-B": float64(len(data)), "us/change": float64(b.Elapsed().Nanoseconds()) / 1000 / float64(b.N)}
+	})
+}
+
+// BenchmarkFollowers measures what the source of n followers sends and receives in a second.
+func BenchmarkFollowers(b *testing.B) {
+	sweep(b, "followers", []int{0, 3, 10, 23, 100, 330}, LocalInstances-1, func(b *testing.B, n int) map[string]float64 {
+		_, source, err := FollowerParts(n)
+		if err != nil {
+			b.Fatal(err)
+		}
+		all := source.In.Sum(source.Out)
+		return map[string]float64{"messages/s": all.Messages, "payload-B/s": all.Payload, "wire-B/s": all.Wire}
+	})
+}
+
+// BenchmarkClaims measures claims of 64 callers on folders of this machine, all voters in one process.
+func BenchmarkClaims(b *testing.B) {
+	for _, voters := range []int{3, 5} {
+		b.Run(fmt.Sprintf("voters=%d", voters), func(b *testing.B) {
+			log.SetLevel(log.FatalLevel)
+			g := must[*Group](b)(NewGroup(b.TempDir(), voters))
+			defer g.Close()
+			processor, claims := OwnProcessor(), 20_000
+			cost := must[Claimed](b)(g.Propose(claims, 64))
+			processor = OwnProcessor() - processor
+			b.ReportMetric(cost.PerSecond, "claims/s")
+			b.ReportMetric(cost.Syncs, "syncs/claim")
+			b.ReportMetric(cost.DiskBytes, "disk-B/claim")
+			b.ReportMetric(cost.Sent.Payload, "payload-B/claim")
+			b.ReportMetric(cost.Sent.Messages, "messages/claim")
+			b.ReportMetric(float64(processor.Microseconds())/float64(claims), "cpu-us/claim")
+			idle := g.Idle(3 * time.Second)
+			b.ReportMetric(idle.Messages, "idle-messages/s")
+			b.ReportMetric(idle.Wire, "idle-wire-B/s")
+		})
+	}
+}
+
+// BenchmarkKeyRecords measures the memory and the encoded size of key records.
+func BenchmarkKeyRecords(b *testing.B) {
+	sweep(b, "keys", []int{30_000, 100_000, 300_000}, 1_000_000, func(b *testing.B, n int) map[string]float64 {
+		before := Heap()
+		s := agreed.New(agreed.Limits{})
+		for i := range n {
+			s.Apply(s.Index()+1, Claim(i))
+		}
+		held := float64(Heap() - before)
+		data := must[[]byte](b)(protocol.EncodeSnapshot(s.Export()))
+		return map[string]float64{"heap-B": held, "snapshot-B": float64(len(data))}
+	})
+}
+
+// BenchmarkPick measures one routing decision over n candidates with a full affinity table.
+func BenchmarkPick(b *testing.B) {
+	sweep(b, "candidates", tableSizes, LocalEngines, func(b *testing.B, n int) map[string]float64 {
+		now := time.Unix(1_780_000_000, 0)
+		s := &fleet.Snapshot{Local: dataCentre, Instances: LocalInstances}
+		for i := range n {
+			a := Announcement(i)
+			a.Models[0].Name = ModelName(0)
+			load := Load(i, 1)
+			load.Running = i % 32
+			s.Servers = append(s.Servers, fleet.Server{Announcement: a, Load: load, Weight: 1})
+		}
+		s.Build()
+		affinity := routing.NewAffinity(0, now)
+		affinity.Sync(s, now)
+		rng := rand.New(rand.NewPCG(1, 2))
+		requests := make([]routing.Request, 256)
+		for i := range requests {
+			prefix := make([]uint64, routing.MaxPrefixBlocks)
+			for j := range prefix {
+				prefix[j] = rng.Uint64()
+			}
+			requests[i] = routing.Request{Target: fleet.Target{Name: ModelName(0)}, Priority: fleet.PriorityNormal, Prefix: prefix, Now: now}
+			affinity.Sent(now, s.Servers[i%n].Server, prefix)
+		}
+		policy := routing.New(affinity)
+		i := 0
+		for b.Loop() {
+			i++
+			policy.Pick(s, &requests[i%len(requests)], rng)
+		}
+		return map[string]float64{"us/pick": float64(b.Elapsed().Nanoseconds()) / 1000 / float64(b.N)}
+	})
+}
+
+// BenchmarkAffinityTable measures the memory of the affinity table after a Sync with n servers.
+func BenchmarkAffinityTable(b *testing.B) {
+	sweep(b, "servers", tableSizes, LocalEngines, func(b *testing.B, n int) map[string]float64 {
+		now := time.Unix(1_780_000_000, 0)
+		s := &fleet.Snapshot{}
+		for i := range n {
+			s.Servers = append(s.Servers, fleet.Server{Announcement: Announcement(i)})
+		}
+		s.Build()
+		before := Heap()
+		affinity := routing.NewAffinity(0, now)
+		affinity.Sync(s, now)
+		held := float64(Heap() - before)
+		runtime.KeepAlive(affinity)
+		return map[string]float64{"heap-B": held}
+	})
+}
+
+// BenchmarkAgentProcess measures the real binary beside a stand-in engine, with sessions to n entry instances.
+func BenchmarkAgentProcess(b *testing.B) {
+	binary := must[string](b)(BuildAgent(b.TempDir()))
+	sweep(b, "instances", []int{1, 3, 10, 24}, LocalInstances, func(b *testing.B, n int) map[string]float64 {
+		p := must[*AgentProcess](b)(StartAgent(binary, b.TempDir(), n))
+		defer p.Close()
+		const during = 8 * time.Second
+		before := must[time.Duration](b)(p.Processor())
+		time.Sleep(during)
+		used := must[time.Duration](b)(p.Processor()) - before
+		return map[string]float64{"RSS-MB": float64(must[int](b)(p.Resident())) / (1 << 20), "core-%": 100 * used.Seconds() / during.Seconds()}
+	})
+}
+
+// BenchmarkDaemonTraffic adds up the control traffic of an entry instance at the target, both directions together.
+func BenchmarkDaemonTraffic(b *testing.B) {
+	parts := must[[]Part](b)(DaemonParts(reportsPerSec))
+	usual := Total(parts...)
+	_, source, err := FollowerParts(LocalInstances - 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	all := append(parts, source, SummaryPart())
+	all = append(all, HeartbeatParts()...)
+	for _, p := range all {
+		sum := Total(p)
+		fmt.Printf("%-26s %6.1f messages/s %8.0f payload B/s %8.0f wire B/s\n", p.Name, sum.Messages, sum.Payload, sum.Wire)
+	}
+	b.ReportMetric(usual.Wire, "usual-B/s")
+	b.ReportMetric(usual.Wire+Total(source).Wire, "source-B/s")
+	b.ReportMetric(usual.Wire+Total(SummaryPart()).Wire, "representative-B/s")
+	b.ReportMetric(usual.Wire+Total(HeartbeatParts()...).Wire, "usual-with-heartbeats-B/s")
+	b.ReportMetric(0, "ns/op")
+}
