State what each role costs at the target size

Sessions put 5 bytes before each message, which the earlier figures left out; a test compares the overhead with a real session.

Memory of a control instance with a full key table is not certain.

--- a/internal/capacity/daemon.go
+++ b/internal/capacity/daemon.go
@@ -12,29 +12,23 @@
 	In, Out Traffic
 }
 
-// sizes of the messages that a follower of the agreed state and its source exchange.
-func followerTraffic() (request, answer, change Traffic, err error) {
-	request.Add(1, Frame(&protocol.State{Request: true, Index: 1_000_000}), true)
-	answer.Add(1, Frame(&protocol.State{From: 1_000_000, Index: 1_000_000}), false)
-	encoded, err := protocol.EncodeChange(Change())
-	change.Add(1, Frame(&protocol.State{From: 1_000_000, Index: 1_000_001, Entries: [][]byte{encoded}}), false)
-	return request, answer, change, err
-}
-
-// followInterval is how often a follower asks its source, agreement.tickInterval.
+// followsPerSec is how often a follower asks its source: agreement.tickInterval.
 const followsPerSec = 2
 
 // changesPerSec is the rate of configuration changes at the target.
 const changesPerSec = float64(ChangesPerDay) / secondsPerDay
 
-// FollowerParts returns the traffic of a daemon that follows another one, and of the one that the others of its data
-// centre follow.
-func FollowerParts(followers int) (follower, source Part, err error) {
-	request, answer, change, err := followerTraffic()
-	follower = Part{"agreed state", answer.Each(followsPerSec).Sum(change.Each(changesPerSec)), request.Each(followsPerSec)}
-	n := float64(followers)
-	source = Part{"agreed state to followers", follower.Out.Each(n), follower.In.Each(n)}
-	return follower, source, err
+// SourcePart returns the traffic of an instance with the followers.
+func SourcePart(followers int) (Part, error) {
+	s, err := NewSource(followers, Engines)
+	if err != nil {
+		return Part{}, err
+	}
+	defer s.Close()
+	answers := s.Poll()
+	change, err := s.Change()
+	return Part{"agreed state to followers", requested(followers).Each(followsPerSec),
+		answers.Each(followsPerSec).Sum(change.Each(changesPerSec))}, err
 }
 
 // Rates of the messages that a daemon of the target size exchanges for control, as the packages send them.
@@ -75,7 +69,8 @@
 	if err != nil {
 		return nil, err
 	}
-	follower, _, err := FollowerParts(0)
+	one, err := SourcePart(1)
+	follower := Part{"agreed state", one.Out, one.In}
 	return []Part{load, rosters, {"membership", gossip, gossip}, follower}, err
 }
 
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -101,10 +101,10 @@
 	return &agreed.ClaimKey{Claim: c, At: 1_780_000_000 + int64(i/RequestsPerSec)}
 }
 
-// quietSession is a session whose peer is never heard of again. It counts the rosters and summaries that are sent.
+// quietSession is a session whose peer is never heard of again. It counts the rosters and agreed states that are sent.
 type quietSession struct {
-	hello              protocol.Hello
-	rosters, summaries Traffic
+	hello           protocol.Hello
+	rosters, states Traffic
 }
 
 var _ transport.Session = (*quietSession)(nil)
@@ -123,8 +123,8 @@
 	switch m.Type() {
 	case protocol.TypeRoster:
 		s.rosters.Add(1, Frame(m), false)
-	case protocol.TypeSummary:
-		s.summaries.Add(1, Frame(m), false)
+	case protocol.TypeState:
+		s.states.Add(1, Frame(m), false)
 	}
 	return nil
 }
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -10,7 +10,9 @@
 const (
 	TCPIPBytes = 20 + 20 + 12 // IPv4, TCP, TCP timestamps
 	TLSBytes   = 5 + 1 + 16   // TLS 1.3 record header, content type and authentication tag
-	maskBytes  = 4            // the dialling side masks its WebSocket frames
+	// PrefixBytes precedes each frame in a batch of a session (package transport).
+	PrefixBytes = 5
+	maskBytes   = 4 // the dialling side masks its WebSocket frames
 	// segmentBytes is the payload of one TCP segment on Ethernet.
 	segmentBytes = 1448
 )
@@ -33,7 +35,8 @@
 // Wire returns the bytes on the wire of one message that is written by itself. masked tells that the dialling side
 // sends it.
 func Wire(payload int, masked bool) int {
-	n := payload + webSocketBytes(payload, masked) + TLSBytes
+	batch := PrefixBytes + payload
+	n := batch + webSocketBytes(batch, masked) + TLSBytes
 	return n + (n+segmentBytes-1)/segmentBytes*TCPIPBytes
 }
 
@@ -79,7 +82,8 @@
 	return counted(stats.BytesReceived, stats.BatchesReceived, masked)
 }
 
-// counted holds for batches of at most 125 bytes, as heartbeats and load reports are.
+// counted takes a session's counts, whose bytes include the prefixes. It holds for batches of at most 125 bytes, as those
+// of heartbeats and load reports are.
 func counted(bytes, batches uint64, masked bool) Traffic {
 	overhead := webSocketBytes(0, masked) + TLSBytes + TCPIPBytes
 	return Traffic{float64(batches), float64(bytes), float64(bytes) + float64(batches)*float64(overhead)}
