Write the account: decisions of the entry instance with their reasons

Cause: internal/account existed and nothing wrote to it, so operators could not see after a night which servers were excluded, which notes were accepted and which requests were refused.

The control loop records servers that are lost, leaving, withdrawn or back; the agreement records notes, data centres, voters taken in and disk failures; the gateway tells an observer how calls end. Refused requests, requests with unknown outcome and refused claims become one entry for each minute, organisation and reason. Entries pass through a bounded queue, so that a slow disk holds up no decision. GET /v1/account and 'banyanfront account' show the page.

A change batch from a peer was passed on with its last change only, so that followers fetched the whole view; all changes are passed on now, since the account needs each note. A proposal in a group of one voter whose disk had failed repeated its loop without a pause; it pauses now.

Seen: the page of a single-voter instance holds a note accepted, a note refused, a data centre out, 30 refused and 30 unknown requests as one entry each, and a disk failure; after a restart nothing is entered twice and the disk failure is closed. 120,000 refusals in two minutes give 2 entries. A hung disk drops and counts what exceeds 4,096 queued entries.

Conclusion: the account covers the decisions of the instance itself. Requests with unknown outcome open no condition, as no event would end it.

--- a/internal/account/kinds.go
+++ b/internal/account/kinds.go
@@ -42,6 +42,12 @@
 	DrainEnded        Kind = "drain_ended"
 	AccountNotWritten Kind = "account_not_written"
 	AccountWritten    Kind = "account_written"
+	EntriesDropped    Kind = "entries_dropped"
+	RequestsUnknown   Kind = "requests_unknown"
+	ClaimsRefused     Kind = "claims_refused"
+	VoterAdmitted     Kind = "voter_admitted"
+	NotReady          Kind = "not_ready"
+	Ready             Kind = "ready"
 )
 
 // class tells what the system met from what it did.
@@ -66,7 +72,7 @@
 	NoteRefused:      {event, "release note refused", "", ""},
 	CentreOut:        {event, "data centre taken out", "", "bring it back with 'banyanfront datacentre in' when it is ready"},
 	CentreIn:         {event, "data centre brought back", CentreOut, ""},
-	ServerAnnounced:  {event, "server announced itself", "", ""},
+	ServerAnnounced:  {event, "server announced itself", ServerLost, ""},
 	ServerLost:       {event, "server lost", "", "look at its instance; if it is not to come back, withdraw it in a release note"},
 	ServerReturned:   {event, "server returned", ServerLost, ""},
 	ServerWithdrawn:  {action, "server withdrawn", ServerLost, ""},
@@ -99,5 +105,11 @@
 	DrainEnded:       {action, "graceful stop ended", "", ""},
 	AccountNotWritten: {event, "account not written to disk", "",
 		"free space in the data folder; entries are kept in memory only and are lost at a restart"},
-	AccountWritten: {event, "account written to disk again", AccountNotWritten, ""},
+	AccountWritten:  {event, "account written to disk again", AccountNotWritten, ""},
+	EntriesDropped:  {event, "entries left out of the account because the disk was too slow", "", ""},
+	RequestsUnknown: {event, "outcome of requests unknown", "", ""},
+	ClaimsRefused:   {action, "claims of idempotency keys refused", "", ""},
+	VoterAdmitted:   {action, "voter taken in", "", ""},
+	NotReady:        {event, "instance not ready", "", "look at the reason; callers are sent to other instances meanwhile"},
+	Ready:           {event, "instance ready again", NotReady, ""},
 }
--- a/internal/agreement/follow.go
+++ b/internal/agreement/follow.go
@@ -58,17 +58,17 @@
 		s.serveFollower(session, m.Index)
 		return
 	}
-	view, change, err := s.advance(m)
+	view, changes, err := s.advance(m)
 	if err != nil {
 		log.WithError(err).Warn("state update not applied; the next request fetches the whole state")
 		_ = session.Send(&protocol.State{Request: true})
 		return
 	}
-	s.install(view, change)
+	s.install(view, changes...)
 }
 
-// advance returns the view after an update.
-func (s *Service) advance(m *protocol.State) (*agreed.View, *agreed.Change, error) {
+// advance returns the view after an update, and the changes in it.
+func (s *Service) advance(m *protocol.State) (*agreed.View, []*agreed.Change, error) {
 	view := s.View()
 	if m.Snapshot != nil {
 		whole, err := protocol.DecodeView(m.Snapshot)
@@ -77,7 +77,7 @@
 		}
 		return view.Newer(whole), nil, nil
 	}
-	var last *agreed.Change
+	var changes []*agreed.Change
 	for _, encoded := range m.Entries {
 		change, err := protocol.DecodeChange(encoded)
 		if err != nil {
@@ -86,9 +86,9 @@
 		if view, err = view.Apply(change); err != nil {
 			return nil, nil, err
 		}
-		last = change
+		changes = append(changes, change)
 	}
-	return view, last, nil
+	return view, changes, nil
 }
 
 // serveFollower answers a request for what follows an index, and remembers the follower for later changes. An instance
--- a/internal/agreement/ledger.go
+++ b/internal/agreement/ledger.go
@@ -10,6 +10,7 @@
 
 	"github.com/banyanfront/banyanfront/decide/agreed"
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/account"
 	"github.com/banyanfront/banyanfront/internal/gateway"
 	"github.com/banyanfront/banyanfront/internal/problem"
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -55,6 +56,7 @@
 	}
 	result, err := l.service.Propose(ctx, "claim/"+c.Attempt, command)
 	if err != nil {
+		l.refused(c, "no majority recorded the claim in time")
 		return gateway.Record{}, err
 	}
 	switch result.Code {
@@ -65,12 +67,22 @@
 		}
 		return decodeRecord(result.Claim, c.Digest), nil
 	case agreed.OtherRequest:
+		l.refused(c, "the key was used for another request")
 		return gateway.Record{}, nil // no digest equals the empty one
+	case agreed.Full:
+		l.refused(c, "no room for another key record")
+		return gateway.Record{}, problem.New(problem.NotRun, "the claim was refused: %s", result.Detail)
 	default:
+		l.refused(c, "the claim breaks a rule of the agreed state")
 		return gateway.Record{}, problem.New(problem.NotRun, "the claim was refused: %s", result.Detail)
 	}
 }
 
+// refused counts a refused claim for the account.
+func (l *Ledger) refused(c gateway.Claim, reason string) {
+	l.service.config.Account.Count(time.Now(), account.ClaimsRefused, string(c.Organisation), reason)
+}
+
 // encodeClaim translates a claim. The server is named with its data centre, since the inquiry about the attempt may
 // come from another one.
 func encodeClaim(c gateway.Claim) (agreed.Claim, error) {
--- a/internal/agreement/machine.go
+++ b/internal/agreement/machine.go
@@ -11,12 +11,12 @@
 // machine applies accepted commands to the agreed state. Only the replica's goroutine touches it.
 type machine struct {
 	state   *agreed.State
-	install func(*agreed.View, *agreed.Change)
+	install func(*agreed.View, ...*agreed.Change)
 }
 
 var _ replica.StateMachine = (*machine)(nil)
 
-func newMachine(install func(*agreed.View, *agreed.Change)) *machine {
+func newMachine(install func(*agreed.View, ...*agreed.Change)) *machine {
 	return &machine{state: agreed.New(agreed.Limits{}), install: install}
 }
 
@@ -59,7 +59,7 @@
 		return err
 	}
 	m.state = state
-	m.install(state.View(), nil)
+	m.install(state.View())
 	return nil
 }
 
--- a/internal/agreement/member.go
+++ b/internal/agreement/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/banyanfront/banyanfront/decide/consensus"
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/decide/founding"
+	"github.com/banyanfront/banyanfront/internal/account"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/replica"
 	"github.com/banyanfront/banyanfront/internal/storage"
@@ -43,7 +45,7 @@
 // maxReports bounds the queued reports of other voters; they are repeated each tick.
 const maxReports = 64
 
-func newMember(config Config, folder storage.FS, sessions Sessions, install func(*agreed.View, *agreed.Change)) (*member, error) {
+func newMember(config Config, folder storage.FS, sessions Sessions, install func(*agreed.View, ...*agreed.Change)) (*member, error) {
 	m := &member{
 		config:   config,
 		sessions: sessions,
@@ -264,6 +266,8 @@
 	}
 	log.WithFields(log.Fields{"joiner": joiner.Instance, "member": joiner.ID, "replaces": added.Replaces}).
 		Warn("a voter with a new data folder is taken in; it votes once it has caught up")
+	m.config.Account.Record(account.Entry{Time: time.Now(), Kind: account.VoterAdmitted, Subject: string(joiner.Instance),
+		Reason: fmt.Sprintf("its data folder is new; member %x in place of member %x", joiner.ID, uint64(added.Replaces))})
 }
 
 // isVoter reports whether the settings name the joiner with its address.
--- a/internal/agreement/propose.go
+++ b/internal/agreement/propose.go
@@ -77,10 +77,8 @@
 func (s *Service) proposeRemote(ctx context.Context, id string, command []byte) ([]byte, error) {
 	for n := 0; ctx.Err() == nil; n++ {
 		voter := s.config.Voters[(int(s.config.Boot%1024)+n)%len(s.config.Voters)]
-		if voter.Instance == s.config.Instance {
-			continue
-		}
-		if session := s.sessions.Session(voter.Address); session != nil {
+		// The pause below also follows the own instance: in a group of one voter whose disk has failed, nobody else is left.
+		if session := s.sessions.Session(voter.Address); session != nil && voter.Instance != s.config.Instance {
 			if answer := s.askVoter(ctx, session, id, command); answer != nil && answer.Accepted {
 				return answer.Result, nil
 			}
--- a/internal/agreement/service.go
+++ b/internal/agreement/service.go
@@ -14,6 +14,7 @@
 
 	"github.com/banyanfront/banyanfront/decide/agreed"
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/account"
 	"github.com/banyanfront/banyanfront/internal/control"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/replica"
@@ -41,6 +42,7 @@
 	DataCentre fleet.DataCentre
 	Address    string
 	Voters     []Voter
+	Account    *account.Queue
 }
 
 // Sessions finds sessions to entry instances.
@@ -63,6 +65,7 @@
 	heard     []agreed.CentreRecord
 	watchers  map[transport.Session]time.Time // who asked for changes, and when last
 	confirmed bool                            // the view came from the group since the start
+	recorded  recorded
 }
 
 // New returns a service that has not heard of the group yet. folder is nil on instances without a disk.
@@ -74,6 +77,7 @@
 		waiting:  proposals{waiting: make(map[string]chan *protocol.Proposed)},
 		view:     agreed.EmptyView(),
 		watchers: make(map[transport.Session]time.Time),
+		recorded: newRecorded(config.Account),
 	}
 	if folder == nil {
 		return s, nil
@@ -99,6 +103,7 @@
 			if s.member != nil {
 				s.member.tick(now)
 				s.confirm(ctx)
+				s.recordDisk(now)
 			}
 			s.follow(now)
 			s.gossip(ctx)
@@ -154,26 +159,34 @@
 	return ""
 }
 
-// install puts a newer view in force and passes its last change on.
-func (s *Service) install(view *agreed.View, change *agreed.Change) {
+// install puts a newer view in force and passes the changes that led to it on. There are none if the whole view was
+// fetched.
+func (s *Service) install(view *agreed.View, changes ...*agreed.Change) {
 	s.mu.Lock()
 	s.confirmed = true
 	if view.Revision < s.view.Revision {
 		s.mu.Unlock()
 		return
 	}
+	from := s.view.Revision
+	changes = slices.DeleteFunc(changes, func(c *agreed.Change) bool { return c.Index <= from })
 	s.view = view
-	if change != nil {
-		s.recent = append(s.recent, change)
+	if len(changes) > 0 {
+		s.recent = append(s.recent, changes...)
 		if len(s.recent) > maxRecent {
 			s.recent = slices.Clone(s.recent[len(s.recent)-maxRecent/2:])
 		}
 	}
-	watchers := s.activeWatchers(time.Now())
+	now := time.Now()
+	watchers := s.activeWatchers(now)
+	s.recordNotes(now, changes)
 	s.publish()
 	s.mu.Unlock()
+	if len(changes) == 0 {
+		return
+	}
 	for _, session := range watchers {
-		s.sendChanges(session, view.Revision-1, change)
+		s.sendChanges(session, from, changes...)
 	}
 }
 
@@ -205,7 +218,9 @@
 // publish gives the control loop what routing needs. The caller holds the lock.
 func (s *Service) publish() {
 	out := make(map[fleet.DataCentre]bool)
-	for _, record := range agreed.Merge(s.view.Centres, s.heard) {
+	centres := agreed.Merge(s.view.Centres, s.heard)
+	s.recordCentres(time.Now(), centres)
+	for _, record := range centres {
 		out[record.Name] = record.Out
 	}
 	s.loop.SetAgreed(control.Agreed{
--- a/internal/command/front.go
+++ b/internal/command/front.go
@@ -22,6 +22,7 @@
 			noteCommand(),
 			dataCentreCommand(),
 			statusCommand(),
+			accountCommand(),
 			experimentCommand(),
 			demoCommand(),
 		},
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/account"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
 )
@@ -27,6 +28,7 @@
 	Boot       fleet.Boot
 	DataCentre fleet.DataCentre
 	Address    string // inner address of this instance
+	Account    *account.Queue
 }
 
 // Loop is the control loop. Its methods may be called from any goroutine.
@@ -84,12 +86,12 @@
 		case now := <-publish.C:
 			armed = false
 			if s.changed {
-				l.view.Store(s.view(now))
+				l.publish(s, now)
 			}
 		}
 		if s.urgent {
 			// A server that must receive no new work is taken out of the view at once.
-			l.view.Store(s.view(time.Now()))
+			l.publish(s, time.Now())
 		}
 		if s.changed && !armed {
 			publish.Reset(publishInterval)
@@ -98,6 +100,12 @@
 	}
 }
 
+// publish puts the control state into force for traffic, and writes to the account which servers it excludes.
+func (l *Loop) publish(s *state, now time.Time) {
+	s.recordStandings(now)
+	l.view.Store(s.view(now))
+}
+
 // Post applies an event on the control goroutine. It waits while the queue is full, and drops the event after Run.
 func (l *Loop) Post(event func(*state, time.Time)) {
 	select {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -33,6 +33,8 @@
 	counter      *fleet.Counter
 	sessions     []transport.Session
 	lastSeen     time.Time
+	recorded     standing   // that the account shows
+	recordedBoot fleet.Boot // boot number at that time
 }
 
 // peer is an entry instance and the sessions to it.
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -62,13 +62,19 @@
 	return false
 }
 
+// Reasons why a server receives no new work, beside those of the release notes.
+const (
+	reasonNoSession = "no live session to its agent"
+	reasonLeaving   = "leaving"
+)
+
 // excluded returns why a server receives no new work, or "".
 func (s *state) excluded(known *server) string {
 	if best(known.sessions) == nil {
-		return "no live session to its agent"
+		return reasonNoSession
 	}
 	if known.load.Phase == fleet.PhaseDraining {
-		return "leaving"
+		return reasonLeaving
 	}
 	return s.agreed.excluded(known.announcement.Server)
 }
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -4,11 +4,13 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/apex/log"
 	"go.uber.org/dig"
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/account"
 	"github.com/banyanfront/banyanfront/internal/agreement"
 	"github.com/banyanfront/banyanfront/internal/control"
 	"github.com/banyanfront/banyanfront/internal/gateway"
@@ -25,6 +27,8 @@
 	Connector func(address string, hello func() protocol.Hello, h transport.Handler) transport.ConnectFunc
 	// Folder holds the replicated log, nil on instances without a disk.
 	Folder storage.FS
+	// Account holds the files of the account, nil on instances that keep it in memory.
+	Account account.Files
 }
 
 // Core is an entry instance without its listeners.
@@ -33,6 +37,8 @@
 	Gateway   *gateway.Gateway
 	Agreement *agreement.Service
 	ledger    *agreement.Ledger
+	account   *account.Queue
+	observer  *observer
 	pool      *transport.Pool
 	settings  *settings.Front
 	identity  identity
@@ -65,6 +71,8 @@
 		func() *settings.Front { return s },
 		func() Surroundings { return surroundings },
 		func() identity { return identity{s.Instance, boot, s.DataCentre, s.InnerAddress} },
+		newAccount,
+		newObserver,
 		newLoop,
 		newPool,
 		newAgreement,
@@ -81,12 +89,13 @@
 	return core, dig.RootCause(err)
 }
 
-func newLoop(id identity) *control.Loop {
+func newLoop(id identity, journal *account.Queue) *control.Loop {
 	return control.New(control.Config{
 		Instance:   id.instance,
 		Boot:       id.boot,
 		DataCentre: id.dataCentre,
 		Address:    id.address,
+		Account:    journal,
 	})
 }
 
@@ -96,7 +105,7 @@
 	}, loop)
 }
 
-func newAgreement(s *settings.Front, surroundings Surroundings, id identity, pool *transport.Pool, loop *control.Loop) (*agreement.Service, error) {
+func newAgreement(s *settings.Front, surroundings Surroundings, id identity, pool *transport.Pool, loop *control.Loop, journal *account.Queue) (*agreement.Service, error) {
 	voters := make([]agreement.Voter, 0, len(s.Voters))
 	for _, v := range s.Voters {
 		voters = append(voters, agreement.Voter{Instance: v.Instance, Address: v.Address})
@@ -107,10 +116,11 @@
 		DataCentre: s.DataCentre,
 		Address:    s.InnerAddress,
 		Voters:     voters,
+		Account:    journal,
 	}, surroundings.Folder, pool, loop)
 }
 
-func newGateway(s *settings.Front, loop *control.Loop, ledger *agreement.Ledger) *gateway.Gateway {
+func newGateway(s *settings.Front, loop *control.Loop, ledger *agreement.Ledger, observer *observer) *gateway.Gateway {
 	organisations := make([]gateway.Organisation, 0, len(s.Organisations))
 	for _, o := range s.Organisations {
 		organisations = append(organisations, gateway.Organisation{
@@ -125,19 +135,20 @@
 		MaxBodyBytes:    int64(s.MaxBodyBytes),
 		QueueMax:        s.QueueMax,
 		RetryBudget:     s.RetryBudget,
+		Observer:        observer,
 	}, loop, ledger)
 }
 
 // newCore connects the parts that receive messages from sessions.
 func newCore(s *settings.Front, id identity, loop *control.Loop, g *gateway.Gateway, a *agreement.Service,
-	ledger *agreement.Ledger, pool *transport.Pool) *Core {
+	ledger *agreement.Ledger, pool *transport.Pool, journal *account.Queue, observer *observer) *Core {
 	loop.SetStreamSink(g.ServeSpilled)
 	loop.SetMessageSink(func(session transport.Session, m protocol.Message) {
 		if !g.MessageReceived(session, m) && !a.MessageReceived(session, m) {
 			log.WithField("type", m.Type()).Debug("message without a receiver")
 		}
 	})
-	return &Core{Loop: loop, Gateway: g, Agreement: a, ledger: ledger, pool: pool, settings: s, identity: id}
+	return &Core{Loop: loop, Gateway: g, Agreement: a, ledger: ledger, account: journal, observer: observer, pool: pool, settings: s, identity: id}
 }
 
 // Hello returns the instance's greeting for a session that is opened now.
@@ -149,6 +160,8 @@
 	group.Go(func() { c.Loop.Run(ctx) })
 	group.Go(func() { c.Gateway.Run(ctx) })
 	group.Go(func() { c.Agreement.Run(ctx) })
+	group.Go(func() { c.watchReadiness(ctx) })
+	group.Go(func() { c.account.Run(ctx) })
 	c.pool.Set(c.neighbours())
 	<-ctx.Done()
 	c.pool.Close("the entry instance has stopped")
@@ -168,9 +181,16 @@
 
 // Drain refuses new calls as not run, waits for the open ones, and leaves the agreement group in an orderly way.
 func (c *Core) Drain(ctx context.Context) error {
+	subject := string(c.identity.instance)
+	c.account.Record(account.Entry{Time: time.Now(), Kind: account.DrainStarted, Subject: subject, Reason: "the instance was told to stop"})
 	err := c.Gateway.Drain(ctx)
 	c.ledger.Close()
 	c.Agreement.Close()
+	ended := account.Entry{Time: time.Now(), Kind: account.DrainEnded, Subject: subject, Reason: "no request was cut off"}
+	if err != nil {
+		ended.Reason = "drainTimeout passed before all requests had ended"
+	}
+	c.account.Record(ended)
 	return err
 }
 
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -12,6 +12,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-chi/chi/v5/middleware"
 
+	"github.com/banyanfront/banyanfront/internal/account"
 	"github.com/banyanfront/banyanfront/internal/gateway"
 	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -55,6 +56,9 @@
 		if surroundings.Folder, err = storage.OS(filepath.Join(s.DataFolder, logFolder)); err != nil {
 			return nil, err
 		}
+		if surroundings.Account, err = account.Folder(s.DataFolder); err != nil {
+			return nil, err
+		}
 	}
 	core, err := NewCore(s, process.NewBoot(), surroundings)
 	if err != nil {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -11,6 +11,7 @@
 	"github.com/banyanfront/banyanfront/decide/agreed"
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/decide/release"
+	"github.com/banyanfront/banyanfront/internal/account"
 	"github.com/banyanfront/banyanfront/internal/agreement"
 	"github.com/banyanfront/banyanfront/internal/problem"
 	"github.com/banyanfront/banyanfront/internal/process"
@@ -30,6 +31,7 @@
 	r.Post("/v1/notes", o.publishNote)
 	r.Post("/v1/notes/check", o.checkNote)
 	r.Get("/v1/notes", o.notes)
+	r.Get("/v1/account", o.account)
 	r.Post("/v1/datacentres/{name}/out", o.takeOut)
 	r.Post("/v1/datacentres/{name}/in", o.bringIn)
 	return r
@@ -178,6 +180,10 @@
 			"the group did not answer (%v): publish the same note again; it is accepted once", err).After(time.Second))
 		return
 	}
+	if !result.Accepted() {
+		o.core.account.Record(account.Entry{Time: now, Kind: account.NoteRefused, Subject: agreement.NoteSubject(note.Number),
+			Reason: "by " + note.Author + ": " + result.Detail})
+	}
 	writeJSON(w, NoteAnswer{
 		Accepted: result.Accepted(), Code: result.Code, Detail: result.Detail, Note: result.Note, Findings: result.Findings,
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	MaxBodyBytes    int64
 	QueueMax        int     // requests of one organisation that wait at a time
 	RetryBudget     float64 // retries and hedges as a share of requests
+	Observer        Observer
 }
 
 // Views gives the newest view of the fleet.
@@ -92,6 +93,7 @@
 		answer := &answerBuffer{sink: newHTTPSink(w), asked: c.stream, max: maxHeldAnswer}
 		err = g.serve(r.Context(), c, answer)
 		observeCall(c, answer, err)
+		g.callEnded(c, err)
 		switch {
 		case err == nil:
 		case !answer.started:
