--- a/internal/command/front.go
+++ b/internal/command/front.go
@@ -22,6 +22,8 @@
 			noteCommand(),
 			dataCentreCommand(),
 			statusCommand(),
+			accountCommand(),
+			dependentsCommand(),
 			experimentCommand(),
 			demoCommand(),
 			standinCommand(),
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -43,6 +43,8 @@
 	sessions     []transport.Session
 	lastSeen     time.Time
 	roster       *protocol.Roster // that all sessions were sent last, nil if one of them may lack it
+	recorded     standing         // that the account shows
+	recordedBoot fleet.Boot       // boot number at that time
 }
 
 // peer is an entry instance and the sessions to it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	// NotReady returns why the instance must not serve yet, or "". It is not asked again after it has returned "". A nil
 	// NotReady stands for an instance that may serve at once.
 	NotReady func() string
+	Observer Observer
 }
 
 // Views gives the newest view of the fleet.
@@ -110,6 +111,7 @@
 		answer := &answerBuffer{sink: newHTTPSink(w), asked: c.stream, max: maxHeldAnswer}
 		err = g.serve(r.Context(), c, answer)
 		observeCall(c, answer, err)
+		g.callEnded(c, err)
 		switch {
 		case err == nil:
 		case !answer.started:
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -15,6 +15,12 @@
 // An instance with little traffic, where a stalled engine matters as much, never sees enough of them.
 const defaultLate = 1100 * time.Millisecond
 
+// minHedgePause lies between two tries to send a hedge.
+const minHedgePause = 100 * time.Millisecond
+
+// maxRacing bounds the attempts of one call that are under way at a time.
+const maxRacing = 2
+
 // errOvertaken ends an attempt whose rival has answered first.
 var errOvertaken = errors.New("another attempt of the request has answered first")
 
@@ -73,7 +79,7 @@
 		return []finished{{place, answer, ending}}
 	}
 	r := &race{cancel: make(map[*answerBuffer]context.CancelFunc)}
-	ends := make(chan finished, 2)
+	ends := make(chan finished, maxRacing)
 	send := func(place placement) {
 		ctx, own := r.enter(ctx, answer)
 		ending := g.attempt(ctx, c, place, newAttemptID(), own)
@@ -84,35 +90,43 @@
 		ends <- finished{place, own, ending}
 	}
 	go send(place)
-	timer := time.NewTimer(g.retries.lateness.late(c))
+	late := g.retries.lateness.late(c)
+	timer := time.NewTimer(late)
 	defer timer.Stop()
 	open := 1
+	tried := append(slices.Clone(p.exclude), place.server)
 	var done []finished
 	for open > 0 {
 		select {
 		case f := <-ends:
 			open--
 			done = append(done, f)
-			timer.Stop()
+			timer.Reset(minHedgePause) // a hedge that was refused leaves the late attempt alone again
 		case <-timer.C:
-			if second, ok := g.hedge(ctx, c, r, place, p); ok {
+			second, ok := placement{}, false
+			if open < maxRacing {
+				second, ok = g.hedge(ctx, c, r, tried, p.avoid)
+			}
+			if ok {
 				open++
+				tried = append(tried, second.server)
 				go send(second)
+				continue
 			}
+			timer.Reset(max(late, minHedgePause)) // the budget or a slot may be there by then
 		}
 	}
 	return settleRace(r, done, answer)
 }
 
 // hedge returns a placement for a second attempt, if one is free at once and the budget allows it.
-func (g *Gateway) hedge(ctx context.Context, c *call, r *race, first placement, p *progress) (placement, bool) {
+func (g *Gateway) hedge(ctx context.Context, c *call, r *race, tried []fleet.ServerID, avoid []fleet.DataCentre) (placement, bool) {
 	if r.won() || !g.retries.allowHedge() {
 		return placement{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*dispatchInterval)
 	defer cancel()
-	exclude := append(slices.Clone(p.exclude), first.server)
-	second, err := g.dispatcher.acquire(ctx, c, exclude, p.avoid)
+	second, err := g.dispatcher.acquire(ctx, c, tried, avoid)
 	if err != nil {
 		return placement{}, false
 	}
