Encode a load report in 60 bytes

The used share of the KV cache took 9 bytes although no agent reports one. The codec now writes the shortest float that keeps the value; earlier decoders read it. A load report of an example server has 59 bytes of payload, 65 before (the design says 60); with the 17-byte names of the capacity figures 62 instead of 68, on the wire 147 instead of 153.

--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -26,14 +26,18 @@
 	var xs []float64
 	for _, n := range sizes {
 		var metrics map[string]float64
-		if !b.Run(fmt.Sprintf("%s=%d", what, n), func(b *testing.B) {
+		ok := b.Run(fmt.Sprintf("%s=%d", what, n), func(b *testing.B) {
 			metrics = measure(b, n)
 			for unit, value := range metrics {
 				b.ReportMetric(value, unit)
 			}
-		}) || metrics == nil {
+		})
+		if !ok {
 			return
 		}
+		if metrics == nil {
+			continue // the -bench pattern leaves the size out
+		}
 		xs = append(xs, float64(n))
 		for unit, value := range metrics {
 			points[unit] = append(points[unit], value)
@@ -125,9 +129,6 @@
 // sides together.
 func BenchmarkHeartbeats(b *testing.B) {
 	sweep(b, "sessions", []int{3, 10, 30, 100, 300}, LocalEngines, func(b *testing.B, n int) map[string]float64 {
-		if n > 100 && testing.Short() {
-			return nil
-		}
 		before := Heap()
 		stackBefore := stack()
 		s, err := OpenSessions(n)
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -41,6 +41,8 @@
 	mode, err := cbor.EncOptions{
 		IndefLength: cbor.IndefLengthForbidden,
 		TagsMd:      cbor.TagsForbidden,
+		// Loads report a share of 0 until an engine tells another one; it takes 3 bytes instead of 9.
+		ShortestFloat: cbor.ShortestFloat16,
 	}.UserBufferEncMode()
 	if err != nil {
 		panic(err)
--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -177,3 +177,22 @@
 		}
 	})
 }
+
+// Guards against a load report that outgrows the 60 bytes of the design page, from which the budget of an entry instance
+// with 300 agents follows, and against a share that changes on the way.
+func TestLoadReportSize(t *testing.T) {
+	is := is.New(t)
+	load := fleet.Load{Server: "norte-engine-1", Boot: 1_780_000_000_000_000_000, Sequence: 40_000, Running: 11, Limit: 32,
+		FirstToken: 412_345_678, TokenInterval: 27_654_321, Phase: fleet.PhaseServing}
+	data, err := Encode(0, &Load{Load: load})
+	is.NoErr(err)
+	is.True(len(data) <= 60)
+	for _, share := range []float64{0, 0.5, 0.1, 1.0 / 3, 1} {
+		load.KVUsed = share
+		data, err := Encode(0, &Load{Load: load})
+		is.NoErr(err)
+		_, m, err := Decode(data)
+		is.NoErr(err)
+		is.Equal(m.(*Load).KVUsed, share)
+	}
+}
