Requests that avoid some servers hold nobody else up; hedges may go back to a server that refused

Cause, seen with a stalled engine: a waiting retry whose remaining server was full kept all other requests for the model in the queue, and a call that had tried all servers of a data centre sent no more hedges.

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -249,7 +249,7 @@
 	q.blocked = nil
 	full := false
 	for _, w := range blocked {
-		full = d.place(q, w, view, now) == routing.ReasonNoHeadroom || full
+		full = d.placeNext(q, w, view, now) || full
 	}
 	for !full && len(q.blocked) < maxBlocked {
 		item, ok := q.queue.Next(now)
@@ -261,10 +261,17 @@
 			q.queue.Done(now, item.ID)
 			continue
 		}
-		full = d.place(q, w, view, now) == routing.ReasonNoHeadroom
+		full = d.placeNext(q, w, view, now)
 	}
 }
 
+// placeNext tries to place a request and reports whether the servers are full for the others too. A request that must
+// not go to some servers says nothing about these.
+func (d *dispatcher) placeNext(q *targetQueue, w *waiter, view *control.View, now time.Time) (full bool) {
+	reason := d.place(q, w, view, now)
+	return reason == routing.ReasonNoHeadroom && len(w.exclude) == 0 && len(w.avoid) == 0
+}
+
 // place finds a placement for a request that was taken from the queue, refuses it, or keeps it as blocked.
 func (d *dispatcher) place(q *targetQueue, w *waiter, view *control.View, now time.Time) routing.Reason {
 	if w.gone {
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -103,6 +103,9 @@
 			done = append(done, f)
 			timer.Reset(minHedgePause) // a hedge that was refused leaves the late attempt alone again
 		case <-timer.C:
+			if len(tried) >= len(g.views.View().Candidates(c.target)) {
+				tried = []fleet.ServerID{place.server} // a server that refused may take it now
+			}
 			second, ok := placement{}, false
 			if open < maxRacing {
 				second, ok = g.hedge(ctx, c, r, tried, p.avoid)
