--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -12,6 +12,10 @@
 // ConnectFunc opens a session whose events go to the handler.
 type ConnectFunc = func(ctx context.Context, h Handler) (Session, error)
 
+// maxPoolBackoff bounds the wait between two tries to connect: what operators have taken out must be known everywhere 3 s
+// after a partition has ended, and 5 s passed until the next try.
+const maxPoolBackoff = time.Second
+
 // Pool keeps one session to each of a changing set of addresses.
 type Pool struct {
 	connect func(address string) ConnectFunc
@@ -49,6 +53,7 @@
 
 func (p *Pool) keep(address string) *Keeper {
 	return NewKeeper(KeeperConfig{
+		MaxBackoff: maxPoolBackoff,
 		Connect: p.connect(address),
 		Handler: p.handler,
 		Failed: func(err error, retry time.Duration) {
