Refuse at once in a data centre that is out and cut off

Cause: in a data centre that was taken out during a partition, requests waited 5 s for a server although the own ones were out and no other data centre was in reach. So did requests that another data centre had passed there. Their callers could have tried elsewhere.

Conclusion: such a request is refused as not run at once. It still waits if another data centre in reach has servers that are merely busy.

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -358,11 +359,20 @@
 	q.queue.Done(now, w.id)
 }
 
+// servedElsewhere reports whether a data centre in reach has servers for the target, even if none is free now.
+func servedElsewhere(view *control.View, target fleet.Target) bool {
+	return slices.ContainsFunc(view.Remote, func(s fleet.Summary) bool { return s.Kind == target.Kind && s.Name == target.Name })
+}
+
 // unplaced returns the refusal of a request for which no server was found, or nil if it may wait.
 func unplaced(w *waiter, reason routing.Reason, view *control.View, now time.Time) error {
 	switch {
 	case reason == routing.ReasonNoHeadroom:
 		return nil
+	case reason == routing.ReasonLocalOut && (w.call.spilled || !servedElsewhere(view, w.call.target)):
+		return problem.New(problem.NotRun, "this data centre is out, and no other one in reach has a server for %q: "+
+			"send the request to an entry instance of another data centre", w.call.target.Name).
+			After(defaultRetryAfter).WithRan(false)
 	case reason == routing.ReasonUnknown && view.Known(w.call.target):
 		// Only other data centres have it, and none of them can take the request now.
 	case reason == routing.ReasonUnknown, reason == routing.ReasonVersion, reason == routing.ReasonRole:
