Find entry instances and count their shares by membership

Cause: the control loop knew only the instances that peers and voters named, and counted sessions. An instance that nobody's settings named took no part, and a session that broke for a moment changed the shares of all.

Change: the control loop drives decide/membership with Gossip messages over the existing sessions. View.Instances, the rosters of agents and the representative that sends summaries come from it. Of two members the one with the lower identifier dials, so that one session joins them. Dead members are dialled until they are forgotten. A planned stop tells the others after its last call. Lost and returned instances and one-way links are in the account.

The revision report counted as sent to a voter that had no session; it is now sent once there is one. The test of it read the links of the test network without a lock and cut an instance off that others now dial; it pauses the instance instead, and also checks that it catches up.

Seen, in virtual time: five instances whose settings name one voter have sessions to all others, where before four of them had one to the voter only. A planned stop frees the share within 3 s, without Leave the test fails; a dead instance is gone after 31 s; after a minute of isolation all count again within 2 min.

Seen too: an instance that was isolated for a minute spreads its belief that all others are dead; a live one then counts as removed for up to 1 s until it refutes. The account leaves out such removals while a session is live.

Conclusion: settings need to name voters only.

--- a/internal/agreement/revisions.go
+++ b/internal/agreement/revisions.go
@@ -28,17 +28,25 @@
 	Heard      time.Time
 }
 
-// reportRevision tells the voters which revision is in force here.
+// report is what a voter was told last.
+type report struct {
+	revision uint64
+	next     time.Time // when it is repeated
+}
+
+// reportRevision tells the voters which revision is in force here. A voter without a live session is told once it has one.
 func (s *Service) reportRevision(now time.Time) {
 	revision := s.loop.View().Revision
-	if revision == s.reported && now.Before(s.nextReport) {
-		return
-	}
-	s.reported, s.nextReport = revision, now.Add(reportInterval)
 	for _, v := range s.config.Voters {
-		if session := s.sessions.Session(v.Address); session != nil && v.Instance != s.config.Instance {
-			_ = session.Send(&protocol.State{Report: true, Index: revision}) // the next report repeats it
+		last, known := s.reported[v.Instance]
+		if v.Instance == s.config.Instance || (known && last.revision == revision && now.Before(last.next)) {
+			continue
+		}
+		session := s.sessions.Session(v.Address)
+		if session == nil || session.State() != transport.StateLive || session.Send(&protocol.State{Report: true, Index: revision}) != nil {
+			continue
 		}
+		s.reported[v.Instance] = report{revision, now.Add(reportInterval)}
 	}
 }
 
--- a/internal/agreement/service.go
+++ b/internal/agreement/service.go
@@ -68,9 +68,7 @@
 	recorded  recorded
 	inForce   map[fleet.InstanceID]InForce // reports of other instances
 
-	// Only Run touches these.
-	reported   uint64 // revision that the voters were told last
-	nextReport time.Time
+	reported map[fleet.InstanceID]report // what each voter was told; only Run touches it
 }
 
 // New returns a service that has not heard of the group yet. folder is nil on instances without a disk.
@@ -84,6 +82,7 @@
 		watchers: make(map[transport.Session]time.Time),
 		recorded: newRecorded(config.Account),
 		inForce:  make(map[fleet.InstanceID]InForce),
+		reported: make(map[fleet.InstanceID]report),
 	}
 	if folder == nil {
 		return s, nil
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -33,12 +33,13 @@
 
 // Loop is the control loop. Its methods may be called from any goroutine.
 type Loop struct {
-	config   Config
-	events   chan func(*state, time.Time)
-	view     atomic.Pointer[View]
-	messages atomic.Pointer[MessageSink]
-	streams  atomic.Pointer[StreamSink]
-	done     chan struct{} // closed when Run has ended
+	config    Config
+	events    chan func(*state, time.Time)
+	view      atomic.Pointer[View]
+	messages  atomic.Pointer[MessageSink]
+	streams   atomic.Pointer[StreamSink]
+	addresses atomic.Pointer[AddressSink]
+	done      chan struct{} // closed when Run has ended
 }
 
 // MessageSink receives the messages that do not concern the control state, such as Inquiry and Consensus. It must not
@@ -83,6 +84,7 @@
 			event(s, time.Now())
 		case now := <-tick.C:
 			s.tick(now)
+			s.tickMembers(now, l.addresses.Load())
 		case now := <-publish.C:
 			armed = false
 			if s.changed {
@@ -149,6 +151,13 @@
 		l.Post(func(s *state, now time.Time) { s.announced(session, message.Announcement, now) })
 	case *protocol.Load:
 		l.ObserveLoad(message.Load)
+	case *protocol.Gossip:
+		gossip, err := protocol.DecodeGossip(message.Payload)
+		if err != nil {
+			metricBadInput.Inc()
+			return
+		}
+		l.offer(func(s *state, now time.Time) { s.gossiped(session, gossip, now) })
 	case *protocol.Summary:
 		l.offer(func(s *state, now time.Time) { s.summarised(session, message, now) })
 	default:
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -50,6 +50,7 @@
 	config      Config
 	servers     map[fleet.ServerID]*server
 	peers       map[fleet.InstanceID]*peer
+	members     members
 	agreed      Agreed
 	roster      []string // addresses that agents were told last
 	nextRoster  time.Time
@@ -63,6 +64,7 @@
 		config:  config,
 		servers: make(map[fleet.ServerID]*server),
 		peers:   make(map[fleet.InstanceID]*peer),
+		members: newMembers(config),
 	}
 }
 
@@ -79,6 +81,7 @@
 	p.hello = hello
 	p.heard = now
 	p.sessions = append(p.sessions, session)
+	s.memberConnected(hello, now)
 	s.changed = true
 }
 
@@ -219,21 +222,19 @@
 // localAddresses returns the inner addresses of the entry instances of the own data centre.
 func (s *state) localAddresses() []string {
 	addresses := []string{s.config.Address}
-	for _, p := range s.peers {
-		if p.hello.DataCentre == s.config.DataCentre && p.hello.Address != "" {
-			addresses = append(addresses, p.hello.Address)
+	for _, member := range s.members.detector.Members() {
+		if member.Address != "" {
+			addresses = append(addresses, member.Address)
 		}
 	}
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
 }
 
-// sendSummaries tells the other data centres what is free here. Only the live instance with the lowest identifier does.
+// sendSummaries tells the other data centres what is free here. Only the representative of the data centre does.
 func (s *state) sendSummaries() {
-	for id, p := range s.peers {
-		if p.hello.DataCentre == s.config.DataCentre && id < s.config.Instance {
-			return
-		}
+	if s.members.detector.Representative() != s.config.Instance {
+		return
 	}
 	summary := &protocol.Summary{Targets: s.summary()}
 	for _, p := range s.peers {
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -79,7 +79,7 @@
 		Revision:  s.agreed.Revision,
 		Local:     s.config.DataCentre,
 		LocalOut:  s.agreed.Out[s.config.DataCentre],
-		Instances: 1,
+		Instances: s.members.detector.Instances(),
 		Servers:   make([]fleet.Server, 0, len(s.servers)),
 	}
 	for id, known := range s.servers {
@@ -103,9 +103,6 @@
 		}
 		dataCentre := p.hello.DataCentre
 		v.peers[dataCentre] = append(v.peers[dataCentre], session)
-		if dataCentre == s.config.DataCentre {
-			snapshot.Instances++
-		}
 		if now.Sub(p.heard) <= summaryMaxAge && !s.agreed.Out[dataCentre] {
 			snapshot.Remote = append(snapshot.Remote, p.summary...)
 		}
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -4,14 +4,20 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/internal/account"
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -23,6 +29,7 @@
 // cluster runs entry instances over in-memory sessions, for a testing/synctest bubble.
 type cluster struct {
 	t      *testing.T
+	paused map[string]bool // instances that neither read nor write
 	mu     sync.Mutex
 	nodes  map[string]*testNode // by inner address
 	disk   *faultfs.FS          // of the voter
@@ -32,6 +39,7 @@
 
 type testNode struct {
 	*Core
+	name   string
 	links  []*transport.Faults
 	cancel context.CancelFunc
 	ended  sync.WaitGroup
@@ -39,7 +47,8 @@
 
 // newCluster returns a cluster without instances. Its only voter will be "norte-1".
 func newCluster(t *testing.T) *cluster {
-	return &cluster{t: t, nodes: make(map[string]*testNode), disk: faultfs.New(rand.New(rand.NewPCG(1, 1))),
+	log.SetHandler(discard.Default)
+	return &cluster{t: t, paused: make(map[string]bool), nodes: make(map[string]*testNode), disk: faultfs.New(rand.New(rand.NewPCG(1, 1))),
 		voters: []settings.Voter{{Instance: "norte-1", Address: "norte-1"}}}
 }
 
@@ -50,7 +59,7 @@
 	s := &settings.Front{Instance: fleet.InstanceID(name), DataCentre: "norte", InnerAddress: name, FleetKey: testKey,
 		DefaultDeadline: time.Second, MaxBodyBytes: 1 << 16, QueueMax: 10, DrainTimeout: time.Second, Peers: peers, Voters: c.voters,
 		Organisations: []settings.Organisation{{Name: "builders", Key: "builders-key", Weight: 1}}}
-	n := new(testNode)
+	n := &testNode{name: name}
 	surroundings := Surroundings{Connector: c.connector(n)}
 	if name == "norte-1" {
 		surroundings.Folder, surroundings.Account = c.disk, c.files
@@ -72,9 +81,9 @@
 	return func(address string, hello func() protocol.Hello, _ transport.Handler) transport.ConnectFunc {
 		return func(_ context.Context, h transport.Handler) (transport.Session, error) {
 			c.mu.Lock()
-			to := c.nodes[address]
+			to, paused := c.nodes[address], c.paused[address] || c.paused[from.name]
 			c.mu.Unlock()
-			if to == nil {
+			if to == nil || paused {
 				return nil, errors.New("the address is out of reach")
 			}
 			config := transport.Config{FleetKey: []byte(testKey)}
@@ -100,6 +109,7 @@
 		if err := n.Drain(context.Background()); err != nil {
 			c.t.Error(err)
 		}
+		time.Sleep(balancerGrace)
 	} else {
 		n.Agreement.Close()
 	}
@@ -112,6 +122,22 @@
 	}
 }
 
+// pause makes an instance silent for a time, and those that connect to it fail.
+func (c *cluster) pause(name string, span time.Duration) {
+	change := func(on bool) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.paused[name] = on
+		for _, link := range c.nodes[name].links {
+			link.Silence(transport.AToB, on)
+			link.Silence(transport.BToA, on)
+		}
+	}
+	change(true)
+	time.Sleep(span)
+	change(false)
+}
+
 func (c *cluster) stopAll() {
 	for name := range c.nodes {
 		c.stop(name, true)
@@ -142,3 +168,114 @@
 	}
 	return answer.Page
 }
+
+// settledCluster starts instances whose settings name only the voter, and checks that each finds all others.
+func settledCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	c := newCluster(t)
+	for i := range n {
+		c.start(fmt.Sprintf("norte-%d", i+1))
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(30 * time.Second)
+	for name, node := range c.nodes {
+		if found := node.Loop.View().Instances; found != n {
+			t.Errorf("%s counts %d instances of %d", name, found, n)
+		}
+	}
+	return c
+}
+
+// Guards against an instance that nobody's settings name and that therefore takes no part: too large shares of the
+// limits, no session to it, and agents that never hear of it.
+func TestUnnamedInstanceIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := settledCluster(t, 5)
+		for name, node := range c.nodes {
+			peers := make(map[fleet.InstanceID]bool)
+			for _, session := range node.Loop.View().Peers("norte") {
+				peers[session.Peer().Instance] = true
+			}
+			if len(peers) != 4 {
+				t.Errorf("%s has sessions to %v", name, peers)
+			}
+		}
+		c.start("norte-6")
+		time.Sleep(10 * time.Second)
+		for _, node := range c.nodes {
+			is.Equal(node.Loop.View().Instances, 6)
+		}
+		c.stopAll()
+	})
+}
+
+// Guards against a pause of a few seconds that removes an instance: its share would be lost and given twice.
+func TestPauseRemovesNobody(t *testing.T) {
+	for _, paused := range []string{"norte-1", "norte-3"} {
+		synctest.Test(t, func(t *testing.T) {
+			c := settledCluster(t, 4)
+			over := time.Now().Add(30 * time.Second)
+			go c.pause(paused, 5*time.Second)
+			for time.Now().Before(over) {
+				for name, node := range c.nodes {
+					if found := node.Loop.View().Instances; found != 4 {
+						t.Fatalf("%s counts %d instances after a pause of %s", name, found, paused)
+					}
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			c.stopAll()
+		})
+	}
+}
+
+// Guards against a dead instance that keeps its share of the limits, against a planned stop that is treated like a death,
+// and against an instance that is not counted again when it returns.
+func TestSharesFollowMembership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := settledCluster(t, 4)
+		instances := func() (counts []int) {
+			for _, node := range c.nodes {
+				counts = append(counts, node.Loop.View().Instances)
+			}
+			return counts
+		}
+		c.stop("norte-2", true)
+		time.Sleep(3 * time.Second) // the session timeout: no silence was waited for
+		is.Equal(instances(), []int{3, 3, 3})
+		c.stop("norte-3", false)
+		time.Sleep(31 * time.Second) // as the design note on membership states
+		is.Equal(instances(), []int{2, 2})
+		page := c.nodes["norte-1"].page(t)
+		is.True(strings.Contains(page, "graceful stop ended: norte-2 - the instance has stopped as planned"))
+		is.True(strings.Contains(page, "entry instance lost: norte-3"))
+		is.True(strings.Contains(page, "One thing is still not right."))
+		c.start("norte-3")
+		time.Sleep(15 * time.Second)
+		is.Equal(instances(), []int{3, 3, 3})
+		is.True(strings.Contains(c.nodes["norte-1"].page(t), "Everything is right."))
+		c.stopAll()
+	})
+}
+
+// Guards against an instance that was cut off for so long that it counted as dead, and is never found again.
+func TestInstanceReturnsAfterPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := settledCluster(t, 4)
+		go c.pause("norte-3", time.Minute)
+		time.Sleep(time.Minute - time.Second)
+		is.Equal(c.nodes["norte-4"].Loop.View().Instances, 3)
+		is.Equal(c.nodes["norte-3"].Loop.View().Instances, 1)
+		time.Sleep(2 * time.Minute) // as the design note on membership states
+		for _, node := range c.nodes {
+			is.Equal(node.Loop.View().Instances, 4)
+		}
+		page := c.nodes["norte-1"].page(t)
+		is.True(strings.Contains(page, "entry instance returned: norte-3"))
+		is.True(strings.Contains(page, "Everything is right."))
+		c.stopAll()
+	})
+}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -143,13 +143,15 @@
 // newCore connects the parts that receive messages from sessions.
 func newCore(s *settings.Front, id identity, loop *control.Loop, g *gateway.Gateway, a *agreement.Service,
 	ledger *agreement.Ledger, pool *transport.Pool, journal *account.Queue, observer *observer) *Core {
+	core := &Core{Loop: loop, Gateway: g, Agreement: a, ledger: ledger, account: journal, observer: observer, pool: pool, settings: s, identity: id}
 	loop.SetStreamSink(g.ServeSpilled)
+	loop.SetAddressSink(func(members []string) { pool.Set(core.neighbours(members)) })
 	loop.SetMessageSink(func(session transport.Session, m protocol.Message) {
 		if !g.MessageReceived(session, m) && !a.MessageReceived(session, m) {
 			log.WithField("type", m.Type()).Debug("message without a receiver")
 		}
 	})
-	return &Core{Loop: loop, Gateway: g, Agreement: a, ledger: ledger, account: journal, observer: observer, pool: pool, settings: s, identity: id}
+	return core
 }
 
 // Hello returns the instance's greeting for a session that is opened now.
@@ -157,6 +159,7 @@
 
 // Run serves until the context ends, and then at once closes all sessions. Drain ends the calls before.
 func (c *Core) Run(ctx context.Context) {
+	c.pool.Set(c.neighbours(nil)) // before the loop runs, which adds members
 	var group sync.WaitGroup
 	group.Go(func() { c.Loop.Run(ctx) })
 	group.Go(func() { c.Gateway.Run(ctx) })
@@ -164,15 +167,14 @@
 	group.Go(func() { c.watchReadiness(ctx) })
 	group.Go(func() { c.account.Run(ctx) })
 	group.Go(func() { c.observer.uses.run(ctx, c.identity.boot, c.Agreement.Propose) })
-	c.pool.Set(c.neighbours())
 	<-ctx.Done()
 	c.pool.Close("the entry instance has stopped")
 	group.Wait()
 }
 
-// neighbours returns the voters and the entry instances named in the settings.
-func (c *Core) neighbours() []string {
-	addresses := slices.Clone(c.settings.Peers)
+// neighbours returns the voters and the entry instances named in the settings, and the given members of the data centre.
+func (c *Core) neighbours(members []string) []string {
+	addresses := slices.Concat(c.settings.Peers, members)
 	for _, v := range c.settings.Voters {
 		addresses = append(addresses, v.Address)
 	}
@@ -186,6 +188,7 @@
 	subject := string(c.identity.instance)
 	c.account.Record(account.Entry{Time: time.Now(), Kind: account.DrainStarted, Subject: subject, Reason: "the instance was told to stop"})
 	err := c.Gateway.Drain(ctx)
+	c.Loop.Leave()
 	c.ledger.Close()
 	c.Agreement.Close()
 	ended := account.Entry{Time: time.Now(), Kind: account.DrainEnded, Subject: subject, Reason: "no request was cut off"}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -54,6 +54,8 @@
 		Centres    []agreed.CentreRecord `json:"dataCentres,omitempty"`
 		Servers    []ServerStatus        `json:"servers"`
 		Remote     []fleet.Summary       `json:"remote,omitempty"`
+		// EntryInstances is the number of active entry instances of the data centre, which share its servers' slots.
+		EntryInstances int `json:"entryInstances"`
 		// Instances lists the revision that each entry instance has in force. Only voters hear of all.
 		Instances []InstanceRevision `json:"instances"`
 		Voters    []fleet.InstanceID `json:"voters"`
@@ -94,16 +96,17 @@
 	view := o.core.Loop.View()
 	agreedView := o.core.Agreement.View()
 	status := Status{
-		Instance:   o.core.settings.Instance,
-		DataCentre: o.core.settings.DataCentre,
-		Revision:   agreedView.Revision,
-		Note:       agreedView.Config.Number,
-		NotReady:   o.core.NotReady(),
-		Group:      o.core.Agreement.Group(),
-		Centres:    o.core.Agreement.Centres(),
-		Remote:     view.Remote,
-		Instances:  o.revisions(time.Now()),
-		Voters:     o.core.Agreement.Voters(),
+		Instance:       o.core.settings.Instance,
+		DataCentre:     o.core.settings.DataCentre,
+		Revision:       agreedView.Revision,
+		Note:           agreedView.Config.Number,
+		NotReady:       o.core.NotReady(),
+		Group:          o.core.Agreement.Group(),
+		Centres:        o.core.Agreement.Centres(),
+		Remote:         view.Remote,
+		EntryInstances: view.Instances,
+		Instances:      o.revisions(time.Now()),
+		Voters:         o.core.Agreement.Voters(),
 	}
 	for i := range view.Servers {
 		server := &view.Servers[i]
--- a/internal/entry/uses_test.go
+++ b/internal/entry/operators_test.go
@@ -5,20 +5,83 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
 	"github.com/banyanfront/banyanfront/decide/agreed"
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/decide/release"
+	"github.com/banyanfront/banyanfront/internal/account"
+	"github.com/banyanfront/banyanfront/internal/problem"
 	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/storage/faultfs"
 )
 
+const testNote = `{"number": 7, "author": "marta", "models": {"add": [{"name": "modelo-vidrio", "version": "7"}]}}`
+
+// Guards against decisions that leave no trace in the account, against a restart that replays the log into the account a
+// second time, and against a disk failure that operators do not see.
+func TestAccountHoldsDecisions(t *testing.T) {
+	folder := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t)
+		var err error
+		c.files, err = account.Folder(folder)
+		is.NoErr(err)
+		n := c.start("norte-1")
+		time.Sleep(10 * time.Second)
+		is.Equal(n.NotReady(), "")
+		var answer NoteAnswer
+		is.Equal(n.operate(t, http.MethodPost, "/v1/notes", testNote, &answer), http.StatusOK)
+		is.True(answer.Accepted)
+		is.Equal(n.operate(t, http.MethodPost, "/v1/notes", strings.Replace(testNote, "marta", "jorge", 1), nil), http.StatusOK)
+		is.Equal(n.operate(t, http.MethodPost, "/v1/datacentres/norte/out", `{"author":"marta","reason":"cooling"}`, nil), http.StatusOK)
+		is.NoErr(n.Gateway.Drain(t.Context()))
+		for i := range 30 {
+			call := httptest.NewRequest(http.MethodGet, "/services/pedidos/"+strconv.Itoa(i), nil)
+			call.Header.Set("Authorization", "Bearer builders-key")
+			n.Gateway.Handler().ServeHTTP(httptest.NewRecorder(), call)
+			n.observer.CallEnded("builders", problem.New(problem.OutcomeUnknown, "the agent has restarted (boot %d): ask", i))
+		}
+		time.Sleep(2 * time.Second)
+		c.disk.FailAt(1, faultfs.NoSpace)
+		n.operate(t, http.MethodPost, "/v1/notes", strings.Replace(testNote, "7", "8", 1), nil)
+		time.Sleep(2 * time.Second)
+		page := n.page(t)
+		for _, want := range []string{
+			"release note accepted: note 7 - by marta, digest ",
+			"release note refused: note 7 - by jorge: note 7 by marta",
+			"data centre taken out: norte - by marta, term 1: cooling",
+			"requests refused as not run, 30 times: builders - this entry instance is stopping",
+			"outcome of requests unknown, 30 times: builders - the agent has restarted",
+			"disk failed: norte-1 - ",
+		} {
+			if !strings.Contains(page, want) {
+				t.Errorf("the page lacks %q:\n%s", want, page)
+			}
+		}
+		is.Equal(n.operate(t, http.MethodGet, "/v1/account?since=yesterday", "", nil), http.StatusBadRequest)
+
+		c.stop("norte-1", false)
+		c.disk.Restart()
+		n = c.start("norte-1")
+		time.Sleep(10 * time.Second)
+		is.Equal(n.NotReady(), "")
+		page = n.page(t)
+		is.True(strings.Contains(page, "disk works again: norte-1"))
+		is.Equal(strings.Count(page, "release note accepted: note 7"), 1)
+		is.Equal(strings.Count(page, "data centre taken out"), 2) // what happened, and what is still not right
+		c.stopAll()
+	})
+}
+
 // Guards against a log that carries a use for each request, against new uses that wait behind known ones, and against
 // uses that are lost when the group does not answer.
 func TestUsesCostLittle(t *testing.T) {
@@ -77,7 +140,6 @@
 // Guards against dependents that the operators cannot see: recorded uses must show in the answer, in the impact of a note
 // and as a refusal of an outage, and an instance without them must name one that has them.
 func TestDependentsShowInImpact(t *testing.T) {
-	log.SetHandler(discard.Default)
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newCluster(t)
@@ -117,7 +179,6 @@
 // Guards against a status that shows the revision of the start of a session, so that an instance that misses a change
 // looks up to date, or one that has it looks late. Also guards against a history that a restart loses.
 func TestStatusShowsRevisionsInForce(t *testing.T) {
-	log.SetHandler(discard.Default)
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newCluster(t)
@@ -125,20 +186,22 @@
 		c.start("norte-2")
 		c.start("norte-3")
 		time.Sleep(10 * time.Second)
-		late := c.nodes["norte-3"]
-		for _, link := range late.links {
-			link.Cut()
-		}
-		late.pool.Close("the test cuts it off")
+		go c.pause("norte-3", 20*time.Second)
+		synctest.Wait()
 		is.Equal(n.operate(t, http.MethodPost, "/v1/notes", testNote, nil), http.StatusOK)
 		time.Sleep(13 * time.Second) // the bound for a change to be in force everywhere
-		var status Status
-		is.Equal(n.operate(t, http.MethodGet, "/v1/status", "", &status), http.StatusOK)
-		newest := make(map[fleet.InstanceID]bool)
-		for _, r := range status.Instances {
-			newest[r.Instance] = r.Newest
+		newest := func() map[fleet.InstanceID]bool {
+			var status Status
+			is.Equal(n.operate(t, http.MethodGet, "/v1/status", "", &status), http.StatusOK)
+			result := make(map[fleet.InstanceID]bool)
+			for _, r := range status.Instances {
+				result[r.Instance] = r.Newest
+			}
+			return result
 		}
-		is.Equal(newest, map[fleet.InstanceID]bool{"norte-1": true, "norte-2": true, "norte-3": false})
+		is.Equal(newest(), map[fleet.InstanceID]bool{"norte-1": true, "norte-2": true, "norte-3": false})
+		time.Sleep(20 * time.Second) // the pause has ended 13 s before
+		is.Equal(newest(), map[fleet.InstanceID]bool{"norte-1": true, "norte-2": true, "norte-3": true})
 
 		c.stop("norte-1", true)
 		c.disk.Restart()
