--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -61,6 +61,7 @@
 	config      Config
 	servers     map[fleet.ServerID]*server
 	peers       map[fleet.InstanceID]*peer
+	members     members
 	agreed      Agreed
 	known       map[target]time.Time // when other data centres last told of a target
 	roster      []string             // addresses of the last tick
@@ -78,6 +79,7 @@
 		servers: make(map[fleet.ServerID]*server),
 		peers:   make(map[fleet.InstanceID]*peer),
 		known:   make(map[target]time.Time),
+		members: newMembers(config),
 	}
 }
 
@@ -95,6 +97,7 @@
 	p.heard = now
 	p.informed = false // it may have started anew
 	p.sessions = append(p.sessions, session)
+	s.memberConnected(hello, now)
 	s.changed = true
 }
 
@@ -262,9 +265,9 @@
 // localAddresses returns the inner addresses of the entry instances of the own data centre.
 func (s *state) localAddresses() []string {
 	addresses := []string{s.config.Address}
-	for _, p := range s.peers {
-		if p.hello.DataCentre == s.config.DataCentre && p.hello.Address != "" {
-			addresses = append(addresses, p.hello.Address)
+	for _, member := range s.members.detector.Members() {
+		if member.Address != "" {
+			addresses = append(addresses, member.Address)
 		}
 	}
 	slices.Sort(addresses)
@@ -272,13 +275,11 @@
 }
 
 // sendSummaries tells the other data centres what is free here, if it has changed or they have not heard it for a while.
-// Only the live instance with the lowest identifier does.
+// Only the representative of the data centre does.
 func (s *state) sendSummaries(now time.Time) {
-	for id, p := range s.peers {
-		if p.hello.DataCentre == s.config.DataCentre && id < s.config.Instance {
-			s.summaryAt = time.Time{} // to be sent at once when this instance takes over
-			return
-		}
+	if s.members.detector.Representative() != s.config.Instance {
+		s.summaryAt = time.Time{} // to be sent at once when this instance takes over
+		return
 	}
 	targets := s.summary()
 	news := now.Sub(s.summaryAt) >= summaryRefresh || !slices.EqualFunc(s.summarySent, targets, sameSummary)
