Refuse a spilled request at an instance that knows no server for it

Cause: an entry instance that had just started waited 5 s for a server for requests that another data centre had passed to it, because the target was known from other data centres. It may not pass them on itself.

Conclusion: the request is refused as not run at once, and the sender tries another instance.

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -376,7 +376,12 @@
 	switch {
 	case reason == routing.ReasonNoHeadroom:
 		return nil
-	case reason == routing.ReasonLocalOut && (w.call.spilled || !servedElsewhere(view, w.call.target)):
+	case w.call.spilled && (reason == routing.ReasonLocalOut || reason == routing.ReasonUnknown):
+		// The sender knows the target from this data centre, and may try another instance or data centre. An instance that
+		// has just started does not know the servers yet.
+		return problem.New(problem.NotRun, "this entry instance has no server for %q now (%s): retry later", w.call.target.Name, reason).
+			After(defaultRetryAfter).WithRan(false)
+	case reason == routing.ReasonLocalOut && !servedElsewhere(view, w.call.target):
 		return problem.New(problem.NotRun, "this data centre is out, and no other one in reach has a server for %q: "+
 			"send the request to an entry instance of another data centre", w.call.target.Name).
 			After(defaultRetryAfter).WithRan(false)
--- a/internal/gateway/unplaced_test.go
+++ b/internal/gateway/unplaced_test.go
@@ -13,7 +13,7 @@
 )
 
 // Guards against callers who wait where nothing can serve them: in a data centre that is out and cut off from the others,
-// or passed to one that was taken out meanwhile. A request that another data centre may take as soon as it has a free
+// or passed to one that was taken out meanwhile, or to an instance that has just started and knows no server. A request that another data centre may take as soon as it has a free
 // slot goes on waiting.
 func TestOnlyUsefulWaitsInDataCentreThatIsOut(t *testing.T) {
 	target := fleet.Target{Kind: fleet.KindService, Name: "pedidos"}
@@ -21,19 +21,21 @@
 	for name, test := range map[string]struct {
 		remote  []fleet.Summary
 		spilled bool
+		reason  routing.Reason
 		waits   bool
 	}{
-		"cut off":               {nil, false, false},
-		"other service only":    {[]fleet.Summary{{DataCentre: "norte", Kind: fleet.KindService, Name: "other"}}, false, false},
-		"served elsewhere":      {served, false, true},
-		"passed to this centre": {served, true, false},
+		"cut off":                               {nil, false, routing.ReasonLocalOut, false},
+		"other service only":                    {[]fleet.Summary{{DataCentre: "norte", Kind: fleet.KindService, Name: "other"}}, false, routing.ReasonLocalOut, false},
+		"served elsewhere":                      {served, false, routing.ReasonLocalOut, true},
+		"passed to this centre":                 {served, true, routing.ReasonLocalOut, false},
+		"passed to an instance without servers": {served, true, routing.ReasonUnknown, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			now := time.Now()
-			view := &control.View{Snapshot: (&fleet.Snapshot{LocalOut: true, Remote: test.remote}).Build()}
+			view := &control.View{Snapshot: (&fleet.Snapshot{LocalOut: test.reason == routing.ReasonLocalOut, Remote: test.remote}).Build()}
 			w := &waiter{call: &call{target: target, spilled: test.spilled}, since: now}
-			err := unplaced(w, routing.ReasonLocalOut, view, now)
+			err := unplaced(w, test.reason, view, now)
 			is.Equal(err == nil, test.waits)
 			if err != nil {
 				is.Equal(problem.KindOf(err), problem.NotRun)
