--- a/internal/transport/health.go
+++ b/internal/transport/health.go
@@ -112,7 +112,7 @@
 		since -= h.activeSince.Load()
 	}
 	d, cause = time.Duration(min(since, now-h.lastReceived.Load())), "nothing received from the peer"
-	if reported := time.Duration(h.peerSilence.Load()); reported >= h.cfg.SuspectAfter {
+	if reported := time.Duration(h.peerSilence.Load()); reported >= h.limits().suspect {
 		// A peer that has reported a long silence reports its end as well, so until then it goes on.
 		if reported = min(reported+time.Duration(now-h.peerSaid.Load()), time.Duration(since)); reported > d {
 			d, cause = reported, "peer receives nothing"
