Say that records are short before the first use is recorded

Cause: without any recorded use the start of the records is the zero time, so that 'note check' took the records for old and said of an unused server only that nothing is known to depend on it.

Seen: four instances with the sample settings and no traffic gave that answer for sur-pedidos-1. The start counts as now while there is none, and the check adds that uses have been recorded for less than a week. The new lines of the test fail without the change.

Conclusion: the group's own judgement of a published note (decide/agreed) starts from Unix time 0 in the same case and is not changed here.

--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -160,6 +160,9 @@
 	}
 	var impact release.Effects
 	if !o.core.Agreement.ReadUses(func(uses iter.Seq[release.Use], since time.Time) {
+		if since.IsZero() {
+			since = now // an absent use means nothing before the first record
+		}
 		known.Uses, known.RecordedSince = uses, since
 		impact = release.Impact(note, known)
 	}) {
--- a/internal/entry/operators_test.go
+++ b/internal/entry/operators_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -152,6 +153,8 @@
 		var answer NoteAnswer
 		is.Equal(n.operate(t, http.MethodPost, "/v1/notes", added, &answer), http.StatusOK)
 		is.True(answer.Accepted)
+		is.Equal(n.operate(t, http.MethodPost, "/v1/notes/check", withdrawn, &answer), http.StatusOK)
+		is.True(slices.ContainsFunc(answer.Findings, func(f release.Finding) bool { return f.Code == release.ShortRecord }))
 		other.observer.Used("builders", fleet.Target{Name: "modelo-vidrio", Version: "7"}, "engine-1")
 		time.Sleep(2 * useInterval)
 
