Send a waiting request to a server that only reports to be full

Reports are samples: at a limit of 2 each may show a full server, and an instance without requests of its own there never sends one. A waiting request whose remaining servers were full also held up the queue. Change: after 250 ms a request goes to a server at which the instance uses less than its share of the limit; the agent decides, and a refusal carries a fresh report. Servers to avoid are a preference, except for hedges. Tests fail without the change (probeAfter raised) and pass with it.

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -21,6 +21,8 @@
 	dispatchInterval = 10 * time.Millisecond
 	// maxUnplaced bounds the wait for a server while none takes work at all; then the caller is refused as not run.
 	maxUnplaced = 5 * time.Second
+	// probeAfter is how long a request waits for full servers before it is sent to one of them all the same.
+	probeAfter = 250 * time.Millisecond
 	// maxBlocked bounds the requests taken from the queue for which no server was found.
 	maxBlocked = 16
 	// bytesPerCost converts request size to queue cost; a cost of 1 is a request of this size or less.
@@ -49,11 +51,22 @@
 	call    *call
 	exclude []fleet.ServerID
 	avoid   []fleet.DataCentre
-	since   time.Time
-	gone    bool
-	result  chan granted // takes one result
+	since   time.Time // when it began to wait, or was last sent to a full server
+	begun   time.Time
+	// elsewhere says whether the servers to exclude may be used after all.
+	elsewhere elsewhere
+	gone      bool
+	result    chan granted // takes one result
 }
 
+// elsewhere says how strictly a request must go to another server than those it excludes.
+type elsewhere uint8
+
+const (
+	preferred elsewhere = iota // if one is free
+	required                   // a second attempt beside the first
+)
+
 type granted struct {
 	place placement
 	err   error
@@ -138,9 +151,9 @@
 }
 
 // acquire waits until the request has a placement, is refused, or the context ends.
-func (d *dispatcher) acquire(ctx context.Context, c *call, exclude []fleet.ServerID, avoid []fleet.DataCentre) (placement, error) {
+func (d *dispatcher) acquire(ctx context.Context, c *call, exclude []fleet.ServerID, avoid []fleet.DataCentre, rule elsewhere) (placement, error) {
 	now := time.Now()
-	w := &waiter{call: c, exclude: exclude, avoid: avoid, since: now, result: make(chan granted, 1)}
+	w := &waiter{call: c, exclude: exclude, avoid: avoid, since: now, begun: now, elsewhere: rule, result: make(chan granted, 1)}
 	d.mu.Lock()
 	q, err := d.offer(w, now)
 	if err == nil {
@@ -266,11 +279,11 @@
 	}
 }
 
-// placeNext tries to place a request and reports whether the servers are full for the others too. A request that must
-// not go to some servers says nothing about these.
+// placeNext tries to place a request and reports whether the servers are full for the others too. A request that avoids
+// some servers, or wants an adapter that few of them have, says nothing about the rest.
 func (d *dispatcher) placeNext(q *targetQueue, w *waiter, view *control.View, now time.Time) (full bool) {
 	reason := d.place(q, w, view, now)
-	return reason == routing.ReasonNoHeadroom && len(w.exclude) == 0 && len(w.avoid) == 0
+	return reason == routing.ReasonNoHeadroom && len(w.exclude) == 0 && len(w.avoid) == 0 && w.call.target.Adapter == ""
 }
 
 // place finds a placement for a request that was taken from the queue, refuses it, or keeps it as blocked.
@@ -289,6 +302,15 @@
 		Now:      now,
 	}
 	decision := d.policy.Pick(view.Snapshot, &request, d.rng)
+	if decision.Server < 0 && decision.DataCentre == "" && w.elsewhere == preferred && len(w.exclude)+len(w.avoid) > 0 {
+		// Nothing else is free, so a server that was tried is as good as waiting.
+		request.Exclude, request.Avoid = nil, nil
+		decision = d.policy.Pick(view.Snapshot, &request, d.rng)
+	}
+	if decision.Reason == routing.ReasonNoHeadroom && now.Sub(w.since) >= probeAfter {
+		decision.Server = d.probe(view, w)
+		w.since = now // the next probe is due as long after this one
+	}
 	if place, ok := d.resolve(decision, view); ok {
 		d.grant(q, w, place, now)
 		return routing.ReasonChosen
@@ -303,6 +325,28 @@
 	return decision.Reason
 }
 
+// probe returns a server that reports to be full but at which this instance uses less than its share of the limit, -1 if
+// there is none. Reports are samples: at a small limit each of them may show a full server that has been free in between.
+// The agent refuses what it can't take, and its refusal carries a fresh report.
+func (d *dispatcher) probe(view *control.View, w *waiter) int {
+	candidates := view.Candidates(w.call.target)
+	if len(candidates) == 0 {
+		return -1
+	}
+	start := d.rng.IntN(len(candidates))
+	for n := range candidates {
+		i := candidates[(start+n)%len(candidates)]
+		server := &view.Servers[i]
+		share := max(server.Load.Limit/view.Instances, 1)
+		if server.Excluded == "" && server.Load.Limit > 0 && server.Local.InFlight() < share && server.Serves(w.call.target) &&
+			(w.elsewhere == preferred || !slices.Contains(w.exclude, server.Server)) && !view.LocalOut {
+			metricProbes.Inc()
+			return i
+		}
+	}
+	return -1
+}
+
 // resolve turns a decision into a placement if there is a live session for it.
 func (d *dispatcher) resolve(decision routing.Decision, view *control.View) (placement, bool) {
 	if decision.DataCentre != "" {
@@ -395,7 +439,7 @@
 		return problem.New(problem.UnknownModel, "no backend server has the %s %q (%s): check the name, or announce a server for it",
 			kind, w.call.target.Name, reason).WithRan(false)
 	}
-	if now.Sub(w.since) < maxUnplaced {
+	if now.Sub(w.begun) < maxUnplaced {
 		return nil
 	}
 	return problem.New(problem.NotRun, "no backend server for %q takes work (%s): retry later", w.call.target.Name, reason).
--- /dev/null
+++ b/internal/gateway/dispatcher_test.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/control"
+	"github.com/banyanfront/banyanfront/internal/problem"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+// agentSession is a live session to an agent that says nothing by itself.
+type agentSession struct{ transport.Session }
+
+func (agentSession) Peer() protocol.Hello        { return protocol.Hello{Instance: "engine", Agent: true} }
+func (agentSession) State() transport.State      { return transport.StateLive }
+func (agentSession) Send(protocol.Message) error { return nil }
+
+// startDispatcher runs a dispatcher that knows servers with the given limits, all of them reported to be full.
+func startDispatcher(t *testing.T, limits map[fleet.ServerID]int) (*dispatcher, context.Context, context.CancelFunc) {
+	loop := control.New(control.Config{Instance: "front", DataCentre: "norte", Address: "10.0.0.1:7070"})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute) // ends a test that waits for ever
+	go loop.Run(ctx)
+	session := agentSession{}
+	loop.SessionOpened(session)
+	for id, limit := range limits {
+		loop.MessageReceived(session, &protocol.Announce{Announcement: fleet.Announcement{
+			Server: id, Boot: 1, DataCentre: "norte", Models: []fleet.Model{{Name: "model"}}, Capacity: 16,
+		}})
+		loop.MessageReceived(session, &protocol.Load{Load: fleet.Load{
+			Server: id, Boot: 1, Sequence: 1, Running: limit, Limit: limit, Phase: fleet.PhaseServing,
+		}})
+	}
+	d := newDispatcher(Config{QueueMax: 100}, loop)
+	go d.run(ctx)
+	time.Sleep(time.Second)
+	return d, ctx, cancel
+}
+
+func waitingCall() *call {
+	now := time.Now()
+	return &call{
+		organisation: "builders", target: fleet.Target{Kind: fleet.KindEngine, Name: "model"},
+		priority: fleet.PriorityNormal, arrived: now, deadline: now.Add(20 * time.Second),
+	}
+}
+
+// Guards against requests that wait until their deadline because each sampled load report happens to show a full server,
+// as was seen in the demo on a busy machine: after a short while one is sent, and the agent decides.
+func TestFullReportsDoNotStarveRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, run, stop := startDispatcher(t, map[fleet.ServerID]int{"a": 2})
+		defer stop()
+		begun := time.Now()
+		place, err := d.acquire(run, waitingCall(), nil, nil, preferred)
+		is.NoErr(err)
+		is.Equal(place.server, fleet.ServerID("a"))
+		is.True(time.Since(begun) <= 2*probeAfter) // virtual time
+		// The instance's own share is used up now, so nothing more is sent until it is given back.
+		ctx, cancel := context.WithTimeout(run, 3*time.Second)
+		defer cancel()
+		second, err := d.acquire(run, waitingCall(), nil, nil, preferred)
+		is.NoErr(err) // the limit is 2 and there is one instance
+		_, err = d.acquire(ctx, waitingCall(), nil, nil, preferred)
+		is.Equal(problem.KindOf(err), problem.DeadlineExceeded)
+		second.release()
+		place.release()
+	})
+}
+
+// Guards against a request that must avoid one server and holds up all others behind it while the rest is full.
+func TestRequestThatAvoidsAServerHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, run, stop := startDispatcher(t, map[fleet.ServerID]int{"a": 1})
+		defer stop()
+		hedge := make(chan error, 1)
+		ctx, cancel := context.WithTimeout(run, 4*time.Second)
+		defer cancel()
+		go func() {
+			_, err := d.acquire(ctx, waitingCall(), []fleet.ServerID{"a"}, nil, required)
+			hedge <- err
+		}()
+		time.Sleep(10 * time.Millisecond)
+		place, err := d.acquire(run, waitingCall(), nil, nil, preferred)
+		is.NoErr(err)
+		place.release()
+		is.True(<-hedge != nil) // there is no other server for it
+	})
+}
+
+// Guards against a retry that waits for a stalled server because it has tried the free one before.
+func TestTriedServerIsUsedWhenNothingElseIsFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d, run, stop := startDispatcher(t, map[fleet.ServerID]int{"a": 1})
+		defer stop()
+		place, err := d.acquire(run, waitingCall(), []fleet.ServerID{"a"}, nil, preferred)
+		is.NoErr(err)
+		is.Equal(place.server, fleet.ServerID("a"))
+		place.release()
+	})
+}
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -129,7 +129,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*dispatchInterval)
 	defer cancel()
-	second, err := g.dispatcher.acquire(ctx, c, tried, avoid)
+	second, err := g.dispatcher.acquire(ctx, c, tried, avoid, required)
 	if err != nil {
 		return placement{}, false
 	}
--- a/internal/gateway/idempotent.go
+++ b/internal/gateway/idempotent.go
@@ -83,7 +83,7 @@
 func (g *Gateway) serveIdempotent(ctx context.Context, c *call, answer *answerBuffer) error {
 	var p progress
 	for {
-		place, err := g.dispatcher.acquire(ctx, c, p.exclude, p.avoid)
+		place, err := g.dispatcher.acquire(ctx, c, p.exclude, p.avoid, preferred)
 		if err != nil {
 			return p.refusal(err)
 		}
--- a/internal/gateway/keyed.go
+++ b/internal/gateway/keyed.go
@@ -31,7 +31,7 @@
 func (g *Gateway) tryKeyed(ctx context.Context, c *call, p *progress, answer *answerBuffer) error {
 	replaces := ""
 	for p.placements < maxPlacements {
-		place, err := g.dispatcher.acquire(ctx, c, p.exclude, p.avoid)
+		place, err := g.dispatcher.acquire(ctx, c, p.exclude, p.avoid, preferred)
 		if err != nil {
 			return err
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,8 @@
 
 var metricUnauthorized = metrics.NewCounter(`banyanfront_unauthorized_total`)
 
+var metricProbes = metrics.NewCounter(`banyanfront_full_server_probes_total`)
+
 func metricRefused(reason string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`banyanfront_refused_total{reason=%q}`, reason))
 }
--- a/internal/gateway/unplaced_test.go
+++ b/internal/gateway/unplaced_test.go
@@ -34,7 +34,7 @@
 			is := is.New(t)
 			now := time.Now()
 			view := &control.View{Snapshot: (&fleet.Snapshot{LocalOut: test.reason == routing.ReasonLocalOut, Remote: test.remote}).Build()}
-			w := &waiter{call: &call{target: target, spilled: test.spilled}, since: now}
+			w := &waiter{call: &call{target: target, spilled: test.spilled}, begun: now}
 			err := unplaced(w, test.reason, view, now)
 			is.Equal(err == nil, test.waits)
 			if err != nil {
