--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -111,7 +111,11 @@
 	}, surroundings.Folder, pool, loop)
 }
 
-func newGateway(s *settings.Front, loop *control.Loop, ledger *agreement.Ledger) *gateway.Gateway {
+func newGateway(s *settings.Front, loop *control.Loop, ledger *agreement.Ledger) (*gateway.Gateway, error) {
+	recorder, err := newTraceRecorder(s)
+	if err != nil {
+		return nil, err
+	}
 	organisations := make([]gateway.Organisation, 0, len(s.Organisations))
 	for _, o := range s.Organisations {
 		organisations = append(organisations, gateway.Organisation{
@@ -137,7 +141,8 @@
 		MaxBodyBytes:    int64(s.MaxBodyBytes),
 		QueueMax:        s.QueueMax,
 		RetryBudget:     s.RetryBudget,
-	}, loop, ledger)
+		Trace:           recorder,
+	}, loop, ledger), nil
 }
 
 // newCore connects the parts that receive messages from sessions.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/banyanfront/banyanfront/internal/control"
 	"github.com/banyanfront/banyanfront/internal/problem"
 	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/trace"
 )
 
 // Config holds the settings of the gateway.
@@ -29,6 +30,8 @@
 	RetryBudget     float64 // retries and hedges as a share of requests
 	// Latency is the one-way latency to other data centres, where it is known.
 	Latency map[fleet.DataCentre]time.Duration
+	// Trace records the calls, nil if they are not recorded.
+	Trace *trace.Recorder
 }
 
 // Views gives the newest view of the fleet.
@@ -100,6 +103,7 @@
 			problem.Write(w, err)
 			return
 		}
+		g.record(c)
 		w.Header().Set(HeaderRequestID, c.id)
 		answer := &answerBuffer{sink: newHTTPSink(w), asked: c.stream, max: maxHeldAnswer}
 		err = g.serve(r.Context(), c, answer)
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -57,6 +57,9 @@
 	LogFormat string `json:"logFormat" default:"text" oneof:"text|json"`
 	// HopCosts are one-way latencies between data centres. Default empty: all other data centres count as equally far.
 	HopCosts []HopCost `json:"hopCosts"`
+	// TraceFile is a file for a trace of callers' requests, of at most 64 MiB, relative to the working directory of the
+	// process. It holds no prompt, key or body. Default empty: nothing is recorded.
+	TraceFile string `json:"traceFile"`
 }
 
 // Voter is one initial member of the agreement group.
