Replay traces in virtual time and judge their stated outcomes

The agent's start is a second copy in world/replay.go, as the existing one names one model and one service. Before: no replay.

--- /dev/null
+++ b/internal/history/world/replay.go
@@ -0,0 +1,509 @@
+package world
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/agent"
+	"github.com/banyanfront/banyanfront/internal/entry"
+	"github.com/banyanfront/banyanfront/internal/history"
+	"github.com/banyanfront/banyanfront/internal/process"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/settings"
+	"github.com/banyanfront/banyanfront/internal/standin"
+	"github.com/banyanfront/banyanfront/internal/trace"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+const (
+	// repeatPause lies between two tries of a keyed request.
+	repeatPause = 500 * time.Millisecond
+	// repeatFor is how long a caller repeats a keyed request: the default deadline of design.md, section 8.
+	repeatFor = 30 * time.Second
+	// operatorTries bounds the tries, one a second, of an operator's command.
+	operatorTries = 30
+	engineCold    = 4 * time.Second
+)
+
+// Replay is the fleet of a trace.
+type Replay struct {
+	*World
+	trace    *trace.Trace
+	targets  map[*server]string // model or service
+	sampling context.CancelFunc
+	samplers sync.WaitGroup
+	callers  sync.WaitGroup // calls that a dead instance has left behind
+	// busy holds a place for each server and instance, so that events of one process do not overlap. They are channels,
+	// since a goroutine that waits for a mutex stops the virtual time of a testing/synctest bubble.
+	busy map[string]chan struct{}
+}
+
+var _ trace.Fleet = (*Replay)(nil)
+
+// NewReplay returns the fleet that a trace names. The first entry instance of each of up to three data centres is a
+// voter.
+func NewReplay(t *trace.Trace, seed uint64) *Replay {
+	w := &World{
+		rng: rand.New(rand.NewPCG(seed, 0)), start: time.Now(), network: newNetwork(), deaths: make(map[*instance]chan struct{}),
+	}
+	r := &Replay{World: w, trace: t, targets: make(map[*server]string), busy: make(map[string]chan struct{})}
+	organisations := r.organisations()
+	voterCentres := min(len(t.Header.Fleet), 3)
+	if voterCentres == 2 {
+		voterCentres = 1 // settings allow 1, 3 or 5 voters
+	}
+	var voters []settings.Voter
+	var addresses []string
+	for d := range t.Header.Fleet {
+		dataCentre := &t.Header.Fleet[d]
+		var seeds []string
+		for n, name := range dataCentre.Instances() {
+			address := fmt.Sprintf("10.%d.%d.%d:7070", d, n/250, n%250+1)
+			seeds = append(seeds, address)
+			i := &instance{settings: &settings.Front{
+				Instance: fleet.InstanceID(name), DataCentre: fleet.DataCentre(dataCentre.Name), InnerAddress: address,
+				FleetKey: fleetKey, DefaultDeadline: 30 * time.Second, MaxBodyBytes: 1 << 19, QueueMax: 1000,
+				RetryBudget: 0.1, DrainTimeout: drainTimeout, Organisations: organisations,
+			}}
+			if n == 0 && d < voterCentres {
+				i.disk = newDisk(rand.New(rand.NewPCG(seed, uint64(d+1))))
+				voters = append(voters, settings.Voter{Instance: i.settings.Instance, Address: address})
+			}
+			w.instances = append(w.instances, i)
+		}
+		addresses = append(addresses, seeds...)
+		r.addServers(dataCentre, seeds)
+	}
+	for _, i := range w.instances {
+		i.settings.Voters, i.settings.Peers = voters, addresses
+		r.busy[string(i.settings.Instance)] = make(chan struct{}, 1)
+	}
+	for _, s := range w.servers {
+		r.busy[string(s.id)] = make(chan struct{}, 1)
+	}
+	return r
+}
+
+func organisationKey(name string) string { return callerKey + "-" + name }
+
+// organisations returns the organisations of the trace, with equal weights.
+func (r *Replay) organisations() []settings.Organisation {
+	var names []string
+	for i := range r.trace.Requests {
+		names = append(names, r.trace.Requests[i].Organisation)
+	}
+	slices.Sort(names)
+	var organisations []settings.Organisation
+	for _, name := range slices.Compact(names) {
+		organisations = append(organisations, settings.Organisation{Name: fleet.Organisation(name), Key: organisationKey(name), Weight: 1})
+	}
+	return organisations
+}
+
+// addServers adds the engines and plain services of a data centre.
+func (r *Replay) addServers(d *trace.DataCentre, seeds []string) {
+	for n, name := range d.Servers() {
+		s := &server{id: fleet.ServerID(name), dataCentre: fleet.DataCentre(d.Name), seeds: seeds}
+		if n < d.Engines {
+			s.engine = standin.NewEngine(standin.EngineConfig{
+				Name: name, Models: []fleet.Model{{Name: d.Model}}, Prefill: 100 * time.Millisecond,
+				TokenInterval: 20 * time.Millisecond, Cold: engineCold, ColdSlots: coldSlots, Restart: 2 * time.Second,
+			})
+			r.targets[s] = d.Model
+		} else {
+			s.service = standin.NewService(standin.ServiceConfig{Name: name, Delay: 30 * time.Millisecond})
+			r.targets[s] = d.Service
+		}
+		r.servers = append(r.servers, s)
+	}
+}
+
+// startAgentOf starts the agent beside a server of the trace.
+func (r *Replay) startAgentOf(s *server) error {
+	boot := process.NewBoot()
+	announcement := fleet.Announcement{Server: s.id, Boot: boot, DataCentre: s.dataCentre, Capacity: 16}
+	if s.engine != nil {
+		announcement.Models, announcement.Resumes = []fleet.Model{{Name: r.targets[s]}}, true
+	} else {
+		announcement.Kind, announcement.Service = fleet.KindService, r.targets[s]
+	}
+	a, err := agent.New(agent.Config{
+		Announcement: announcement, BackendURL: "http://" + string(s.id), FirstTokenBound: 1100 * time.Millisecond,
+		KeepAnswers: 16 << 20, KeepAnswersFor: 10 * time.Minute, ReportInterval: 2 * time.Second, Dial: s.listener.dial,
+	})
+	if err != nil {
+		return err
+	}
+	n := &node{name: string(s.id), dataCentre: s.dataCentre, handler: a}
+	hello := protocol.Hello{Instance: fleet.InstanceID(s.id), Boot: boot, DataCentre: s.dataCentre, Agent: true}
+	n.hello = func() protocol.Hello { return hello }
+	pool := transport.NewPool(func(address string) transport.ConnectFunc { return r.network.connect(n, address) }, a)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	s.node, s.stop, s.done = n, cancel, done
+	go func() {
+		defer close(done)
+		a.Run(ctx, pool, s.seeds, drainTimeout)
+	}()
+	return nil
+}
+
+// Start implements trace.Fleet.
+func (r *Replay) Start() error {
+	for _, s := range r.servers {
+		s.startServer()
+	}
+	for _, i := range r.instances {
+		if err := r.startInstance(i); err != nil {
+			return err
+		}
+	}
+	for _, s := range r.servers {
+		if err := r.startAgentOf(s); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.sampling = cancel
+	r.samplers.Go(func() { r.sample(ctx) })
+	time.Sleep(startTime)
+	return nil
+}
+
+// Stop implements trace.Fleet.
+func (r *Replay) Stop() *history.History {
+	r.sampling()
+	r.samplers.Wait()
+	r.callers.Wait()
+	r.instances = slices.DeleteFunc(r.instances, func(i *instance) bool { return i.core == nil })
+	r.finish()
+	return r.recorder.History()
+}
+
+// ready returns the entry instances that the platform's load balancer sends a caller of a data centre to: its own data
+// centre's first. The load balancer knows at once which instances are ready.
+func (r *Replay) ready(dataCentre string) []*instance {
+	var own, others []*instance
+	for _, i := range r.instances {
+		r.mu.Lock()
+		core := i.core
+		r.mu.Unlock()
+		switch {
+		case core == nil || core.NotReady() != "":
+		case string(i.settings.DataCentre) == dataCentre:
+			own = append(own, i)
+		default:
+			others = append(others, i)
+		}
+	}
+	if len(own) > 0 {
+		return own
+	}
+	return others
+}
+
+// Call implements trace.Fleet.
+func (r *Replay) Call(number int, req *trace.Request) trace.Answer {
+	begun := time.Now()
+	random := rand.New(rand.NewPCG(uint64(number), 1))
+	dataCentre := req.DataCentre
+	for {
+		answer := r.try(number, req, dataCentre, random)
+		if req.Key == "" || answer.Result == history.Answered || time.Since(begun) > repeatFor {
+			answer.Took = time.Since(begun)
+			return answer
+		}
+		time.Sleep(repeatPause)
+		// A caller whose order was not answered turns to any data centre, as it does not know what is wrong.
+		dataCentre = r.trace.Header.Fleet[random.IntN(len(r.trace.Header.Fleet))].Name
+	}
+}
+
+// try sends a request once and records what its caller got.
+func (r *Replay) try(number int, req *trace.Request, dataCentre string, random *rand.Rand) trace.Answer {
+	path, body, check := r.content(number, req)
+	id := requestID(body)
+	switch {
+	case req.Key != "":
+		id = req.Key
+	case body == nil:
+		id = strings.TrimPrefix(path, "/services/"+req.Target) // as the servers record it
+	}
+	seen := history.Request{ID: id, Keyed: req.Key != "", Begun: r.now(), Result: history.Unreachable}
+	var first time.Duration
+	if ready := r.ready(dataCentre); len(ready) > 0 {
+		i := ready[random.IntN(len(ready))]
+		seen.Instance = i.settings.Instance
+		status, answer, firstByte, err := r.send(i, req, path, body)
+		first = firstByte
+		seen.Crashed = errors.Is(err, errCrashed)
+		seen.Result, seen.Complete, seen.Detail = result(status, answer, err, check)
+	}
+	r.note(seen)
+	return trace.Answer{ID: seen.ID, Result: seen.Result, Complete: seen.Complete, FirstToken: first, Detail: seen.Detail}
+}
+
+// content makes up what the trace does not hold: a prompt or body of the recorded length that is the same each time a
+// key is repeated, and different for all other requests. check returns what is wrong with an answer, or "".
+func (r *Replay) content(number int, req *trace.Request) (path string, body []byte, check func([]byte) string) {
+	name := "request " + strconv.Itoa(number)
+	if req.Key != "" {
+		name = "key " + req.Key
+	}
+	check = func([]byte) string { return "" }
+	switch {
+	case req.Path == "/v1/completions" || req.Path == "/v1/chat/completions":
+		prompt := name + strings.Repeat(" pane", max(req.Prompt-len(name), 0)/5)
+		tokens := max(req.Tokens, 1)
+		body, _ = json.Marshal(map[string]any{"model": req.Target, "prompt": prompt, "max_tokens": tokens, "stream": req.Stream})
+		return "/v1/completions", body, func(answer []byte) string {
+			if got, want := completionText(answer, req.Stream), standin.Answer(req.Target, prompt, tokens); got != want {
+				return fmt.Sprintf("%q instead of %q", got, want)
+			}
+			return ""
+		}
+	case req.Method == http.MethodGet || req.Method == http.MethodHead:
+		return req.Path + "?request=" + strconv.Itoa(number), nil, check
+	}
+	body, _ = json.Marshal(map[string]any{"name": name, "content": strings.Repeat("x", req.Prompt)})
+	return req.Path, body, func(answer []byte) string {
+		var created struct{ ID, Path string }
+		if json.Unmarshal(answer, &created) != nil || (created.ID == "" && created.Path == "") {
+			return fmt.Sprintf("no order in %q", answer)
+		}
+		return ""
+	}
+}
+
+// firstByteRecorder notes when the first part of an answer comes.
+type firstByteRecorder struct {
+	lockedRecorder
+	begun time.Time
+	first time.Duration
+}
+
+// Write implements http.ResponseWriter.
+func (f *firstByteRecorder) Write(data []byte) (int, error) {
+	f.mu.Lock()
+	if f.first == 0 {
+		f.first = time.Since(f.begun)
+	}
+	f.mu.Unlock()
+	return f.lockedRecorder.Write(data)
+}
+
+// send sends a request to an instance.
+func (r *Replay) send(i *instance, req *trace.Request, path string, body []byte) (status int, answer []byte, first time.Duration, err error) {
+	handler := r.handlerOf(i)
+	if handler == nil {
+		return 0, nil, 0, errUnreachable
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	request := httptest.NewRequestWithContext(ctx, req.Method, path, bytes.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+organisationKey(req.Organisation))
+	if req.DeadlineMS > 0 {
+		request.Header.Set("Banyan-Deadline-Ms", strconv.FormatInt(req.DeadlineMS, 10))
+	}
+	if req.Key != "" {
+		request.Header.Set("Idempotency-Key", req.Key)
+	}
+	recorder := &firstByteRecorder{lockedRecorder: lockedRecorder{ResponseRecorder: httptest.NewRecorder()}, begun: time.Now()}
+	finished := make(chan error, 1)
+	death := r.deathOf(i)
+	r.callers.Go(func() {
+		defer func() {
+			if recover() != nil {
+				finished <- io.ErrUnexpectedEOF // the connection was closed within the answer
+			}
+		}()
+		handler.ServeHTTP(recorder, request)
+		finished <- nil
+	})
+	select {
+	case err = <-finished:
+	case <-death:
+		err = errCrashed
+	}
+	recorder.mu.Lock()
+	defer recorder.mu.Unlock()
+	return recorder.Code, bytes.Clone(recorder.Body.Bytes()), recorder.first, err
+}
+
+// Apply implements trace.Fleet.
+func (r *Replay) Apply(e *trace.Event) error {
+	for _, name := range []string{e.Instance, e.Server} {
+		if busy := r.busy[name]; busy != nil && e.Kind != trace.Silent {
+			busy <- struct{}{}
+			defer func() { <-busy }()
+		}
+	}
+	r.noteFault("%s %s%s %s", e.Kind, e.DataCentre, e.Instance, e.Server)
+	var s *server
+	if at := slices.IndexFunc(r.servers, func(s *server) bool { return string(s.id) == e.Server }); at >= 0 {
+		s = r.servers[at]
+	}
+	var i *instance
+	if at := slices.IndexFunc(r.instances, func(i *instance) bool { return string(i.settings.Instance) == e.Instance }); at >= 0 {
+		i = r.instances[at]
+	}
+	switch e.Kind {
+	case trace.Out, trace.In:
+		return r.command(e)
+	case trace.Crash:
+		if i.core == nil {
+			return errors.New("the instance is down")
+		}
+		r.crash(i)
+	case trace.Restart:
+		if i.core != nil {
+			return errors.New("the instance is up")
+		}
+		return r.startInstance(i)
+	case trace.Partition:
+		for _, other := range r.trace.Header.Fleet {
+			if other.Name != e.DataCentre {
+				r.network.block(fleet.DataCentre(e.DataCentre), fleet.DataCentre(other.Name), true)
+				r.network.block(fleet.DataCentre(other.Name), fleet.DataCentre(e.DataCentre), true)
+			}
+		}
+	case trace.Heal:
+		r.network.heal()
+		r.reached()
+	case trace.Silent:
+		r.network.silence(e.Instance, e.Server)
+	case trace.Slow:
+		if s.engine == nil {
+			return errors.New("only engines can be slow")
+		}
+		s.engine.SetSlow(e.Factor)
+	case trace.Cold:
+		return r.turnCold(s)
+	case trace.Drain:
+		return r.drainServer(s)
+	case trace.Down:
+		return r.killServer(s)
+	case trace.Up:
+		return r.startAgain(s)
+	}
+	return nil
+}
+
+// command lets operators take a data centre out or bring it back, trying one instance after the other.
+func (r *Replay) command(e *trace.Event) error {
+	for range operatorTries {
+		for _, i := range r.instances {
+			r.mu.Lock()
+			core := i.core
+			r.mu.Unlock()
+			if core != nil && r.commandAt(core, e) {
+				return nil
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	return fmt.Errorf("no instance accepted the command in %d tries", operatorTries)
+}
+
+// commandAt gives a command to one instance and reports whether the log holds it. An out is recorded with the time of
+// its answer and an in with the time before, as each may be in force at once.
+func (r *Replay) commandAt(core *entry.Core, e *trace.Event) bool {
+	name := fleet.DataCentre(e.DataCentre)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if e.Kind == trace.Out {
+		_, logged := core.Agreement.TakeOut(ctx, name, "operator", "trace", time.Now())
+		if logged {
+			r.noteCentre(history.Centre{DataCentre: name, Out: true, Accepted: r.now(), Reached: r.reachable()})
+		}
+		return logged
+	}
+	at := r.now()
+	result, err := core.Agreement.BringIn(ctx, name, "operator", "trace", time.Now())
+	if err != nil || !result.Accepted() {
+		return false
+	}
+	r.noteCentre(history.Centre{DataCentre: name, Accepted: at, Reached: r.reachable()})
+	return true
+}
+
+// turnCold turns an engine cold without warning. One fall within its cold time is the event's own: requests above what
+// it bears may be running already, and nothing has told the agent. Any further fall breaks G2.
+func (r *Replay) turnCold(s *server) error {
+	if s.engine == nil {
+		return errors.New("only engines turn cold")
+	}
+	before := s.engine.Stats().Falls
+	s.engine.TurnCold()
+	time.Sleep(engineCold)
+	if falls := s.engine.Stats().Falls - before; falls > 0 {
+		s.falls++
+		r.noteFault("%s fell over %d times in the %v after it had turned cold", s.id, falls, engineCold)
+	}
+	return nil
+}
+
+// drainServer stops the agent of a server as planned.
+func (r *Replay) drainServer(s *server) error {
+	if s.node == nil {
+		return errors.New("the server is down")
+	}
+	from := r.now()
+	s.node = nil
+	s.stop()
+	<-s.done
+	r.recorder.Record(func(h *history.History) {
+		h.Stops = append(h.Stops, history.Stop{Server: s.id, From: from, To: r.now()})
+		h.Leaves = append(h.Leaves, history.Leave{Server: s.id, At: from})
+	})
+	return nil
+}
+
+// killServer kills a server and its agent.
+func (r *Replay) killServer(s *server) error {
+	if s.node == nil {
+		return errors.New("the server is down")
+	}
+	r.network.leave("", s.node)
+	s.node = nil
+	s.listener.Close()
+	_ = s.http.Close()
+	s.stop()
+	<-s.done
+	if s.engine != nil {
+		s.falls++
+		s.engine.FallOver() // a new process has a new boot number and is cold
+	}
+	return nil
+}
+
+// startAgain starts a server that was drained or killed.
+func (r *Replay) startAgain(s *server) error {
+	if s.node != nil {
+		return errors.New("the server is up")
+	}
+	r.recorder.Record(func(h *history.History) {
+		for i := range h.Leaves {
+			if h.Leaves[i].Server == s.id && h.Leaves[i].Until == 0 {
+				h.Leaves[i].Until = r.now()
+			}
+		}
+	})
+	s.listener.Close()
+	_ = s.http.Close()
+	s.startServer()
+	return r.startAgentOf(s)
+}
--- /dev/null
+++ b/internal/trace/generate/main_test.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/internal/trace"
+)
+
+// Guards against committed traces that differ from what the generator writes: run go generate ./internal/trace/generate.
+func TestTracesAreGenerated(t *testing.T) {
+	is := is.New(t)
+	for _, generated := range All() {
+		var written bytes.Buffer
+		is.NoErr(trace.Write(&written, generated))
+		committed, err := os.ReadFile("../testdata/" + generated.Header.Name + ".jsonl")
+		is.NoErr(err)
+		is.True(bytes.Equal(written.Bytes(), committed))
+	}
+}
