--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -121,7 +121,11 @@
 	}, surroundings.Folder, pool, loop)
 }
 
-func newGateway(s *settings.Front, loop *control.Loop, a *agreement.Service, ledger *agreement.Ledger, observer *observer) *gateway.Gateway {
+func newGateway(s *settings.Front, loop *control.Loop, a *agreement.Service, ledger *agreement.Ledger, observer *observer) (*gateway.Gateway, error) {
+	recorder, err := newTraceRecorder(s)
+	if err != nil {
+		return nil, err
+	}
 	organisations := make([]gateway.Organisation, 0, len(s.Organisations))
 	for _, o := range s.Organisations {
 		organisations = append(organisations, gateway.Organisation{
@@ -149,7 +153,8 @@
 		RetryBudget:     s.RetryBudget,
 		NotReady:        a.NotReady,
 		Observer:        observer,
-	}, loop, ledger)
+		Trace:           recorder,
+	}, loop, ledger), nil
 }
 
 // newCore connects the parts that receive messages from sessions.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/banyanfront/banyanfront/internal/control"
 	"github.com/banyanfront/banyanfront/internal/problem"
 	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/trace"
 )
 
 // Config holds the settings of the gateway.
@@ -34,6 +35,8 @@
 	// NotReady stands for an instance that may serve at once.
 	NotReady func() string
 	Observer Observer
+	// Trace records the calls, nil if they are not recorded.
+	Trace *trace.Recorder
 }
 
 // Views gives the newest view of the fleet.
@@ -107,6 +110,7 @@
 			problem.Write(w, err)
 			return
 		}
+		g.record(c)
 		w.Header().Set(HeaderRequestID, c.id)
 		answer := &answerBuffer{sink: newHTTPSink(w), asked: c.stream, max: maxHeldAnswer}
 		err = g.serve(r.Context(), c, answer)
