Reuse the agent's buffers for whole answers

Cause: each answer that is not streamed took a buffer of 64 KiB and a copy of each part: 69 % of the bytes that the agents allocated for orders, and the garbage collector took 18 % of their processor time.

The buffers are pooled. A part is not copied any more: Send has encoded it when it returns, and the kept answer of a keyed request is a copy of its own. The benchmark now reports processor time and allocated bytes of entry instance and agents for each request.

--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -163,13 +164,17 @@
 	}
 }
 
+// answerBuffers hold a part of an answer until Send has encoded it.
+var answerBuffers = sync.Pool{New: func() any { return new([answerChunk]byte) }}
+
 func (e *execution) forwardBody(ctx context.Context, body io.Reader) error {
-	buf := make([]byte, answerChunk)
+	buf := answerBuffers.Get().(*[answerChunk]byte)
+	defer answerBuffers.Put(buf)
 	for {
-		n, err := body.Read(buf)
+		n, err := body.Read(buf[:])
 		if n > 0 {
 			e.observe(0)
-			e.send(ctx, &protocol.Data{Offset: e.offset, Payload: append([]byte(nil), buf[:n]...)})
+			e.send(ctx, &protocol.Data{Offset: e.offset, Payload: buf[:n]})
 			e.offset += uint64(n)
 		}
 		if err == io.EOF {
--- a/internal/overhead/bench_test.go
+++ b/internal/overhead/bench_test.go
@@ -144,10 +144,16 @@
 				once(f.callers+entryMark, &through)
 			}
 			direct, through = nil, nil
+			before := map[string]usage{"entry": f.usage(b, "entry", false), "agents": f.usage(b, "agents", false)}
 			for b.Loop() {
 				once(f.direct(class.name), &direct)
 				once(f.callers+entryMark, &through)
 			}
+			for role, u := range before {
+				after := f.usage(b, role, false)
+				b.ReportMetric(float64((after.CPU-u.CPU).Microseconds())/float64(len(through)), role+"-cpu-µs/request")
+				b.ReportMetric(float64(after.Allocated-u.Allocated)/float64(len(through)), role+"-B/request")
+			}
 			slices.Sort(direct)
 			slices.Sort(through)
 			for _, q := range []struct {
