Carry release notes to the engines

Cause: accepted notes changed routing only; nothing loaded an expected model or dropped a withdrawn one.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -78,7 +78,8 @@
 	sequence uint64
 	told     fleet.Load // newest load that the entry instances were told
 	toldAt   time.Time
-	revision uint64 // newest agreed state heard of
+	models   []fleet.Model // that the engine has loaded; replaced, never changed
+	revision uint64        // newest agreed state heard of
 	seeds    []string
 	rosters  map[fleet.InstanceID][]string // entry instances that each entry instance named last
 
@@ -103,6 +104,7 @@
 		meter:    newMeter(),
 		limiter: limits.New(limits.Config{Bound: config.FirstTokenBound, Capacity: config.Capacity},
 			time.Now(), config.Boot),
+		models:  config.Models,
 		rosters: make(map[fleet.InstanceID][]string),
 		report:  make(chan struct{}, 1),
 	}, nil
@@ -313,9 +315,18 @@
 	}
 }
 
+// announce returns the announcement with the models that the engine has loaded by now.
+func (a *Agent) announce() *protocol.Announce {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	announcement := a.config.Announcement
+	announcement.Models = a.models
+	return &protocol.Announce{Announcement: announcement}
+}
+
 // SessionOpened implements transport.Handler.
 func (a *Agent) SessionOpened(s transport.Session) {
-	_ = s.Send(&protocol.Announce{Announcement: a.config.Announcement})
+	_ = s.Send(a.announce())
 	_ = s.Send(&protocol.Load{Load: a.load(time.Now())})
 }
 
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -7,10 +7,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/transport"
 )
 
 const (
@@ -70,6 +73,8 @@
 	if first {
 		if err := a.backend.order(m); err != nil {
 			result.refused = err.Error()
+		} else {
+			a.carriedOut(m)
 		}
 		close(result.ready)
 	}
@@ -77,6 +82,43 @@
 	return &protocol.OrderDone{ID: m.ID, Refused: result.refused}
 }
 
+// carriedOut takes over what an order has changed, and tells the entry instances.
+func (a *Agent) carriedOut(m *protocol.Order) {
+	a.mu.Lock()
+	a.models = changedModels(a.models, m)
+	a.mu.Unlock()
+	announce := a.announce()
+	a.sessions.Each(func(s transport.Session) { _ = s.Send(announce) })
+}
+
+// changedModels returns the models after an order.
+func changedModels(models []fleet.Model, m *protocol.Order) []fleet.Model {
+	var changed []fleet.Model
+	found := false
+	for _, model := range models {
+		if model.Name != m.Model {
+			changed = append(changed, model)
+			continue
+		}
+		switch {
+		case m.Action == "load" && m.Adapter != "":
+			model.Adapters = append(slices.Clone(model.Adapters), m.Adapter)
+		case m.Action == "load":
+			model.Version = m.Version
+		case m.Action == "unload" && m.Adapter != "":
+			model.Adapters = slices.DeleteFunc(slices.Clone(model.Adapters), func(name string) bool { return name == m.Adapter })
+		case m.Action == "unload":
+			continue
+		}
+		found = true
+		changed = append(changed, model)
+	}
+	if !found && m.Action == "load" && m.Adapter == "" {
+		changed = append(changed, fleet.Model{Name: m.Model, Version: m.Version})
+	}
+	return changed
+}
+
 // orderBody is an order as engines take it.
 type orderBody struct {
 	ID      string `json:"id"`
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -10,10 +10,13 @@
 // View is what traffic goroutines know of the fleet. It is immutable.
 type View struct {
 	*fleet.Snapshot
-	Agreed   Agreed
-	sessions map[fleet.ServerID]transport.Session
-	peers    map[fleet.DataCentre][]transport.Session
-	known    map[target]bool
+	Agreed Agreed
+	// Representative tells that this instance speaks for its data centre. For a moment two instances may.
+	Representative bool
+	sessions       map[fleet.ServerID]transport.Session
+	announced      map[fleet.ServerID][]fleet.Model
+	peers          map[fleet.DataCentre][]transport.Session
+	known          map[target]bool
 }
 
 // Known reports whether any data centre has had servers for the target lately.
@@ -22,6 +25,9 @@
 // Session returns a live session to the server's agent, or nil.
 func (v *View) Session(id fleet.ServerID) transport.Session { return v.sessions[id] }
 
+// Announced returns the models that a server has announced, also those that release notes have withdrawn.
+func (v *View) Announced(id fleet.ServerID) []fleet.Model { return v.announced[id] }
+
 // Peers returns live sessions to entry instances of another data centre.
 func (v *View) Peers(dataCentre fleet.DataCentre) []transport.Session { return v.peers[dataCentre] }
 
@@ -75,10 +81,14 @@
 func (s *state) view(now time.Time) *View {
 	s.changed, s.urgent = false, false
 	v := &View{
-		Agreed:   s.agreed,
-		sessions: make(map[fleet.ServerID]transport.Session, len(s.servers)),
-		peers:    make(map[fleet.DataCentre][]transport.Session),
-		known:    make(map[target]bool, len(s.known)),
+		Agreed: s.agreed,
+
+		Representative: s.members.detector.Representative() == s.config.Instance,
+
+		sessions:  make(map[fleet.ServerID]transport.Session, len(s.servers)),
+		announced: make(map[fleet.ServerID][]fleet.Model, len(s.servers)),
+		peers:     make(map[fleet.DataCentre][]transport.Session),
+		known:     make(map[target]bool, len(s.known)),
 	}
 	snapshot := &fleet.Snapshot{
 		Revision:  s.agreed.Revision,
@@ -95,6 +105,7 @@
 			v.sessions[id] = session
 		}
 		announcement := known.announcement
+		v.announced[id] = announcement.Models
 		announcement.Models = s.agreed.offered(announcement.Models)
 		snapshot.Servers = append(snapshot.Servers, fleet.Server{
 			Announcement: announcement,
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -37,6 +37,7 @@
 	Gateway   *gateway.Gateway
 	Agreement *agreement.Service
 	ledger    *agreement.Ledger
+	commander *commander
 	account   *account.Queue
 	observer  *observer
 	pool      *transport.Pool
@@ -79,6 +80,7 @@
 		newAgreement,
 		agreement.NewLedger,
 		newGateway,
+		newCommander,
 		newCore,
 	} {
 		if err := container.Provide(constructor); err != nil {
@@ -159,11 +161,15 @@
 
 // newCore connects the parts that receive messages from sessions.
 func newCore(s *settings.Front, id identity, loop *control.Loop, g *gateway.Gateway, a *agreement.Service,
-	ledger *agreement.Ledger, pool *transport.Pool, journal *account.Queue, observer *observer) *Core {
-	core := &Core{Loop: loop, Gateway: g, Agreement: a, ledger: ledger, account: journal, observer: observer, pool: pool, settings: s, identity: id}
+	ledger *agreement.Ledger, pool *transport.Pool, journal *account.Queue, observer *observer, commander *commander) *Core {
+	core := &Core{Loop: loop, commander: commander, Gateway: g, Agreement: a, ledger: ledger, account: journal, observer: observer, pool: pool, settings: s, identity: id}
 	loop.SetStreamSink(g.ServeSpilled)
 	loop.SetAddressSink(func(members []string) { pool.Set(core.neighbours(members)) })
 	loop.SetMessageSink(func(session transport.Session, m protocol.Message) {
+		if done, ok := m.(*protocol.OrderDone); ok {
+			commander.done(done)
+			return
+		}
 		if !g.MessageReceived(session, m) && !a.MessageReceived(session, m) {
 			log.WithField("type", m.Type()).Debug("message without a receiver")
 		}
@@ -181,6 +187,7 @@
 	group.Go(func() { c.Loop.Run(ctx) })
 	group.Go(func() { c.Gateway.Run(ctx) })
 	group.Go(func() { c.Agreement.Run(ctx) })
+	group.Go(func() { c.commander.run(ctx) })
 	group.Go(func() { c.watchReadiness(ctx) })
 	group.Go(func() { c.account.Run(ctx) })
 	group.Go(func() { c.observer.uses.run(ctx, c.identity.boot, c.Agreement.Propose) })
