--- /dev/null
+++ b/internal/history/world/race_test.go
@@ -0,0 +1,9 @@
+//go:build race
+
+package world
+
+import "testing"
+
+// parallel runs tests one after the other under the race detector: with several bubbles at a time its runtime (Go 1.26.8)
+// failed with "CHECK failed: tsan_rtl.cpp:346" and reported no race.
+func parallel(*testing.T) {}
