Lower the weight of a lock-step group with a slow rank

Cause: agents asked engines for no step times and the control loop gave every server the weight 1, so that a group with a straggler got as much work as its healthy peers. Change: agents ask /load each second and report step time and used KV cache, bounded; the control loop judges the ranks of each group by experts.Watch and publishes the group's weight. A server's own refusal no longer counts as a first token.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -78,6 +79,7 @@
 	sequence uint64
 	told     fleet.Load // newest load that the entry instances were told
 	toldAt   time.Time
+	engine   engineLoad    // as the engine last told
 	models   []fleet.Model // that the engine has loaded; replaced, never changed
 	revision uint64        // newest agreed state heard of
 	seeds    []string
@@ -223,6 +225,8 @@
 		TokenInterval: a.meter.tokenInterval(),
 		Phase:         a.limiter.ServerPhase(),
 		Refused:       a.refused,
+		KVUsed:        a.engine.KVUsed,
+		StepTime:      a.engine.StepTime,
 	}
 	if a.down {
 		load.Phase, load.Limit = fleet.PhaseStarting, 0
@@ -248,7 +252,8 @@
 	return load.Phase != told.Phase || load.Limit < told.Limit ||
 		(load.Running >= load.Limit) != (told.Running >= told.Limit) ||
 		step(load.Running-told.Running, load.Limit) || step(load.Limit-told.Limit, load.Limit) ||
-		timeDiffers(told.FirstToken, load.FirstToken) || timeDiffers(told.TokenInterval, load.TokenInterval)
+		timeDiffers(told.FirstToken, load.FirstToken) || timeDiffers(told.TokenInterval, load.TokenInterval) ||
+		timeDiffers(told.StepTime, load.StepTime) || math.Abs(load.KVUsed-told.KVUsed) >= 1.0/loadSteps
 }
 
 // step reports whether a change of a number of requests is worth a report at the limit. Up to a limit of 15, each is.
@@ -281,11 +286,18 @@
 	ctx, cancel := context.WithTimeout(ctx, probeInterval)
 	defer cancel()
 	healthy := a.backend.healthy(ctx)
+	engine, told := engineLoad{}, false
+	if healthy && a.config.Kind == fleet.KindEngine {
+		engine, told = a.backend.load(ctx)
+	}
 	if ctx.Err() == context.Canceled {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if told {
+		a.engine = engine
+	}
 	switch {
 	case healthy && a.down:
 		a.down, a.failed = false, 0
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -140,3 +142,40 @@
 	_ = res.Body.Close()
 	return res.StatusCode < http.StatusInternalServerError
 }
+
+// engineLoad is what an engine reports about itself.
+type engineLoad struct {
+	KVUsed   float64       `json:"kvUsed"`   // used share of the KV cache, 0 to 1
+	StepTime time.Duration `json:"stepTime"` // of this rank, without the wait for others, in nanoseconds
+}
+
+const (
+	maxLoadBytes = 64 << 10
+	maxStepTime  = time.Minute
+)
+
+// load asks the engine for its load. It reports false if the engine tells nothing, or nonsense.
+func (b *backend) load(ctx context.Context) (engineLoad, bool) {
+	var load engineLoad
+	target, err := b.target("/load")
+	if err != nil {
+		return load, false
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return load, false
+	}
+	res, err := b.shared.Do(req)
+	if err != nil {
+		return load, false
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(res.Body, maxLoadBytes)).Decode(&load) != nil {
+		return load, false
+	}
+	if load.KVUsed < 0 || load.KVUsed > 1 || load.StepTime < 0 || load.StepTime > maxStepTime {
+		metricBadLoad.Inc()
+		return engineLoad{}, false
+	}
+	return load, true
+}
--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -191,6 +191,9 @@
 
 // observe notes the time to first token and between tokens.
 func (e *execution) observe(tokens int) {
+	if e.answer.status >= http.StatusInternalServerError {
+		return // a refusal comes at once and says nothing about first tokens
+	}
 	now := time.Now()
 	if e.lastPart.IsZero() {
 		firstToken := max(now.Sub(e.started), 1)
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -8,6 +8,8 @@
 	"github.com/banyanfront/banyanfront/internal/protocol"
 )
 
+var metricBadLoad = metrics.NewCounter(`banyanagent_bad_load_total`)
+
 var metricFirstToken = metrics.NewHistogram(`banyanagent_first_token_seconds`)
 
 var outcomeNames = map[protocol.Outcome]string{
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -65,6 +65,8 @@
 	agreed      Agreed
 	known       map[target]time.Time // when other data centres last told of a target
 	roster      []string             // addresses of the last tick
+	groups      map[string]*group
+	nextGroups  time.Time
 	nextRoster  time.Time
 	nextSummary time.Time
 	summarySent []fleet.Summary // that informed peers hold
@@ -79,6 +81,7 @@
 		servers: make(map[fleet.ServerID]*server),
 		peers:   make(map[fleet.InstanceID]*peer),
 		known:   make(map[target]time.Time),
+		groups:  make(map[string]*group),
 		members: newMembers(config),
 	}
 }
@@ -209,6 +212,7 @@
 }
 
 func (s *state) tick(now time.Time) {
+	s.watchGroups(now)
 	for id, known := range s.servers {
 		if len(known.sessions) == 0 && now.Sub(known.lastSeen) > forgetAfter {
 			delete(s.servers, id)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -111,7 +111,7 @@
 			Announcement: announcement,
 			Load:         known.load,
 			Excluded:     s.excluded(known),
-			Weight:       1,
+			Weight:       s.weight(&announcement),
 			Local:        known.counter,
 		})
 	}
