--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -35,7 +35,7 @@
 	KeepAnswers Bytes `json:"keepAnswers" default:"16MiB" min:"0" max:"4GiB"`
 	// KeepAnswersFor is the time for which such an answer is kept. Default 10m.
 	KeepAnswersFor time.Duration `json:"keepAnswersFor" default:"10m" min:"1s" max:"24h"`
-	// ReportInterval is the time between load reports. Default 2s.
+	// ReportInterval is the time between two checks whether the load has changed enough to be reported. Default 2s.
 	ReportInterval time.Duration `json:"reportInterval" default:"2s" min:"100ms" max:"1m"`
 	// MetricsListen is the address and port of /metrics, /healthz and /readyz. Default "127.0.0.1:7072".
 	MetricsListen string `json:"metricsListen" default:"127.0.0.1:7072" check:"listen"`
