--- a/internal/agreement/member.go
+++ b/internal/agreement/member.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,9 @@
 	machine  *machine
 
 	reports chan founding.Report // from other voters
+	// heardFrom holds the session over which each member was heard last, by consensus.ID.
+	heardFrom sync.Map
+	ownID     atomic.Uint64
 	// admitting is set while a change of the group's members for a joiner is under way.
 	admitting atomic.Bool
 
@@ -125,6 +129,7 @@
 	}
 	m.voter = nil
 	m.id = r.Status().ID
+	m.ownID.Store(uint64(m.id))
 	m.replica.Store(r)
 	log.WithField("member", m.id).Info("member of the agreement group started")
 	return nil
@@ -132,8 +137,15 @@
 
 // Send implements replica.Transport.
 func (m *member) Send(to consensus.Member, message []byte) {
-	if session := m.sessions.Session(to.Address); session != nil {
-		_ = session.Send(&protocol.Consensus{Payload: message})
+	session := m.sessions.Session(to.Address)
+	if session == nil {
+		// A new member has no configuration yet, so it knows no addresses and answers where it was asked.
+		if heard, ok := m.heardFrom.Load(to.ID); ok {
+			session = heard.(transport.Session)
+		}
+	}
+	if session != nil {
+		_ = session.Send(&protocol.Consensus{Payload: message, From: m.ownID.Load()})
 	}
 }
 
@@ -218,9 +230,12 @@
 }
 
 // received takes a message of another member.
-func (m *member) received(_ transport.Session, message protocol.Message) {
+func (m *member) received(session transport.Session, message protocol.Message) {
 	switch message := message.(type) {
 	case *protocol.Consensus:
+		if message.From != 0 {
+			m.heardFrom.Store(consensus.ID(message.From), session)
+		}
 		if r := m.replica.Load(); r != nil {
 			r.Receive(message.Payload)
 		}
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -302,9 +302,10 @@
 		Now:      now,
 	}
 	decision := d.policy.Pick(view.Snapshot, &request, d.rng)
-	if decision.Server < 0 && decision.DataCentre == "" && w.elsewhere == preferred && len(w.exclude)+len(w.avoid) > 0 {
-		// Nothing else is free, so a server that was tried is as good as waiting.
-		request.Exclude, request.Avoid = nil, nil
+	if decision.Server < 0 && decision.DataCentre == "" && w.elsewhere == preferred && len(w.exclude) > 0 {
+		// Nothing else is free, so a server that was tried is as good as waiting. A data centre that refused is not: its
+		// instances have tried all that they can.
+		request.Exclude = nil
 		decision = d.policy.Pick(view.Snapshot, &request, d.rng)
 	}
 	if decision.Reason == routing.ReasonNoHeadroom && now.Sub(w.since) >= probeAfter {
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -194,6 +194,7 @@
 // Consensus carries an encoded message of the replicated log between control instances.
 type Consensus struct {
 	Payload []byte `cbor:"1,keyasint"`
+	From    uint64 `cbor:"2,keyasint,omitempty"` // member identifier of the sender, who may not be known by address yet
 }
 
 // Propose asks a control instance to add a command to the replicated log.
