Use small buffers on the agent's connections to its server

Cause: an open stream holds the read and the write buffer of its connection, 4 KiB each by default: a quarter of the agents' live heap at 5,000 streams. A token takes about 200 bytes.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -31,6 +31,10 @@
 // dialTimeout bounds connecting to the backend server, which is on the same instance.
 const dialTimeout = 2 * time.Second
 
+// connectionBuffer is the size of the read and of the write buffer of a connection to the backend server. An open stream
+// holds both, and a streamed token takes about 200 bytes; larger parts pass by the buffers.
+const connectionBuffer = 1 << 10
+
 // backend sends requests to the backend server beside the agent.
 type backend struct {
 	base *url.URL
@@ -56,6 +60,8 @@
 				DisableKeepAlives:     !keepAlive,
 				DisableCompression:    true,
 				MaxIdleConnsPerHost:   256,
+				ReadBufferSize:        connectionBuffer,
+				WriteBufferSize:       connectionBuffer,
 				IdleConnTimeout:       30 * time.Second,
 				ResponseHeaderTimeout: 0, // bounded by the attempt's deadline
 			},
