--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -94,7 +94,10 @@
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(now.Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.config.MaxBodyBytes))
-	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		// Left in place after an error: the server reads on before it closes the connection.
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
--- /dev/null
+++ b/internal/history/world/repair_test.go
@@ -0,0 +1,56 @@
+package world
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/decide/agreed"
+	"github.com/banyanfront/banyanfront/decide/release"
+	"github.com/banyanfront/banyanfront/internal/history"
+)
+
+// Guards against a voter with a new data folder that is taken in and never votes, so that the loss of a second voter right
+// after the repair leaves no majority. It was found with four processes: the new member knew no addresses, and its answers
+// to the leader went nowhere.
+func TestSecondVoterIsLostRightAfterARepair(t *testing.T) {
+	log.SetHandler(discard.Default)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := New(5)
+		publish := func(number uint64) {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			note := release.Note{Number: number, Author: "marta", Calls: []release.CallRule{{Service: serviceName, PathPrefix: "/prices", Idempotent: true}}}
+			result, err := w.instances[1].core.Agreement.Propose(ctx, note.Digest().String(), &agreed.PublishNote{Note: note, At: time.Now().Unix()})
+			is.NoErr(err)
+			is.True(result.Accepted())
+		}
+		w.onStart = func() {
+			publish(1)
+			first, second := w.instances[0], w.instances[2]
+			w.crash(first)
+			first.disk = newDisk(rand.New(rand.NewPCG(99, 0))) // the old disk is lost
+			is.NoErr(w.startInstance(first))
+			time.Sleep(5 * time.Second)
+			group := w.instances[4].core.Agreement.Group()
+			is.Equal(group.Voters, 3)
+			is.Equal(len(group.Members), 3) // the new member votes in place of the old one
+			w.crash(second)
+			time.Sleep(3 * time.Second) // the time of an election
+			publish(2)
+			is.NoErr(w.startInstance(second))
+		}
+		h, err := w.Run(0)
+		is.NoErr(err)
+		for _, v := range history.Check(h) {
+			t.Errorf("%s broken: %s", v.Guarantee, v.Detail)
+		}
+	})
+}
