Never serve by an older state than an instance in reach; open no replica after close

An instance now waits a second for its sessions, and is ready only if no entry instance in reach had a newer state in force; it follows the one with the newest.

--- a/internal/agreement/follow.go
+++ b/internal/agreement/follow.go
@@ -32,6 +32,9 @@
 // source returns the session to follow. In each data centre one instance follows a voter, and the others follow it, so
 // that a voter serves one follower for each data centre.
 func (s *Service) source() transport.Session {
+	if newest, revision := s.loop.View().NewestPeer(); revision > s.View().Revision {
+		return newest // the usual source may be on the wrong side of a partition
+	}
 	var lowest transport.Session
 	for _, session := range s.loop.View().Peers(s.config.DataCentre) {
 		if id := session.Peer().Instance; id < s.config.Instance && (lowest == nil || id < lowest.Peer().Instance) {
--- a/internal/agreement/member.go
+++ b/internal/agreement/member.go
@@ -41,6 +41,11 @@
 	// admitting is set while a change of the group's members for a joiner is under way.
 	admitting atomic.Bool
 
+	// life holds one token, which start and close take, so that no replica is opened after close. A lock would hold up
+	// others while the folder is read.
+	life   chan struct{}
+	closed bool
+
 	// Only tick touches these.
 	voter   *founding.Voter   // nil once the folder belongs to a group
 	members []founding.Member // founding members, once known
@@ -56,6 +61,7 @@
 		fs:       folder,
 		machine:  newMachine(install),
 		reports:  make(chan founding.Report, maxReports),
+		life:     make(chan struct{}, 1),
 	}
 	if err := m.openFolder(); err != nil {
 		return nil, err
@@ -118,6 +124,11 @@
 
 // start opens the replica.
 func (m *member) start() error {
+	m.life <- struct{}{}
+	defer func() { <-m.life }()
+	if m.closed {
+		return nil
+	}
 	r, err := replica.Open(replica.Options{
 		FS:           m.fs,
 		StateMachine: m.machine,
@@ -296,6 +307,9 @@
 }
 
 func (m *member) close() {
+	m.life <- struct{}{}
+	defer func() { <-m.life }()
+	m.closed = true
 	if r := m.replica.Load(); r != nil {
 		if err := r.Close(); err != nil {
 			log.WithError(err).Warn("the member of the agreement group did not close cleanly")
--- a/internal/agreement/service.go
+++ b/internal/agreement/service.go
@@ -23,6 +23,9 @@
 )
 
 const (
+	// startGrace is how long an instance that has just started waits for its sessions. A voter that was cut off may answer
+	// first with an old state; the others then tell that there is a newer one.
+	startGrace = time.Second
 	// tickInterval is how often followers ask for changes and founding voters tell each other about themselves.
 	tickInterval = 500 * time.Millisecond
 	// expireInterval is how often the leader drops key records that are past their retention.
@@ -67,6 +70,7 @@
 	// confirmed is set once the view was at least as new as anything that the group had accepted by then. A log on disk does
 	// not show what was accepted while the instance was down.
 	confirmed bool
+	started   time.Time
 	// needed is the revision that must be in force before the instance serves.
 	needed   uint64
 	recorded recorded
@@ -83,6 +87,7 @@
 		loop:     loop,
 		waiting:  proposals{waiting: make(map[string]chan *protocol.Proposed)},
 		view:     agreed.EmptyView(),
+		started:  time.Now(),
 		watchers: make(map[transport.Session]time.Time),
 		recorded: newRecorded(config.Account),
 		inForce:  make(map[fleet.InstanceID]InForce),
@@ -166,8 +171,12 @@
 	if !s.confirmed {
 		return "the agreed state has not been received yet: check the sessions to the voters"
 	}
-	if s.loop.View().Revision < s.needed {
-		return "the agreed state is being put in force"
+	if time.Since(s.started) < startGrace {
+		return "sessions to the other entry instances are being opened"
+	}
+	view := s.loop.View()
+	if _, revision := view.NewestPeer(); view.Revision < max(s.needed, revision) {
+		return "an entry instance in reach has a newer agreed state, which is being put in force"
 	}
 	return ""
 }
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -34,6 +34,23 @@
 // AllPeers returns a live session to each known entry instance, by data centre.
 func (v *View) AllPeers() map[fleet.DataCentre][]transport.Session { return v.peers }
 
+// NewestPeer returns a session to the entry instance that had the newest agreed state in force when its session began,
+// and that state's revision. The session is nil if no entry instance is in reach.
+func (v *View) NewestPeer() (transport.Session, uint64) {
+	var newest transport.Session
+	for _, sessions := range v.peers {
+		for _, session := range sessions {
+			if newest == nil || session.Peer().Revision > newest.Peer().Revision {
+				newest = session
+			}
+		}
+	}
+	if newest == nil {
+		return nil, 0
+	}
+	return newest, newest.Peer().Revision
+}
+
 // Repeatable tells whether a call of a plain service may be repeated, if the release note in force says so.
 func (v *View) Repeatable(service, method, path string) (repeat, known bool) {
 	return v.Agreed.config().Marked(service, method, path)
--- a/internal/history/world/world.go
+++ b/internal/history/world/world.go
@@ -35,6 +35,7 @@
 	instances []*instance
 	servers   []*server
 	recorder  history.Recorder
+	diskLost  bool   // a voter has lost its disk in this run
 	onStart   func() // called when the fleet serves, before the first fault
 
 	mu     sync.Mutex
@@ -203,6 +204,9 @@
 	}
 	group.Wait()
 	for _, i := range w.instances {
+		if i.core == nil {
+			continue // it could not be started again, which the script reports
+		}
 		group.Go(func() {
 			i.core.Agreement.Close()
 			i.stop()
