Agents know the newest revision; an instance that starts serves by no older one

Cause: docs/design.md says that an entry instance serves only once its state is as new as what the agents of its data centre have seen, and nothing did so. An instance that started while only a cut-off voter was in reach went back to its old state. The test fails without the check.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -385,13 +385,20 @@
 			a.requestReport()
 		}
 	}
-	if slices.Equal(a.rosters[from], m.Addresses) {
+	if len(m.Addresses) == 0 || slices.Equal(a.rosters[from], m.Addresses) {
 		return
 	}
 	a.rosters[from] = m.Addresses
 	a.connect()
 }
 
+// Revision returns the newest agreed state that the agent has heard of, for its greeting.
+func (a *Agent) Revision() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.revision
+}
+
 // connect sets the addresses of the sessions. The caller holds the lock.
 func (a *Agent) connect() {
 	addresses := slices.Clone(a.seeds)
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -68,7 +68,11 @@
 		dialer := &transport.Dialer{
 			Address: transport.SessionURL(address, s.TLS.CAFile != "", s.Plaintext),
 			Config:  config,
-			Hello:   func() protocol.Hello { return hello },
+			Hello: func() protocol.Hello {
+				greeting := hello
+				greeting.Revision = a.Revision()
+				return greeting
+			},
 			Handler: a,
 		}
 		return dialer.Connect
--- a/internal/agreement/service.go
+++ b/internal/agreement/service.go
@@ -175,8 +175,8 @@
 		return "sessions to the other entry instances are being opened"
 	}
 	view := s.loop.View()
-	if _, revision := view.NewestPeer(); view.Revision < max(s.needed, revision) {
-		return "an entry instance in reach has a newer agreed state, which is being put in force"
+	if _, revision := view.NewestPeer(); view.Revision < max(s.needed, revision, view.AgentRevision) {
+		return "an instance or agent in reach knows a newer agreed state than this one: check the sessions to the voters"
 	}
 	return ""
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -58,21 +59,22 @@
 
 // state is the control state. Only the control goroutine touches it.
 type state struct {
-	config      Config
-	servers     map[fleet.ServerID]*server
-	peers       map[fleet.InstanceID]*peer
-	members     members
-	agreed      Agreed
-	known       map[target]time.Time // when other data centres last told of a target
-	roster      []string             // addresses of the last tick
-	groups      map[string]*group
-	nextGroups  time.Time
-	nextRoster  time.Time
-	nextSummary time.Time
-	summarySent []fleet.Summary // that informed peers hold
-	summaryAt   time.Time
-	changed     bool
-	urgent      bool
+	config        Config
+	servers       map[fleet.ServerID]*server
+	peers         map[fleet.InstanceID]*peer
+	members       members
+	agreed        Agreed
+	known         map[target]time.Time // when other data centres last told of a target
+	roster        []string             // addresses of the last tick
+	groups        map[string]*group
+	nextGroups    time.Time
+	agentRevision uint64 // newest agreed state that an agent of the data centre has heard of
+	nextRoster    time.Time
+	nextSummary   time.Time
+	summarySent   []fleet.Summary // that informed peers hold
+	summaryAt     time.Time
+	changed       bool
+	urgent        bool
 }
 
 func newState(config Config) *state {
@@ -89,7 +91,12 @@
 func (s *state) sessionOpened(session transport.Session, now time.Time) {
 	hello := session.Peer()
 	if hello.Agent {
-		return // an agent is known by its announcement
+		// The agent is known by its announcement; here it tells which agreed state it has heard of.
+		if hello.DataCentre == s.config.DataCentre && hello.Revision > s.agentRevision {
+			s.agentRevision = hello.Revision
+			s.urgent = true
+		}
+		return
 	}
 	p, ok := s.peers[hello.Instance]
 	if !ok {
@@ -245,6 +252,30 @@
 	}
 }
 
+// sendRevision tells an agent which agreed state is in force, so that an entry instance that starts next to a voter with an
+// old state learns of it. One instance of the data centre does it for each agent.
+func (s *state) sendRevision(known *server) {
+	if known.roster.Revision >= s.agreed.Revision || !s.informs(known.announcement.Server) {
+		return
+	}
+	brief := &protocol.Roster{Revision: s.agreed.Revision, Draining: known.roster.Draining, Fencing: known.roster.Fencing}
+	sent := *known.roster
+	sent.Revision = s.agreed.Revision
+	for _, session := range known.sessions {
+		if session.Send(brief) != nil {
+			return // the next change or tick repeats it
+		}
+	}
+	known.roster = &sent
+}
+
+// informs reports whether this instance is the one that keeps the server's agent informed.
+func (s *state) informs(server fleet.ServerID) bool {
+	addresses := s.localAddresses()
+	chosen := xxhash.Sum64String(string(server)) % uint64(len(addresses))
+	return addresses[chosen] == s.config.Address
+}
+
 // sendRoster tells an agent the entry instances of its data centre and whether its server takes new work, unless it was
 // told before. A newer revision alone is no news: the agent needs it only to order what else changes.
 func (s *state) sendRoster(known *server) {
@@ -256,6 +287,7 @@
 	}
 	if told := known.roster; told != nil && roster.Draining == told.Draining && roster.Fencing == told.Fencing &&
 		slices.Equal(roster.Addresses, told.Addresses) {
+		s.sendRevision(known)
 		return
 	}
 	known.roster = roster
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -17,9 +17,10 @@
 
 // line is a session that keeps what is sent.
 type line struct {
-	hello protocol.Hello
-	full  bool // refuses messages
-	sent  []protocol.Message
+	hello     protocol.Hello
+	full      bool // refuses messages
+	sent      []protocol.Message
+	revisions []uint64 // told without addresses
 }
 
 var _ transport.Session = (*line)(nil)
@@ -41,10 +42,15 @@
 }
 
 // rosters returns the rosters that were sent since the last call.
+// rosters returns the rosters with addresses; those without tell a newer revision only.
 func (l *line) rosters() (rosters []*protocol.Roster) {
 	for _, m := range l.sent {
-		if r, ok := m.(*protocol.Roster); ok {
+		r, ok := m.(*protocol.Roster)
+		switch {
+		case ok && len(r.Addresses) > 0:
 			rosters = append(rosters, r)
+		case ok:
+			l.revisions = append(l.revisions, r.Revision)
 		}
 	}
 	l.sent = nil
@@ -121,6 +127,8 @@
 		b.run(time.Second)
 	}
 	is.Equal(len(b.agents[0].rosters()), 0)
+	is.Equal(len(b.agents[0].revisions), 100) // the only instance tells the agent of each change, without addresses
+	is.Equal(b.agents[0].revisions[99], uint64(100))
 	b.run(rosterInterval)
 	repeated := b.agents[0].rosters()
 	is.Equal(len(repeated), 1)
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -13,10 +13,12 @@
 	Agreed Agreed
 	// Representative tells that this instance speaks for its data centre. For a moment two instances may.
 	Representative bool
-	sessions       map[fleet.ServerID]transport.Session
-	announced      map[fleet.ServerID][]fleet.Model
-	peers          map[fleet.DataCentre][]transport.Session
-	known          map[target]bool
+	// AgentRevision is the newest agreed state that an agent of the data centre has heard of.
+	AgentRevision uint64
+	sessions      map[fleet.ServerID]transport.Session
+	announced     map[fleet.ServerID][]fleet.Model
+	peers         map[fleet.DataCentre][]transport.Session
+	known         map[target]bool
 }
 
 // Known reports whether any data centre has had servers for the target lately.
@@ -100,6 +102,7 @@
 	v := &View{
 		Agreed: s.agreed,
 
+		AgentRevision:  s.agentRevision,
 		Representative: s.members.detector.Representative() == s.config.Instance,
 
 		sessions:  make(map[fleet.ServerID]transport.Session, len(s.servers)),
--- a/internal/history/world/processes.go
+++ b/internal/history/world/processes.go
@@ -159,7 +159,11 @@
 	}
 	n := &node{name: string(s.id), dataCentre: s.dataCentre, handler: a}
 	hello := protocol.Hello{Instance: fleet.InstanceID(s.id), Boot: boot, DataCentre: s.dataCentre, Agent: true}
-	n.hello = func() protocol.Hello { return hello }
+	n.hello = func() protocol.Hello {
+		greeting := hello
+		greeting.Revision = a.Revision()
+		return greeting
+	}
 	pool := transport.NewPool(func(address string) transport.ConnectFunc { return w.network.connect(n, address) }, a)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.node, s.stop, s.done = n, cancel, make(chan struct{})
--- a/internal/history/world/repair_test.go
+++ b/internal/history/world/repair_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/banyanfront/banyanfront/decide/agreed"
+	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/decide/release"
 	"github.com/banyanfront/banyanfront/internal/history"
 )
@@ -54,3 +55,52 @@
 		}
 	})
 }
+
+// Guards against an instance that goes back to an older configuration: it starts after a crash, and only a voter that was
+// cut off and holds an old state is in reach. The agents of its data centre know that there is a newer one (history run,
+// seed 1063).
+func TestStartNextToAStaleVoterDoesNotGoBack(t *testing.T) {
+	log.SetHandler(discard.Default)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := New(9)
+		publish := func(number uint64) {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			note := release.Note{Number: number, Author: "marta", Calls: []release.CallRule{{Service: serviceName, PathPrefix: "/prices", Idempotent: number%2 == 0}}}
+			result, err := w.instances[4].core.Agreement.Propose(ctx, note.Digest().String(), &agreed.PublishNote{Note: note, At: time.Now().Unix()})
+			is.NoErr(err)
+			is.True(result.Accepted())
+		}
+		cut := func(x, y fleet.DataCentre) {
+			w.network.block(x, y, true)
+			w.network.block(y, x, true)
+		}
+		w.onStart = func() {
+			publish(1)
+			cut("sur", "norte")
+			cut("sur", "santa-fe")
+			time.Sleep(6 * time.Second)
+			publish(2)
+			time.Sleep(time.Second)
+			voter, plain := w.instances[0], w.instances[1]
+			w.crash(voter)
+			w.crash(plain)
+			cut("norte", "santa-fe")
+			w.network.block("sur", "norte", false) // only the stale voter of sur can be reached
+			w.network.block("norte", "sur", false)
+			is.NoErr(w.startInstance(plain))
+			time.Sleep(6 * time.Second)
+			is.True(plain.core.NotReady() != "")
+			w.network.heal()
+			is.NoErr(w.startInstance(voter))
+			time.Sleep(6 * time.Second)
+			is.Equal(plain.core.NotReady(), "")
+		}
+		h, err := w.Run(0)
+		is.NoErr(err)
+		for _, v := range history.Check(h) {
+			t.Errorf("%s broken: %s", v.Guarantee, v.Detail)
+		}
+	})
+}
