--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -290,3 +290,23 @@
 	b.summarised(next, &protocol.Summary{Targets: targets}, b.now)
 	is.Equal(b.view(b.now).Remote, targets)
 }
+
+// Guards against agents that every instance of the data centre tells of each change, and against ones that none does.
+func TestOneInstanceInformsEachAgent(t *testing.T) {
+	is := is.New(t)
+	b := newBench(0)
+	b.peer("norte-2", "norte")
+	other := newState(Config{Instance: "norte-2", DataCentre: "norte", Address: "norte-2:7070"})
+	first := &line{hello: protocol.Hello{Instance: "norte-1", DataCentre: "norte", Address: "10.0.0.1:7070"}}
+	other.sessionOpened(first, b.now)
+	is.Equal(other.localAddresses(), b.localAddresses())
+	here := 0
+	for n := range 100 {
+		id := fleet.ServerID(fmt.Sprintf("engine-%d", n))
+		is.True(b.informs(id) != other.informs(id))
+		if b.informs(id) {
+			here++
+		}
+	}
+	is.True(here > 30 && here < 70)
+}
