--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -2,11 +2,14 @@
 package command
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
 
 	"github.com/banyanfront/banyanfront/internal/settings"
 )
@@ -60,3 +63,17 @@
 func settingsFlag(flags *ff.FlagSet, name string) *string {
 	return flags.String('s', "settings", name, "settings `FILE` in JSON with comments")
 }
+
+// Main runs a command line and returns the exit status.
+func Main(root *ff.Command, args []string) int {
+	err := root.ParseAndRun(context.Background(), args)
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, ff.ErrHelp), errors.Is(err, ff.ErrNoExec):
+		fmt.Fprint(os.Stderr, ffhelp.Command(root.GetSelected()))
+		return 0
+	default:
+		return Report(os.Stderr, err)
+	}
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -55,14 +55,14 @@
 			return nil
 		}
 	}
-	victim := f.backends[0]
+	drained := f.backends[0]
 	out := dataCentres[1]
 	for _, step := range []struct {
 		text string
 		do   func() error
 	}{
 		{"steady load", func() error { return nil }},
-		{fmt.Sprintf("draining %s", victim.id), func() error { victim.agent.end(); return nil }},
+		{fmt.Sprintf("draining %s", drained.id), func() error { drained.agent.end(); return nil }},
 		{fmt.Sprintf("data centre %s out", out), func() error { return f.operate(ctx, string(out), "out") }},
 		{fmt.Sprintf("data centre %s in", out), func() error { return f.operate(ctx, string(out), "in") }},
 	} {
@@ -153,7 +153,7 @@
 	return nil
 }
 
-// count adds one outcome. A refusal as not run is a lie, and counts as lost, if a server has the order and no other
+// count adds one outcome. A refusal as not run is false, and counts as lost, if a server has the order and no other
 // request with the key accounts for it.
 func (t *tally) count(o outcome, ran, explained bool) {
 	t.sent++
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -27,10 +27,10 @@
 var classes = []string{classStream, classWhole, classOrder, classLookup}
 
 const (
-	maxTokens      = 40
-	callerTimeout  = 25 * time.Second
-	workersPerDoor = 6
-	repeatedShare  = 0.2 // of orders are sent a second time with the same key, at another instance
+	maxTokens          = 40
+	callerTimeout      = 25 * time.Second
+	workersPerInstance = 6
+	repeatedShare      = 0.2 // of orders are sent a second time with the same key, at another instance
 )
 
 // outcome is what one caller got.
@@ -67,8 +67,8 @@
 func (l *load) run(ctx context.Context, seed uint64) {
 	var group sync.WaitGroup
 	for target := range l.targets {
-		for worker := range workersPerDoor {
-			rng := rand.New(rand.NewPCG(seed, uint64(target*workersPerDoor+worker)))
+		for worker := range workersPerInstance {
+			rng := rand.New(rand.NewPCG(seed, uint64(target*workersPerInstance+worker)))
 			group.Go(func() {
 				for n := 0; ctx.Err() == nil; n++ {
 					l.one(target, fmt.Sprintf("%d-%d-%d", target, worker, n), rng)
--- a/internal/history/world/processes.go
+++ b/internal/history/world/processes.go
@@ -145,6 +145,11 @@
 	} else {
 		announcement.Kind, announcement.Service = fleet.KindService, serviceName
 	}
+	return s.runAgent(w.network, announcement)
+}
+
+// runAgent runs the agent beside a server until stop.
+func (s *server) runAgent(network *network, announcement fleet.Announcement) error {
 	a, err := agent.New(agent.Config{
 		Announcement:    announcement,
 		BackendURL:      "http://" + string(s.id),
@@ -158,16 +163,16 @@
 		return err
 	}
 	n := &node{name: string(s.id), dataCentre: s.dataCentre, handler: a}
-	hello := protocol.Hello{Instance: fleet.InstanceID(s.id), Boot: boot, DataCentre: s.dataCentre, Agent: true}
+	hello := protocol.Hello{Instance: fleet.InstanceID(s.id), Boot: announcement.Boot, DataCentre: s.dataCentre, Agent: true}
 	n.hello = func() protocol.Hello {
 		greeting := hello
 		greeting.Revision = a.Revision()
 		return greeting
 	}
-	pool := transport.NewPool(func(address string) transport.ConnectFunc { return w.network.connect(n, address) }, a)
+	pool := transport.NewPool(func(address string) transport.ConnectFunc { return network.connect(n, address) }, a)
 	ctx, cancel := context.WithCancel(context.Background())
-	s.node, s.stop, s.done = n, cancel, make(chan struct{})
-	done := s.done
+	done := make(chan struct{})
+	s.node, s.stop, s.done = n, cancel, done
 	go func() {
 		defer close(done)
 		a.Run(ctx, pool, s.seeds, drainTimeout)
