--- a/internal/history/world/network.go
+++ b/internal/history/world/network.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
@@ -32,10 +33,12 @@
 
 // network joins processes by in-memory sessions and breaks them on demand.
 type network struct {
-	mu      sync.Mutex
-	nodes   map[string]*node // by inner address
-	links   []*link
-	blocked map[[2]fleet.DataCentre]bool // from, to
+	mu    sync.Mutex
+	nodes map[string]*node // by inner address
+	links []*link
+	// silenced are the links that have gone silent for good.
+	silenced []*link
+	blocked  map[[2]fleet.DataCentre]bool // from, to
 }
 
 func newNetwork() *network {
@@ -117,6 +120,7 @@
 		if (l.a.name == x && l.b.name == y) || (l.a.name == y && l.b.name == x) {
 			l.faults.Silence(transport.AToB, true)
 			l.faults.Silence(transport.BToA, true)
+			n.silenced = append(n.silenced, l)
 			continue // no partition's end brings it back
 		}
 		kept = append(kept, l)
@@ -146,12 +150,12 @@
 func (n *network) closeAll() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, l := range n.links {
+	for _, l := range slices.Concat(n.links, n.silenced) {
 		l.faults.Cut()
 		l.ends[0].Close("the run has ended")
 		l.ends[1].Close("the run has ended")
 	}
-	n.links = nil
+	n.links, n.silenced = nil, nil
 }
 
 // pipeListener hands in-memory connections to an HTTP server.
