--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -99,6 +100,15 @@
 // tally is the row of one class of requests.
 type tally struct {
 	sent, answered, notRun, unknown, other, lost, doubled int
+	took                                                  []time.Duration // until an answer, sorted in the report
+}
+
+// quantile returns how many milliseconds so many in 100 answers took at most.
+func (t *tally) quantile(percent int) int64 {
+	if len(t.took) == 0 {
+		return 0
+	}
+	return t.took[min(len(t.took)*percent/100, len(t.took)-1)].Milliseconds()
 }
 
 // report prints what callers got, beside what the stand-ins' own records say.
@@ -131,12 +141,13 @@
 		}
 	}
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "class\tsent\tanswered\tnot run\tunknown\tother\tlost\tdoubled\t")
+	fmt.Fprintln(table, "class\tsent\tanswered\tnot run\tunknown\tother\tlost\tdoubled\tmedian ms\t95 in 100 ms\t")
 	broken := 0
 	for _, class := range classes {
 		r := rows[class]
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n",
-			class, r.sent, r.answered, r.notRun, r.unknown, r.other, r.lost, r.doubled)
+		slices.Sort(r.took)
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n",
+			class, r.sent, r.answered, r.notRun, r.unknown, r.other, r.lost, r.doubled, r.quantile(50), r.quantile(95))
 		broken += r.lost + r.doubled
 	}
 	if err := table.Flush(); err != nil {
@@ -162,6 +173,7 @@
 		t.lost++
 	case o.kind == "":
 		t.answered++
+		t.took = append(t.took, o.elapsed)
 		if o.key != "" && !ran {
 			t.lost++
 		}
