Share the serve command of both programs

No change of behaviour; seen with both programs: serve and its end by SIGTERM, a missing settings file (status 2), a broken release note (status 2).

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -7,32 +7,19 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"github.com/banyanfront/banyanfront/internal/agent"
-	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/settings"
 )
 
 // Agent returns the command line of banyanagent.
 func Agent() *ff.Command {
-	serveFlags := ff.NewFlagSet("serve")
-	file := settingsFlag(serveFlags, "agent.json")
-	serve := &ff.Command{
-		Name:      "serve",
-		Usage:     "banyanagent serve [--settings FILE]",
-		ShortHelp: "run the agent beside a backend server until SIGINT or SIGTERM, then drain",
-		Flags:     serveFlags,
-		Exec: func(ctx context.Context, _ []string) error {
-			config, problems := settings.LoadAgent(*file)
-			if err := invalidOr(problems); err != nil {
-				return err
-			}
-			if err := process.SetLogging(config.LogLevel, config.LogFormat); err != nil {
-				return err
-			}
-			ctx, cancel := process.Signals(ctx)
-			defer cancel()
-			return agent.Serve(ctx, config)
-		},
-	}
+	serve := serveCommand(program[settings.Agent]{
+		name:    "banyanagent",
+		help:    "run the agent beside a backend server until SIGINT or SIGTERM, then drain",
+		file:    "agent.json",
+		load:    settings.LoadAgent,
+		logging: func(s *settings.Agent) (string, string) { return s.LogLevel, s.LogFormat },
+		serve:   agent.Serve,
+	})
 	check := &ff.Command{
 		Name:      "check",
 		Usage:     "banyanagent check FILE...",
--- a/internal/command/front.go
+++ b/internal/command/front.go
@@ -6,7 +6,6 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"github.com/banyanfront/banyanfront/internal/entry"
-	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/settings"
 )
 
@@ -17,7 +16,14 @@
 		Usage:     "banyanfront COMMAND",
 		ShortHelp: "a load balancer for expert-parallel model groups",
 		Subcommands: []*ff.Command{
-			serveCommand(),
+			serveCommand(program[settings.Front]{
+				name:    "banyanfront",
+				help:    "run an entry instance until SIGINT or SIGTERM, then drain",
+				file:    "front.json",
+				load:    settings.LoadFront,
+				logging: func(s *settings.Front) (string, string) { return s.LogLevel, s.LogFormat },
+				serve:   entry.Serve,
+			}),
 			frontCheckCommand(),
 			noteCommand(),
 			dataCentreCommand(),
@@ -31,29 +37,6 @@
 	}
 }
 
-func serveCommand() *ff.Command {
-	flags := ff.NewFlagSet("serve")
-	file := settingsFlag(flags, "front.json")
-	return &ff.Command{
-		Name:      "serve",
-		Usage:     "banyanfront serve [--settings FILE]",
-		ShortHelp: "run an entry instance until SIGINT or SIGTERM, then drain",
-		Flags:     flags,
-		Exec: func(ctx context.Context, _ []string) error {
-			config, problems := settings.LoadFront(*file)
-			if err := invalidOr(problems); err != nil {
-				return err
-			}
-			if err := process.SetLogging(config.LogLevel, config.LogFormat); err != nil {
-				return err
-			}
-			ctx, cancel := process.Signals(ctx)
-			defer cancel()
-			return entry.Serve(ctx, config)
-		},
-	}
-}
-
 func frontCheckCommand() *ff.Command {
 	return &ff.Command{
 		Name:      "check",
