Share what the demo and the history world wrote twice; do less on the dispatcher's tick

- standin.CompletionText serves the demo and the world; the demo's stricter form stays. serveUntil and wrongCompletion serve the world's callers, its cases and its replay.
- The dispatcher adds up a target's slots when the view is new, not every 10 ms: the sum depends on the view alone.
- A member of the agreement group holds its identifier once, and the addresses that choose who informs an agent are those of the roster at hand.
No check is loosened; a malformed event within a stream now makes a history check fail, where it was passed over.

--- a/internal/agreement/member.go
+++ b/internal/agreement/member.go
@@ -30,14 +30,13 @@
 	config   Config
 	sessions Sessions
 	fs       storage.FS
-	id       consensus.ID
+	id       atomic.Uint64 // consensus.ID of the folder
 	replica  atomic.Pointer[replica.Replica]
 	machine  *machine
 
 	reports chan founding.Report // from other voters
 	// heardFrom holds the session over which each member was heard last, by consensus.ID.
 	heardFrom sync.Map
-	ownID     atomic.Uint64
 	// admitting is set while a change of the group's members for a joiner is under way.
 	admitting atomic.Bool
 
@@ -109,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	m.id = id
+	m.id.Store(uint64(id))
 	instances := make([]fleet.InstanceID, 0, len(m.config.Voters))
 	for _, v := range m.config.Voters {
 		instances = append(instances, v.Instance)
@@ -119,7 +118,7 @@
 }
 
 func (m *member) self() founding.Member {
-	return founding.Member{Instance: m.config.Instance, ID: uint64(m.id), Address: m.config.Address}
+	return founding.Member{Instance: m.config.Instance, ID: m.id.Load(), Address: m.config.Address}
 }
 
 // start opens the replica.
@@ -139,10 +138,9 @@
 		return err
 	}
 	m.voter = nil
-	m.id = r.Status().ID
-	m.ownID.Store(uint64(m.id))
+	m.id.Store(uint64(r.Status().ID))
 	m.replica.Store(r)
-	log.WithField("member", m.id).Info("member of the agreement group started")
+	log.WithField("member", m.id.Load()).Info("member of the agreement group started")
 	return nil
 }
 
@@ -156,7 +154,7 @@
 		}
 	}
 	if session != nil {
-		_ = session.Send(&protocol.Consensus{Payload: message, From: m.ownID.Load()})
+		_ = session.Send(&protocol.Consensus{Payload: message, From: m.id.Load()})
 	}
 }
 
@@ -172,7 +170,7 @@
 		}
 	}
 	m.tellVoters()
-	if r := m.replica.Load(); r != nil && r.Status().Members.Find(m.id) == nil {
+	if r := m.replica.Load(); r != nil && r.Status().Members.Find(consensus.ID(m.id.Load())) == nil {
 		m.askToJoin()
 	}
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -255,7 +255,7 @@
 // sendRevision tells an agent which agreed state is in force, so that an entry instance that starts next to a voter with an
 // old state learns of it. One instance of the data centre does it for each agent.
 func (s *state) sendRevision(known *server) {
-	if known.roster.Revision >= s.agreed.Revision || !s.informs(known.announcement.Server) {
+	if known.roster.Revision >= s.agreed.Revision || !s.informs(known.announcement.Server, known.roster.Addresses) {
 		return
 	}
 	brief := &protocol.Roster{Revision: s.agreed.Revision, Draining: known.roster.Draining, Fencing: known.roster.Fencing}
@@ -269,9 +269,8 @@
 	known.roster = &sent
 }
 
-// informs reports whether this instance is the one that keeps the server's agent informed.
-func (s *state) informs(server fleet.ServerID) bool {
-	addresses := s.localAddresses()
+// informs reports whether this instance is the one, of those with the addresses, that keeps the server's agent informed.
+func (s *state) informs(server fleet.ServerID, addresses []string) bool {
 	chosen := xxhash.Sum64String(string(server)) % uint64(len(addresses))
 	return addresses[chosen] == s.config.Address
 }
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -303,8 +303,8 @@
 	here := 0
 	for n := range 100 {
 		id := fleet.ServerID(fmt.Sprintf("engine-%d", n))
-		is.True(b.informs(id) != other.informs(id))
-		if b.informs(id) {
+		is.True(b.informs(id, b.localAddresses()) != other.informs(id, other.localAddresses()))
+		if b.informs(id, b.localAddresses()) {
 			here++
 		}
 	}
--- a/internal/demo/input_test.go
+++ b/internal/demo/input_test.go
@@ -285,7 +285,7 @@
 		})
 		is.NoErr(err)
 		is.Equal(status, http.StatusOK)
-		text, err := completionText(data, true)
+		text, err := standin.CompletionText(data, true)
 		is.NoErr(err)
 		is.Equal(text, standin.Answer(fastModel, prompt, 1000))
 	}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -8,7 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -161,7 +160,7 @@
 	if o.refused(status, data, err) {
 		return o
 	}
-	text, err := completionText(data, stream)
+	text, err := standin.CompletionText(data, stream)
 	if err != nil {
 		o.lost = err.Error()
 	} else if want := standin.Answer(model, prompt, maxTokens); text != want {
@@ -170,39 +169,6 @@
 	return o
 }
 
-// completionText returns the text of a whole or streamed completion.
-func completionText(data []byte, stream bool) (string, error) {
-	var chunk struct {
-		Choices []struct {
-			Text string `json:"text"`
-		} `json:"choices"`
-	}
-	if !stream {
-		if err := json.Unmarshal(data, &chunk); err != nil || len(chunk.Choices) == 0 {
-			return "", fmt.Errorf("no completion in %q", data)
-		}
-		return chunk.Choices[0].Text, nil
-	}
-	var text strings.Builder
-	for event := range strings.SplitSeq(string(data), "\n\n") {
-		payload, ok := strings.CutPrefix(event, "data: ")
-		if !ok {
-			continue
-		}
-		if payload == "[DONE]" {
-			return text.String(), nil
-		}
-		chunk.Choices = nil
-		if err := json.Unmarshal([]byte(payload), &chunk); err != nil {
-			return "", err
-		}
-		for _, choice := range chunk.Choices {
-			text.WriteString(choice.Text)
-		}
-	}
-	return "", fmt.Errorf("the stream broke off after %d bytes", text.Len())
-}
-
 func (l *load) order(target, organisation int, key string) outcome {
 	o := outcome{class: classOrder, key: key}
 	begun := time.Now()
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -105,20 +105,23 @@
 			return
 		case now := <-tick.C:
 			view := d.views.View()
-			if view != synced {
-				d.affinity.Sync(view.Snapshot, now)
-				synced = view
-			}
-			d.pumpAll(view, now)
+			d.pumpAll(view, view != synced, now)
+			synced = view
 		}
 	}
 }
 
-func (d *dispatcher) pumpAll(view *control.View, now time.Time) {
+// pumpAll looks at all queues. What depends on the view alone is taken over when the view is new.
+func (d *dispatcher) pumpAll(view *control.View, isNew bool, now time.Time) {
+	if isNew {
+		d.affinity.Sync(view.Snapshot, now)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for target, q := range d.queues {
-		q.queue.SetSlots(localSlots(view, target))
+		if isNew {
+			q.queue.SetSlots(localSlots(view, target))
+		}
 		if len(q.waiting) > 0 {
 			d.pump(q, view, now)
 		}
--- a/internal/history/world/callers.go
+++ b/internal/history/world/callers.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"time"
 
@@ -42,24 +41,30 @@
 		req.Header.Set("Idempotency-Key", key)
 	}
 	recorder := &lockedRecorder{ResponseRecorder: httptest.NewRecorder()}
+	err = serveUntil(w.deathOf(i), handler, recorder, req, func(f func()) { go f() })
+	recorder.mu.Lock()
+	defer recorder.mu.Unlock()
+	return recorder.Code, recorder.Body.Bytes(), err
+}
+
+// serveUntil serves a request, in a goroutine that spawn starts, until it is answered or its instance dies.
+func serveUntil(death <-chan struct{}, handler http.Handler, w http.ResponseWriter, req *http.Request, spawn func(func())) error {
 	finished := make(chan error, 1)
-	go func() {
+	spawn(func() {
 		defer func() {
 			if recover() != nil {
 				finished <- io.ErrUnexpectedEOF // the connection was closed within the answer
 			}
 		}()
-		handler.ServeHTTP(recorder, req)
+		handler.ServeHTTP(w, req)
 		finished <- nil
-	}()
+	})
 	select {
-	case err = <-finished:
-	case <-w.deathOf(i):
-		err = errCrashed
+	case err := <-finished:
+		return err
+	case <-death:
+		return errCrashed
 	}
-	recorder.mu.Lock()
-	defer recorder.mu.Unlock()
-	return recorder.Code, recorder.Body.Bytes(), err
 }
 
 var errCrashed = errors.New("the instance went down within the answer")
@@ -170,11 +175,7 @@
 	status, answer, err := w.call(i, http.MethodPost, "/v1/completions", "", body)
 	r.Crashed = errors.Is(err, errCrashed)
 	r.Result, r.Complete, r.Detail = result(status, answer, err, func(body []byte) string {
-		want := standin.Answer(modelName, prompt, tokens)
-		if got := completionText(body, stream); got != want {
-			return fmt.Sprintf("%q instead of %q in status %d %q", got, want, status, body)
-		}
-		return ""
+		return wrongCompletion(modelName, prompt, tokens, stream, body)
 	})
 	w.note(r)
 }
@@ -189,32 +190,11 @@
 	w.note(r)
 }
 
-// completionText returns the text of a completion; a stream without its closing event gives no text.
-func completionText(body []byte, stream bool) string {
-	type chunk struct {
-		Choices []struct {
-			Text string `json:"text"`
-		} `json:"choices"`
-	}
-	if !stream {
-		var whole chunk
-		if json.Unmarshal(body, &whole) != nil || len(whole.Choices) == 0 {
-			return ""
-		}
-		return whole.Choices[0].Text
-	}
-	var text strings.Builder
-	for event := range strings.SplitSeq(string(body), "\n\n") {
-		payload, ok := strings.CutPrefix(event, "data: ")
-		if payload == "[DONE]" {
-			return text.String()
-		}
-		var c chunk
-		if ok && json.Unmarshal([]byte(payload), &c) == nil {
-			for _, choice := range c.Choices {
-				text.WriteString(choice.Text)
-			}
-		}
+// wrongCompletion returns what is wrong with the answer to a completion, or "".
+func wrongCompletion(model, prompt string, tokens int, stream bool, answer []byte) string {
+	want := standin.Answer(model, prompt, tokens)
+	if got, err := standin.CompletionText(answer, stream); got != want {
+		return fmt.Sprintf("%q (%v) instead of %q in %q", got, err, want, answer)
 	}
 	return ""
 }
--- a/internal/history/world/cases.go
+++ b/internal/history/world/cases.go
@@ -15,7 +15,6 @@
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/internal/history"
-	"github.com/banyanfront/banyanfront/internal/standin"
 )
 
 // Phases of a data centre case, in virtual time.
@@ -363,11 +362,7 @@
 		prompt, stream := "prompt "+id, caller == 1
 		body, _ := json.Marshal(map[string]any{"model": modelName, "prompt": prompt, "max_tokens": tokens, "stream": stream})
 		return request{requestID(body), classCompletion, http.MethodPost, "/v1/completions", "", body, func(answer []byte) string {
-			want := standin.Answer(modelName, prompt, tokens)
-			if got := completionText(answer, stream); got != want {
-				return fmt.Sprintf("%q instead of %q", got, want)
-			}
-			return ""
+			return wrongCompletion(modelName, prompt, tokens, stream, answer)
 		}}
 	default:
 		path := "/prices?request=" + id
--- a/internal/history/world/replay.go
+++ b/internal/history/world/replay.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -248,10 +247,7 @@
 		tokens := max(req.Tokens, 1)
 		body, _ = json.Marshal(map[string]any{"model": req.Target, "prompt": prompt, "max_tokens": tokens, "stream": req.Stream})
 		return "/v1/completions", body, func(answer []byte) string {
-			if got, want := completionText(answer, req.Stream), standin.Answer(req.Target, prompt, tokens); got != want {
-				return fmt.Sprintf("%q instead of %q", got, want)
-			}
-			return ""
+			return wrongCompletion(req.Target, prompt, tokens, req.Stream, answer)
 		}
 	case req.Method == http.MethodGet || req.Method == http.MethodHead:
 		return req.Path + "?request=" + strconv.Itoa(number), nil, check
@@ -300,22 +296,7 @@
 		request.Header.Set("Idempotency-Key", req.Key)
 	}
 	recorder := &firstByteRecorder{lockedRecorder: lockedRecorder{ResponseRecorder: httptest.NewRecorder()}, begun: time.Now()}
-	finished := make(chan error, 1)
-	death := r.deathOf(i)
-	r.callers.Go(func() {
-		defer func() {
-			if recover() != nil {
-				finished <- io.ErrUnexpectedEOF // the connection was closed within the answer
-			}
-		}()
-		handler.ServeHTTP(recorder, request)
-		finished <- nil
-	})
-	select {
-	case err = <-finished:
-	case <-death:
-		err = errCrashed
-	}
+	err = serveUntil(r.deathOf(i), handler, recorder, request, r.callers.Go)
 	recorder.mu.Lock()
 	defer recorder.mu.Unlock()
 	return recorder.Code, bytes.Clone(recorder.Body.Bytes()), recorder.first, err
