Play fault soaks of the real programs as separate processes

The new command 'banyanfront soak' starts four control instances, three entry instances and a process beside each of four ranks on loopback addresses. Faults come from outside: signals, a proxy before control instances and backend servers that delays, withholds one or both directions and resets, and stand-ins that crash, freeze, leave, damage answers, lose orders or carry them out late.

--- a/internal/command/front.go
+++ b/internal/command/front.go
@@ -35,6 +35,7 @@
 			accountCommand(),
 			dependentsCommand(),
 			experimentCommand(),
+			soakCommand(),
 			demoCommand(),
 			standinCommand(),
 		},
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -35,10 +35,11 @@
 func platformCommand(program string, r role) *ff.Command {
 	flags := ff.NewFlagSet(r.name)
 	port := flags.IntLong("metrics", 0, "`PORT` of the instance's address that shows /metrics; 0 for none")
+	inner := flags.StringLong("inner-listen", "", "listen for sessions at `IP:PORT`, where others reach this instance's address through a proxy")
 	level := flags.StringLong("log", "info", "least severe `LEVEL` that is logged: debug, info, warn or error")
 	return &ff.Command{
 		Name:      r.name,
-		Usage:     program + " " + r.name + " [--log LEVEL] [--metrics PORT]",
+		Usage:     program + " " + r.name + " [--inner-listen IP:PORT] [--log LEVEL] [--metrics PORT]",
 		ShortHelp: r.help,
 		LongHelp:  "The settings file is named by " + platform.SettingsVariable + ", the fleet key stands in " + fleetKeyVariable + ".",
 		Flags:     flags,
@@ -78,6 +79,7 @@
 				defer server.Close()
 			}
 			link := process.NewLink(transport.Config{FleetKey: []byte(key), AllowPlaintext: true})
+			link.Listen = *inner
 			return r.serve(ctx, settings, link, reloads(ctx, settings))
 		},
 	}
--- a/internal/directory/serve.go
+++ b/internal/directory/serve.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -49,7 +50,7 @@
 			log.WithError(err).WithField("from", r.RemoteAddr).Warn("session refused")
 		}
 	})
-	innerServer, err := process.Listen("internal-ports", s.InnerAddress(s.IP), inner, nil)
+	innerServer, err := process.Listen("internal-ports", cmp.Or(link.Listen, s.InnerAddress(s.IP)), inner, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/process/link.go
+++ b/internal/process/link.go
@@ -11,7 +11,10 @@
 	Config transport.Config
 	// Certificates says that the peers' listeners have certificates.
 	Certificates bool
-	boot         fleet.Boot
+	// Listen is the address of this process's listener for sessions where it differs from the one that others dial, as behind
+	// address translation. Empty: they are the same.
+	Listen string
+	boot   fleet.Boot
 }
 
 // NewLink returns a link with the settings of its sessions.
