Avoid a backend server that answers with errors in a row

Ruled out: the engines' groups (they made passes all the time), routes (all routes of the service were hit), and the retry budget (streams that may not be repeated are not retried at all).

An error in an answer now makes the server less wanted for 2 s, and from the second in a row it is avoided like one that fails. At most half of a service's servers are avoided for errors, since errors of more servers are due to the requests or to what all depend on. 504 says nothing, as the deadline may have passed.

The tests drew 250 of 500 requests to a failing server before, and at most 10 now.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -27,6 +27,14 @@
 	// a process takes about a second.
 	avoidFirst = 250 * time.Millisecond
 	avoidMost  = 2 * time.Second
+	// errorsInRow is how many errors in a row a server answers before it is avoided like one that failed: a single one may be
+	// due to the request.
+	errorsInRow = 2
+	// errorMemory is how long an error makes a server less wanted.
+	errorMemory = 2 * time.Second
+	// avoidedForErrors is the part of a service's servers that may be avoided for errors at once: errors of more servers than
+	// that are due to the requests, or to what all servers depend on.
+	avoidedForErrors = 0.5
 	// silentAfter is the number of missed announcements after which a server is used only if no other one is left.
 	silentAfter = 3
 	// loadFreshFor is how long a load that a server told with an answer counts in full.
@@ -101,6 +109,8 @@
 	loadAt     time.Time
 	failures   int // in a row
 	avoidUntil time.Time
+	errors     int // answers in a row that told of an error of the server's own
+	erredAt    time.Time
 	coldUntil  time.Time
 	cold       bucket
 }
@@ -356,6 +366,9 @@
 	if now.Sub(s.heard) > silentAfter*d.config.AnnounceEvery {
 		cost += 10
 	}
+	if age := now.Sub(s.erredAt); s.errors > 0 && age < errorMemory {
+		cost += 1 - float64(age)/float64(errorMemory)
+	}
 	return cost + float64(s.failures)
 }
 
@@ -380,7 +393,7 @@
 
 // Succeeded notes that the server answered.
 func (d *Dispatcher) Succeeded(c *Choice) {
-	c.state.failures = 0
+	c.state.failures, c.state.errors = 0, 0
 	c.state.avoidUntil = time.Time{}
 	if g := d.groupOf(c.state); g != nil {
 		*g = group{}
@@ -391,8 +404,33 @@
 func (d *Dispatcher) Failed(now time.Time, c *Choice) {
 	s := c.state
 	s.failures++
-	pause := avoidFirst << min(s.failures-1, 8)
-	s.avoidUntil = now.Add(min(pause, avoidMost))
+	s.avoidUntil = now.Add(avoidance(s.failures))
+}
+
+// avoidance is how long a server is avoided after a number of failures in a row.
+func avoidance(failures int) time.Duration { return min(avoidFirst<<min(failures-1, 8), avoidMost) }
+
+// Erred notes that the server answered with an error of its own. A server that does so at once seems idle and would draw
+// the requests of all the others. It reports for how long the server is avoided.
+func (d *Dispatcher) Erred(now time.Time, c *Choice) time.Duration {
+	s := c.state
+	s.errors++
+	s.erredAt = now
+	if s.errors < errorsInRow {
+		return 0
+	}
+	list, avoided := d.byService[c.Server.Service], 1
+	for _, other := range list {
+		if other != s && other.errors >= errorsInRow && now.Before(other.avoidUntil) {
+			avoided++
+		}
+	}
+	if float64(avoided) > avoidedForErrors*float64(len(list)) {
+		return 0
+	}
+	pause := avoidance(s.errors - errorsInRow + 1)
+	s.avoidUntil = now.Add(pause)
+	return pause
 }
 
 // GroupFailed notes that the server's lock-step group is stalled by a lost rank. For a server that is in no group it is
--- a/decide/dispatch/dispatch_test.go
+++ b/decide/dispatch/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -258,3 +259,71 @@
 	_, refusal := d.Pick(start.Add(10*time.Second+time.Millisecond), Need{Service: "s"})
 	is.True(refusal.RetryAfter < last)
 }
+
+// Guards against a server that answers every request with an error at once: it seems idle, so it would draw most of the
+// requests although the others serve.
+func TestServerThatAnswersWithErrorsIsAvoided(t *testing.T) {
+	is := is.New(t)
+	d := dispatcher(4, false)
+	type open struct {
+		choice *Choice
+		until  time.Time
+	}
+	var running []open
+	wasted := 0
+	for ms := range 10000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		running = slices.DeleteFunc(running, func(o open) bool {
+			if o.until.After(now) {
+				return false
+			}
+			o.choice.End()
+			d.Succeeded(o.choice)
+			return true
+		})
+		if ms%20 != 0 {
+			continue
+		}
+		choice, refusal := d.Pick(now, Need{Service: "s"})
+		is.Equal(refusal, nil)
+		if choice.Server.Server == "i0" {
+			choice.End()
+			d.Erred(now, choice)
+			wasted++
+			continue
+		}
+		running = append(running, open{choice, now.Add(400 * time.Millisecond)})
+	}
+	is.True(wasted <= 10)
+}
+
+// Guards against servers that are all given up for errors that are due to the requests.
+func TestErrorsOfAllServersExcludeFewOfThem(t *testing.T) {
+	is := is.New(t)
+	d := dispatcher(4, false)
+	for range 40 {
+		choice, refusal := d.Pick(start, Need{Service: "s"})
+		is.Equal(refusal, nil)
+		choice.End()
+		d.Erred(start, choice)
+	}
+	excluded := 0
+	for _, s := range d.servers {
+		if start.Before(s.avoidUntil) {
+			excluded++
+		}
+	}
+	is.True(excluded <= 2)
+}
+
+// Guards against a server that is given up for a single error, which may be due to the request.
+func TestSingleErrorExcludesNoServer(t *testing.T) {
+	is := is.New(t)
+	d := dispatcher(1, false)
+	choice, _ := d.Pick(start, Need{Service: "s"})
+	d.Erred(start, choice)
+	_, refusal := d.Pick(start, Need{Service: "s"})
+	is.Equal(refusal, nil)
+	d.Succeeded(choice)
+	is.Equal(d.servers["i0"].errors, 0)
+}
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -80,7 +80,7 @@
 		c.gate.with(func(now time.Time, d *dispatch.Dispatcher) { d.Failed(now, a.choice) })
 		return false
 	}
-	c.gate.with(func(_ time.Time, d *dispatch.Dispatcher) { d.Succeeded(a.choice) })
+	c.judge(a)
 	c.note(a, strconv.Itoa(answer.Status))
 	if answer.Status >= 500 && c.route.Repeatable() && c.mayTryAgain() && c.budgetAllows() {
 		log.WithFields(log.Fields{"request": c.id, "server": a.choice.Server.Server, "status": answer.Status}).
@@ -101,6 +101,23 @@
 	return true
 }
 
+// judge takes in what the status of a whole answer says about the server. A deadline that has passed says nothing.
+func (c *call) judge(a *attempt) {
+	var avoided time.Duration
+	c.gate.with(func(now time.Time, d *dispatch.Dispatcher) {
+		switch status := a.answer.Status; {
+		case status < 500:
+			d.Succeeded(a.choice)
+		case status != http.StatusGatewayTimeout:
+			avoided = d.Erred(now, a.choice)
+		}
+	})
+	if avoided > 0 {
+		log.WithFields(log.Fields{"request": c.id, "server": a.choice.Server.Server, "status": a.answer.Status,
+			"avoidedMs": avoided.Milliseconds()}).Warn("the server answers with errors and is avoided")
+	}
+}
+
 // budgetAllows reports whether the retry budget of the service allows another attempt.
 func (c *call) budgetAllows() (allowed bool) {
 	c.gate.with(func(now time.Time, d *dispatch.Dispatcher) { allowed = d.MayRetry(now, c.service) })
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -64,6 +64,7 @@
 			s.sends++
 			s.ran = true
 			s.tried = append(s.tried, a.choice.Server.Server)
+			s.judge(a)
 			s.finish(a, false, strconv.Itoa(answer.Status))
 			return false
 		}
