Reset the connection to a server when the caller of its request has left

Callers left after 2 s and the entry instance closed its connections, but an ordinary close leaves what was sent in the engine's connection, so the engine took the requests up when it went on, a second after their callers had left.

A reset makes the engine's side drop what it has not read. It is used only where the context of an exchange has ended; a request that was sent stays one that may have run.

TestRequestIsTakenBackWhenItsContextEnds failed before.

--- a/internal/direct/client.go
+++ b/internal/direct/client.go
@@ -122,14 +122,15 @@
 	if failure != nil {
 		return nil, failure
 	}
-	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	stop := context.AfterFunc(ctx, func() { reset(connection.Conn) })
 	answer, failure := c.exchange(connection, request)
 	if failure != nil {
 		stop()
-		c.discard(connection)
 		if ctx.Err() != nil {
+			reset(connection.Conn)
 			failure.Err = ctx.Err()
 		}
+		c.discard(connection)
 		return nil, failure
 	}
 	answer.stop = stop
@@ -272,6 +273,9 @@
 			complete = false // the rest of the body is still being written
 		}
 	}
+	if !running {
+		reset(a.conn.Conn)
+	}
 	if !running || !complete || a.close || a.conn.r.Buffered() > 0 {
 		a.client.discard(a.conn)
 		return
--- a/internal/direct/client_test.go
+++ b/internal/direct/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -271,3 +272,30 @@
 	out := EndToEnd(http.Header{"Connection": {"X-Hop, close"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"}, "X-End": {"2"}, "Te": {"trailers"}})
 	is.Equal(out, http.Header{"X-End": {"2"}})
 }
+
+// Guards against a request that a server takes up long after its caller has left: one that stood still meanwhile finds the
+// request in its connection, unless that was reset.
+func TestRequestIsTakenBackWhenItsContextEnds(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	client := NewClient(identity)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan *Failure)
+	go func() {
+		_, failure := client.Do(ctx, "s", listener.Addr().String(), 0, request("1"))
+		ended <- failure
+	}()
+	c, err := listener.Accept()
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	first := make([]byte, 1)
+	_, err = io.ReadFull(c, first) // the request has arrived, and the server stands still
+	is.NoErr(err)
+	cancel()
+	failure := <-ended
+	is.True(failure != nil && failure.Sent && errors.Is(failure.Err, context.Canceled))
+	_, err = io.ReadAll(c)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
--- a/internal/direct/socket.go
+++ b/internal/direct/socket.go
@@ -19,6 +19,15 @@
 	return errors.Join(err, set)
 }
 
+// reset closes a connection so that the server's side drops what it has not read yet. After an ordinary close, a server that
+// stood still would find a request whose caller has left.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // without it the close is an ordinary one
+	}
+	_ = c.Close() // nothing is expected from the connection any more
+}
+
 // quiet reports whether nothing has arrived on an idle connection. Data there belongs to no request, and an end or an error
 // means that the server has closed it.
 func quiet(c net.Conn) bool {
