--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -40,7 +40,7 @@
 		Subcommands: []*ff.Command{
 			serve,
 			check,
-			platformCommand("banyanagent", role{"rank", "run the process beside a rank of a lock-step group on the users' platform", rank.Serve}),
+			platformCommand("banyanagent", role{name: "rank", help: "run the process beside a rank of a lock-step group on the users' platform", serve: rank.Serve}),
 		},
 	}
 }
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -28,6 +28,7 @@
 // role is a process on the users' platform.
 type role struct {
 	name, help string
+	listens    bool // for sessions of other processes
 	serve      func(ctx context.Context, s *platform.Settings, link *process.Link, reloads <-chan *platform.Settings) error
 }
 
@@ -35,11 +36,15 @@
 func platformCommand(program string, r role) *ff.Command {
 	flags := ff.NewFlagSet(r.name)
 	port := flags.IntLong("metrics", 0, "`PORT` of the instance's address that shows /metrics; 0 for none")
-	inner := flags.StringLong("inner-listen", "", "listen for sessions at `IP:PORT`, where others reach this instance's address through a proxy")
 	level := flags.StringLong("log", "info", "least severe `LEVEL` that is logged: debug, info, warn or error")
+	options, inner := " [--log LEVEL] [--metrics PORT]", new(string)
+	if r.listens {
+		inner = flags.StringLong("inner-listen", "", "listen for sessions at `IP:PORT`, where others reach this instance's address through a proxy")
+		options += " [--inner-listen IP:PORT]"
+	}
 	return &ff.Command{
 		Name:      r.name,
-		Usage:     program + " " + r.name + " [--inner-listen IP:PORT] [--log LEVEL] [--metrics PORT]",
+		Usage:     program + " " + r.name + options,
 		ShortHelp: r.help,
 		LongHelp:  "The settings file is named by " + platform.SettingsVariable + ", the fleet key stands in " + fleetKeyVariable + ".",
 		Flags:     flags,
