Move a resumable stream from a server that has hung while others go on

Nothing can take those requests back, but callers need not leave: a stream that has had no event for five longest pauses, or no first one for twice its objective though a slot was free, goes on at another server. It is moved only if other ranks of the same group go on meanwhile, so that slow passes, held steps and lost ranks move nothing, and only within attempts and retry budget. The server is then avoided like one that failed.

The new tests failed before; one guards against moving streams where all servers are slow.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -113,6 +113,7 @@
 	erredAt    time.Time
 	coldUntil  time.Time
 	cold       bucket
+	activeAt   time.Time // when something came from it last, for any request
 }
 
 // group is a lock-step group: the unit of health of its ranks.
@@ -433,6 +434,23 @@
 	return pause
 }
 
+// Active notes that something has come from the server.
+func (d *Dispatcher) Active(now time.Time, c *Choice) { c.state.activeAt = now }
+
+// Hung reports whether a server has hung from which nothing has come for some time: others that should be as fast, the ranks
+// of its group or else the servers of its service, go on meanwhile. It is false where a request could not be sent elsewhere.
+func (d *Dispatcher) Hung(now time.Time, c *Choice, silence time.Duration) bool {
+	if now.Sub(c.state.activeAt) < silence || !d.MayRetry(now, c.Server.Service) {
+		return false
+	}
+	for _, other := range d.byService[c.Server.Service] {
+		if other != c.state && other.announced.Group.Name == c.Server.Group.Name && now.Sub(other.activeAt) < silence/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // GroupFailed notes that the server's lock-step group is stalled by a lost rank. For a server that is in no group it is
 // Failed.
 func (d *Dispatcher) GroupFailed(now time.Time, c *Choice) {
--- a/decide/dispatch/dispatch_test.go
+++ b/decide/dispatch/dispatch_test.go
@@ -327,3 +327,35 @@
 	d.Succeeded(choice)
 	is.Equal(d.servers["i0"].errors, 0)
 }
+
+// Guards against a stream that is moved from a server which is no slower than others, or without budget for it, and against
+// one that stays at a server that has hung.
+func TestServerHasHungIfOthersOfItsGroupGoOn(t *testing.T) {
+	is := is.New(t)
+	const silence = time.Second
+	for _, c := range []struct {
+		name                 string
+		own, peer, elsewhere time.Duration // since something came from the server, from one of its group, from another group
+		spent                bool          // the retry budget is used up
+		hung                 bool
+	}{
+		{"others of the group go on", 2 * time.Second, 100 * time.Millisecond, time.Minute, false, true},
+		{"it answers other requests", 100 * time.Millisecond, 100 * time.Millisecond, time.Minute, false, false},
+		{"the whole group stands still", 2 * time.Second, 2 * time.Second, 100 * time.Millisecond, false, false},
+		{"no budget is left", 2 * time.Second, 100 * time.Millisecond, time.Minute, true, false},
+	} {
+		d := dispatcher(3, true)
+		other := d.servers["i2"]
+		other.announced.Group.Name = "other"
+		now := start.Add(time.Hour)
+		choice, refusal := d.Pick(start, Need{Service: "s", Tried: []string{"i1", "i2"}})
+		is.Equal(refusal, nil)
+		choice.state.activeAt, d.servers["i1"].activeAt, other.activeAt = now.Add(-c.own), now.Add(-c.peer), now.Add(-c.elsewhere)
+		for c.spent && d.MayRetry(now, "s") {
+			d.budget("s").retry(now)
+		}
+		if got := d.Hung(now, choice, silence); got != c.hung {
+			t.Errorf("%s: hung is %v", c.name, got)
+		}
+	}
+}
--- a/decide/dispatch/pace.go
+++ b/decide/dispatch/pace.go
@@ -94,6 +94,7 @@
 
 // PauseSeen takes in the time between two events of a stream from the chosen server.
 func (d *Dispatcher) PauseSeen(now time.Time, c *Choice, pause time.Duration) {
+	d.Active(now, c)
 	d.paceOf(c.state).see(now, pause, d.groupLoad(now, c.state))
 }
 
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -49,6 +49,7 @@
 	answer  *direct.Answer
 	started time.Time
 	cancel  context.CancelFunc
+	watch   *watch // nil if nobody watches the attempt
 }
 
 // refuse ends the call before it has run.
@@ -122,6 +123,9 @@
 	if patience > 0 {
 		defer time.AfterFunc(patience, cancel).Stop()
 	}
+	if c.route.Kind == routes.Stream {
+		a.watch = c.watchFor(a)
+	}
 	answer, failure := c.gate.client.Do(ctx, choice.Server.Server, choice.Server.Address, c.gate.connections(c.view, c.service), &direct.Request{
 		ID: c.id, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
 	})
@@ -153,6 +157,7 @@
 	if a.answer != nil {
 		a.answer.Close(complete)
 	}
+	a.watch.stop()
 	a.cancel()
 	c.gate.with(func(time.Time, *dispatch.Dispatcher) { a.choice.End() })
 }
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -184,6 +184,7 @@
 	load := strings.Split(header.Get(platform.HeaderLoad), ",")
 	cold, coldErr := strconv.ParseFloat(header.Get(platform.HeaderColdFor), 64)
 	g.with(func(now time.Time, d *dispatch.Dispatcher) {
+		d.Active(now, choice)
 		if len(load) == 3 {
 			running, err1 := strconv.Atoi(strings.TrimSpace(load[0]))
 			waiting, err2 := strconv.Atoi(strings.TrimSpace(load[1]))
--- a/internal/edge/gate_test.go
+++ b/internal/edge/gate_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -74,11 +75,17 @@
 
 // gateTo returns the address of a gate before the servers.
 func gateTo(t *testing.T, backends ...*backend) (*Gate, string) {
+	t.Helper()
+	return gateWith(t, time.Second, 0, backends...)
+}
+
+// gateWith is gateTo with the objective and the longest pause of all routes.
+func gateWith(t *testing.T, objective, pause time.Duration, backends ...*backend) (*Gate, string) {
 	t.Helper()
 	gate := New(Config{Dispatch: dispatch.Config{DataCentre: "z", AnnounceEvery: time.Second, RetryRatio: 1, RetrySlack: 100, RetryWindow: time.Second}})
 	route := func(name string, kind routes.Kind, attempts int, resumable bool) routes.Route {
 		return routes.Route{Name: name, Host: "h.example", PathPrefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second,
-			Objective: time.Second, MaxAttempts: attempts, Resumable: resumable, Targets: []routes.Target{{Service: "s", Weight: 1}}}
+			Objective: objective, LongestPause: pause, MaxAttempts: attempts, Resumable: resumable, Targets: []routes.Target{{Service: "s", Weight: 1}}}
 	}
 	table := routes.Compile(&routes.Configuration{Version: 3, Services: []routes.Service{{Name: "s"}},
 		Routes: []routes.Route{route("safe", routes.Safe, 2, false), route("unsafe", routes.Unsafe, 2, false),
@@ -260,6 +267,70 @@
 	is.Equal(body, eventsText(1, 6))
 }
 
+// Guards against callers who wait for a server that stands still, before the first event or after some, while others go on.
+func TestResumableStreamLeavesAServerThatHangs(t *testing.T) {
+	is := is.New(t)
+	const objective, pause = 40 * time.Millisecond, 10 * time.Millisecond
+	for _, before := range []int{0, 2} {
+		thaw := make(chan struct{})
+		flowing := func(w http.ResponseWriter, r *http.Request, first int) {
+			w.Header().Set(platform.HeaderSeal, "seal")
+			for n := first; n <= 100 && r.Context().Err() == nil; n++ {
+				events(w, n, n)
+				time.Sleep(pause)
+			}
+		}
+		standing := serve(t, func(w http.ResponseWriter, r *http.Request, _ int) {
+			if before > 0 {
+				w.Header().Set(platform.HeaderSeal, "seal")
+				events(w, 1, before)
+			}
+			<-thaw
+		})
+		healthy := serve(t, func(w http.ResponseWriter, r *http.Request, _ int) {
+			last, err := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent))
+			if err != nil {
+				last = 0
+			}
+			flowing(w, r, last+1)
+		})
+		_, url := gateWith(t, objective, pause, standing, healthy)
+		answers := make(chan string, 2)
+		for range 2 { // one of the two is chosen for each
+			go func() {
+				_, _, body, err := callGate(t, url, "/stream/x")
+				if err != nil {
+					body = err.Error()
+				}
+				answers <- body
+			}()
+		}
+		for range 2 {
+			is.Equal(<-answers, eventsText(1, 100))
+		}
+		is.Equal(standing.count(), 1)
+		is.Equal(healthy.count(), 2)
+		close(thaw)
+	}
+}
+
+// Guards against a stream that is moved although its server is only as slow as all others.
+func TestStreamStaysWhereAllServersStandStill(t *testing.T) {
+	is := is.New(t)
+	const objective, pause = 20 * time.Millisecond, 5 * time.Millisecond
+	slow := func(w http.ResponseWriter, _ *http.Request, _ int) {
+		time.Sleep(10 * objective)
+		w.Header().Set(platform.HeaderSeal, "seal")
+		events(w, 1, 3)
+	}
+	a, b := serve(t, slow), serve(t, slow)
+	_, url := gateWith(t, objective, pause, a, b)
+	_, _, body, err := callGate(t, url, "/stream/x")
+	is.NoErr(err)
+	is.Equal(body, eventsText(1, 3))
+	is.Equal(a.count()+b.count(), 1)
+}
+
 // Guards against a stream that goes on elsewhere after a gap, or looks complete although it broke off.
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -129,6 +129,7 @@
 	}
 	s.events++
 	now := time.Now()
+	a.watch.event(now)
 	if !s.passedAt.IsZero() {
 		s.gate.with(func(_ time.Time, d *dispatch.Dispatcher) { d.PauseSeen(now, a.choice, now.Sub(s.passedAt)) })
 	}
