Hold no step while a rank is silent

The rank had prepared, so the step was held; the rank could not be armed, and its group was held for 3.1 s until the machine went on.

A step is held only while the last report of each rank is younger than 400 ms, three times the pause between reports. Ruled out: releasing the held step early, which the protocol cannot do without knowing that no rank is armed.

TestNoStepIsHeldWhileARankIsSilent failed before.

--- a/decide/experts/switchover.go
+++ b/decide/experts/switchover.go
@@ -84,6 +84,10 @@
 // unknownPass is taken for the time of a pass until reports have shown it: that of an engine with half of its slots in use.
 const unknownPass = 80 * time.Millisecond
 
+// silentRank is the age of a rank's last report beyond which no step is held: the rank reports every 120 ms, and one that
+// stands still would keep the group from passing until it goes on.
+const silentRank = 400 * time.Millisecond
+
 // longestPass bounds the time that a pass is taken to last.
 const longestPass = 500 * time.Millisecond
 
@@ -391,7 +395,7 @@
 	case switchPreparing:
 		done := true
 		for _, r := range s.ranks {
-			done = done && (r.complete || r.state.Prepared == s.version)
+			done = done && (r.complete || r.state.Prepared == s.version) && now.Sub(r.at) < silentRank
 		}
 		if done {
 			s.chooseStep(now)
--- a/decide/experts/switchover_test.go
+++ b/decide/experts/switchover_test.go
@@ -340,3 +340,28 @@
 	c.enter(time.Unix(0, 0), switchIdle)
 	is.True(c.Ready(time.Unix(0, 0).Add(time.Duration(step) * modelStep)))
 }
+
+// Guards against a group that is held until a rank comes back whose machine stands still: it could neither be armed nor tell
+// so.
+func TestNoStepIsHeldWhileARankIsSilent(t *testing.T) {
+	is := is.New(t)
+	c := NewSwitchover(SwitchoverConfig{Ranks: 2}, time.Unix(0, 0))
+	now := time.Unix(1, 0)
+	tell := func(rank int) { c.Report(now, RankReport{Rank: rank, Epoch: 1, Open: true, Step: 100}) }
+	tell(0)
+	tell(1)
+	is.True(c.Ready(now))
+	version := c.Begin(now, 1, Lists{{{0}, {1}}})
+	for _, o := range c.Tick(now) {
+		c.Answer(now, o, OrderDone)
+	}
+	now = now.Add(silentRank + time.Millisecond)
+	tell(0) // rank 1 has prepared the map and says nothing since
+	is.Equal(len(c.Tick(now)), 0)
+	is.Equal(c.Phase(), "preparing")
+	tell(1)
+	orders := c.Tick(now)
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Operation, OrderHold)
+	is.Equal(c.Version(), version)
+}
