--- a/internal/transport/hostile_test.go
+++ b/internal/transport/hostile_test.go
@@ -237,8 +237,9 @@
 		st, err := p.a.Open(context.Background(), &protocol.Open{})
 		is.NoErr(err)
 		synctest.Wait()
+		p.faults.Delay(BToA, time.Second) // so that GoAway has not arrived when the next stream is opened
 		p.b.GoAway("restart")
-		racing, err := p.a.Open(context.Background(), &protocol.Open{}) // before GoAway has arrived
+		racing, err := p.a.Open(context.Background(), &protocol.Open{})
 		is.NoErr(err)
 		synctest.Wait()
 		m, err := racing.Receive(context.Background())
