Compute the pace of a group once for each pause

Each choice of a server worked out the mean and the slow passes of a group's pace anew for each rank of the group, and each event of a stream went through all servers of the service and built the key of its group. A pace now knows its ranks, servers hold their pace, and what the pauses amount to is kept until the next pause. The results are the same.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -114,6 +114,7 @@
 	coldUntil  time.Time
 	cold       bucket
 	activeAt   time.Time // when something came from it last, for any request
+	pace       *pace     // of its group, or its own
 }
 
 // group is a lock-step group: the unit of health of its ranks.
@@ -160,6 +161,9 @@
 func (d *Dispatcher) SetServers(now time.Time, known []*registry.Known) {
 	servers := make(map[string]*server, len(known))
 	clear(d.byService)
+	for _, p := range d.paces {
+		p.ranks = nil
+	}
 	for _, k := range known {
 		s := d.servers[k.Server]
 		if s == nil || s.announced.Born != k.Born || s.announced.Address != k.Address {
@@ -173,6 +177,10 @@
 			d.hearGroup(k)
 		}
 		s.announced, s.heard = k.Announcement, k.Heard
+		s.pace = d.paceFor(s)
+		if s.announced.Group.Name != "" {
+			s.pace.ranks = append(s.pace.ranks, s)
+		}
 		servers[k.Server] = s
 		d.byService[k.Service] = append(d.byService[k.Service], s)
 	}
--- a/decide/dispatch/pace.go
+++ b/decide/dispatch/pace.go
@@ -34,6 +34,17 @@
 	pauses [paceSteps]float64 // sum of the pauses in a step, seconds
 	counts [paceSteps]int
 	loads  [paceSteps]float64 // sum of the mean loads of the servers, one for each pause
+
+	ranks  []*server // the group's servers at present; empty for a single engine
+	digest digest
+}
+
+// digest is what the remembered steps amount to for an engine. It is kept until the next pause, since each choice asks for it
+// once for each server of the group.
+type digest struct {
+	engine  *routes.Engine // nil if there is none
+	pause   float64        // mean of the pauses, seconds
+	stretch float64
 }
 
 // see takes in the time between two events of one stream, with the mean load of the servers.
@@ -49,6 +60,7 @@
 	p.loads[i] += load
 	p.counts[i]++
 	p.at = now
+	p.digest.engine = nil
 }
 
 // fresh reports whether the pace is known at present.
@@ -82,9 +94,17 @@
 	return slowest[paceRank-1]
 }
 
+// digestFor returns what the pauses so far amount to for an engine.
+func (p *pace) digestFor(e *routes.Engine) *digest {
+	if p.digest.engine != e {
+		p.digest = digest{engine: e, pause: p.pause(), stretch: p.stretch(e)}
+	}
+	return &p.digest
+}
+
 // requestsWithin returns how many requests an engine can write at once while its slow passes still take at most longest.
 func (p *pace) requestsWithin(e *routes.Engine, longest time.Duration) float64 {
-	stretch := p.stretch(e)
+	stretch := p.digestFor(e).stretch
 	if e.StepTimePerRequest <= 0 || stretch <= 0 {
 		return math.Inf(1)
 	}
@@ -95,11 +115,11 @@
 // PauseSeen takes in the time between two events of a stream from the chosen server.
 func (d *Dispatcher) PauseSeen(now time.Time, c *Choice, pause time.Duration) {
 	d.Active(now, c)
-	d.paceOf(c.state).see(now, pause, d.groupLoad(now, c.state))
+	c.state.pace.see(now, pause, d.groupLoad(now, c.state))
 }
 
-// paceOf returns the pace of the server's group.
-func (d *Dispatcher) paceOf(s *server) *pace {
+// paceFor returns the pace of a server's group.
+func (d *Dispatcher) paceFor(s *server) *pace {
 	key := s.announced.Service + "\x00" + s.announced.Group.Name
 	if s.announced.Group.Name == "" {
 		key = s.announced.Service + "\x00\x00" + s.announced.Server
@@ -121,14 +141,14 @@
 		return limit
 	}
 	e := service.Engine
-	p := d.paceOf(s)
+	p := s.pace
 	if need.Repeat || !p.fresh(now) {
 		// A request that was admitted before is brought to its end: refused now, its work so far would be lost.
 		return limit
 	}
 	if need.Objective > 0 && e.UsualAnswer > 0 {
 		// A slot becomes free each time one of the running requests ends.
-		life := p.pause() * e.UsualAnswer / float64(e.Stride)
+		life := p.digestFor(e).pause * e.UsualAnswer / float64(e.Stride)
 		limit = min(limit, own+waitShare*need.Objective.Seconds()*own/life)
 	}
 	if need.LongestPause > 0 {
@@ -145,12 +165,9 @@
 	if s.announced.Group.Name == "" {
 		return min(d.load(now, s), float64(slots(s)))
 	}
-	total, n := 0.0, 0
-	for _, other := range d.byService[s.announced.Service] {
-		if other.announced.Group.Name == s.announced.Group.Name {
-			total += min(d.load(now, other), float64(slots(other)))
-			n++
-		}
+	total := 0.0
+	for _, rank := range s.pace.ranks {
+		total += min(d.load(now, rank), float64(slots(rank)))
 	}
-	return total / float64(max(n, 1))
+	return total / float64(max(len(s.pace.ranks), 1))
 }
