Keep one copy of pieces that stood in several places

Not merged: agent.hopHeaders and direct.EndToEnd drop different headers (Content-Length; Proxy-Connection and those that Connection names), so one for both would change what is passed on.

--- a/internal/directory/serve.go
+++ b/internal/directory/serve.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -45,11 +44,7 @@
 		return err
 	}
 	inner := chi.NewRouter()
-	inner.Get(transport.SessionPath, func(w http.ResponseWriter, r *http.Request) {
-		if _, err := transport.Accept(w, r, link.Config, hello(), d); err != nil {
-			log.WithError(err).WithField("from", r.RemoteAddr).Warn("session refused")
-		}
-	})
+	inner.Get(transport.SessionPath, transport.AcceptSessions(link.Config, hello, d))
 	innerServer, err := process.Listen("internal-ports", cmp.Or(link.Listen, s.InnerAddress(s.IP)), inner, nil)
 	if err != nil {
 		return err
@@ -65,13 +60,7 @@
 	group.Go(control.Serve)
 	log.WithFields(log.Fields{"instance": s.Instance, "control": s.ControlListen, "inner": s.InnerAddress(s.IP),
 		"seeds": s.SeedControls(), "firstStart": s.FirstStart}).Info("control instance serves")
-	for ctx.Err() == nil {
-		select {
-		case next := <-reloads:
-			d.SetSeeds(next.SeedControls())
-		case <-ctx.Done():
-		}
-	}
+	process.Follow(ctx, reloads, func(next *platform.Settings) { d.SetSeeds(next.SeedControls()) })
 	d.Close()
 	shutdown, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -13,6 +13,7 @@
 	"github.com/banyanfront/banyanfront/decide/dispatch"
 	"github.com/banyanfront/banyanfront/decide/routes"
 	"github.com/banyanfront/banyanfront/internal/direct"
+	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
@@ -110,7 +111,7 @@
 	need := dispatch.Need{Service: c.service, Tried: c.tried, Repeat: len(c.tried) > 0, Objective: c.route.Objective,
 		LongestPause: c.route.LongestPause, Late: c.late}
 	choice, refusal := c.gate.pick(need)
-	if refusal != nil && refusal.RetryAfter <= c.route.Objective/briefWaitPart && c.sleep(refusal.RetryAfter) {
+	if refusal != nil && refusal.RetryAfter <= c.route.Objective/briefWaitPart && process.Sleep(c.ctx, refusal.RetryAfter) {
 		choice, refusal = c.gate.pick(need)
 	}
 	if refusal != nil {
@@ -141,17 +142,6 @@
 // briefWaitPart is the part of a route's objective that a call may wait for a place.
 const briefWaitPart = 10
 
-func (c *call) sleep(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-c.ctx.Done():
-		return false
-	}
-}
-
 // release gives the connection and the place of an attempt back. complete says that the answer was read to its end.
 func (c *call) release(a *attempt, complete bool) {
 	if a.answer != nil {
@@ -162,6 +152,11 @@
 	c.gate.with(func(time.Time, *dispatch.Dispatcher) { a.choice.End() })
 }
 
+// distrust notes that the server of an attempt could not be reached, broke off, or answered what cannot be used.
+func (c *call) distrust(a *attempt) {
+	c.gate.with(func(now time.Time, d *dispatch.Dispatcher) { d.Failed(now, a.choice) })
+}
+
 // failed takes in an attempt without an answer.
 func (c *call) failed(a *attempt, failure *direct.Failure) {
 	c.release(a, false)
@@ -177,7 +172,7 @@
 	if c.ctx.Err() != nil {
 		return // the caller left or the time is over, which says nothing about the server
 	}
-	c.gate.with(func(now time.Time, d *dispatch.Dispatcher) { d.Failed(now, a.choice) })
+	c.distrust(a)
 	log.WithFields(log.Fields{"request": c.id, "server": server, "sent": failure.Sent, "error": c.lastError,
 		"heardMs": a.started.Sub(a.choice.Heard).Milliseconds(), "load": a.choice.Load,
 		"afterMs": time.Since(a.started).Milliseconds()}).Warn("attempt failed")
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -103,11 +103,7 @@
 // innerHandler accepts sessions of agents and other entry instances.
 func (i *Instance) innerHandler(config transport.Config) http.Handler {
 	r := chi.NewRouter()
-	r.Get(transport.SessionPath, func(w http.ResponseWriter, req *http.Request) {
-		if _, err := transport.Accept(w, req, config, i.Hello(), i.Loop); err != nil {
-			log.WithError(err).WithField("from", req.RemoteAddr).Warn("session refused")
-		}
-	})
+	r.Get(transport.SessionPath, transport.AcceptSessions(config, i.Hello, i.Loop))
 	return r
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,13 +2,12 @@
 
 import (
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/internal/problem"
+	"github.com/banyanfront/banyanfront/internal/process"
 )
 
 var metricUnauthorized = metrics.NewCounter(`banyanfront_unauthorized_total`)
@@ -26,26 +25,7 @@
 // maxOrganisationSeries bounds the organisations that have histograms of their own; the others share "other".
 const maxOrganisationSeries = 256
 
-// organisationSeries remembers which organisations have histograms of their own.
-type organisationSeries struct {
-	mu    sync.Mutex
-	names map[fleet.Organisation]bool
-}
-
-var series = organisationSeries{names: make(map[fleet.Organisation]bool)}
-
-func (s *organisationSeries) label(name fleet.Organisation) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.names[name] {
-		return string(name)
-	}
-	if len(s.names) >= maxOrganisationSeries {
-		return "other"
-	}
-	s.names[name] = true
-	return string(name)
-}
+var series = process.NewLabels(maxOrganisationSeries)
 
 // observeCall counts the outcome of a call and adds its duration to the organisation's histogram.
 func observeCall(c *call, answer *answerBuffer, err error) {
@@ -60,7 +40,7 @@
 	if !c.idempotent() {
 		class = "keyed"
 	}
-	organisation := series.label(c.organisation)
+	organisation := series.Label(string(c.organisation))
 	metrics.GetOrCreateCounter(fmt.Sprintf(`banyanfront_requests_total{organisation=%q,class=%q,outcome=%q}`,
 		organisation, class, outcome)).Inc()
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`banyanfront_request_duration_seconds{organisation=%q,class=%q}`,
--- /dev/null
+++ b/internal/process/labels_test.go
@@ -0,0 +1,17 @@
+package process
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a metric whose series grow with each value that a caller may choose.
+func TestLabelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	l := NewLabels(2)
+	is.Equal(l.Label("a"), "a")
+	is.Equal(l.Label("b"), "b")
+	is.Equal(l.Label("c"), "other")
+	is.Equal(l.Label("a"), "a") // keeps its own
+}
--- a/internal/process/reload.go
+++ b/internal/process/reload.go
@@ -31,3 +31,14 @@
 		}
 	}()
 }
+
+// Follow gives each changed value to f until the context ends.
+func Follow[T any](ctx context.Context, changes <-chan T, f func(T)) {
+	for ctx.Err() == nil {
+		select {
+		case next := <-changes:
+			f(next)
+		case <-ctx.Done():
+		}
+	}
+}
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/process"
 )
 
 // defaultMaxTokens is the length of an answer if the request does not say.
@@ -257,7 +258,7 @@
 	defer cancel()
 	stop := context.AfterFunc(r.fallen, cancel)
 	defer stop()
-	switch ok := sleep(ctx, d); {
+	switch ok := process.Sleep(ctx, d); {
 	case r.fallen.Err() != nil:
 		return EndFailed
 	case !ok:
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -245,18 +245,3 @@
 	}
 	return step
 }
-
-// sleep waits for d and returns false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/orders.go
+++ b/internal/standin/orders.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/process"
 )
 
 // maxOrders bounds the orders that an engine remembers.
@@ -57,7 +58,7 @@
 	e.mu.Unlock()
 
 	if entry.Refused == "" {
-		if order.Action == "load" && !sleep(r.Context(), e.cfg.LoadTime) {
+		if order.Action == "load" && !process.Sleep(r.Context(), e.cfg.LoadTime) {
 			status, entry.Refused = 499, "caller left"
 		} else {
 			e.mu.Lock()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/banyanfront/banyanfront/internal/process"
 )
 
 // maxBody bounds a request body, in bytes.
@@ -135,7 +137,7 @@
 
 	// An order counts as soon as it is begun: a caller that leaves does not undo it.
 	status, answer := s.run(r, sequence, body, digest)
-	if !sleep(r.Context(), s.cfg.Delay) {
+	if !process.Sleep(r.Context(), s.cfg.Delay) {
 		s.record.end(sequence, status, EndCut, 0)
 		return
 	}
--- a/internal/transport/websocket.go
+++ b/internal/transport/websocket.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"net/url"
 
+	"github.com/apex/log"
 	"github.com/coder/websocket"
 
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -84,6 +85,15 @@
 
 func (c *socket) abort() { _ = c.ws.CloseNow() }
 
+// AcceptSessions returns the HTTP handler for SessionPath. hello greets each peer anew.
+func AcceptSessions(cfg Config, hello func() protocol.Hello, h Handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, err := Accept(w, r, cfg, hello(), h); err != nil {
+			log.WithError(err).WithField("from", r.RemoteAddr).Warn("session refused")
+		}
+	}
+}
+
 // Accept upgrades an HTTP request to a session and authenticates the peer. The HTTP handler may return afterwards; the
 // session lives on. On error the response has been written.
 func Accept(w http.ResponseWriter, r *http.Request, cfg Config, hello protocol.Hello, h Handler) (Session, error) {
