Drop state of edge and directory that is derived or never read

Entry instances keep what control instances have told as it came, as processes beside ranks do, and ask the dispatcher for the number of instances that it uses. The number of missed announcements and the log line of a changed announcement stood in both packages; both are directory's now, so that the line of a control instance has the age, too. Directory.Status and the count of entry instances had no reader. A server whose answer cannot be used is reported in one place.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,7 +8,6 @@
 	"errors"
 	"maps"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -19,7 +18,6 @@
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/decide/routes"
 	"github.com/banyanfront/banyanfront/internal/protocol"
-	"github.com/banyanfront/banyanfront/internal/replica"
 	"github.com/banyanfront/banyanfront/internal/storage"
 	"github.com/banyanfront/banyanfront/internal/transport"
 	"github.com/banyanfront/banyanfront/internal/voter"
@@ -68,8 +66,6 @@
 	events  chan func(now time.Time)
 	done    chan struct{}
 
-	entries atomic.Int64 // entry instances with a session, for metrics
-
 	// Owned by the loop.
 	servers    *registry.Registry
 	fresh      map[string]bool // servers to tell the entry instances of
@@ -91,7 +87,7 @@
 		seeds:    config.Founders,
 		events:   make(chan func(time.Time), eventQueue),
 		done:     make(chan struct{}),
-		servers:  registry.New(forgetAnnouncements * config.AnnounceEvery),
+		servers:  registry.New(ForgetAnnouncements * config.AnnounceEvery),
 		fresh:    map[string]bool{},
 		watchers: map[transport.Session]bool{},
 		ranks:    map[transport.Session]bool{},
@@ -120,8 +116,8 @@
 	return d, err
 }
 
-// forgetAnnouncements is the number of missed announcements after which a server is forgotten.
-const forgetAnnouncements = 12
+// ForgetAnnouncements is the number of missed announcements after which a server is forgotten, here and by entry instances.
+const ForgetAnnouncements = 12
 
 // Run serves until the context ends.
 func (d *Directory) Run(ctx context.Context) {
@@ -331,15 +327,23 @@
 	}
 }
 
+// Observe takes in an announcement of some age, and logs it if it changes what is known of its server. It reports whether
+// it does.
+func Observe(servers *registry.Registry, now time.Time, age time.Duration, a registry.Announcement) bool {
+	known := servers.Get(a.Server) != nil
+	if !servers.Observe(now.Add(-age), a) {
+		return false
+	}
+	log.WithFields(log.Fields{"server": a.Server, "service": a.Service, "address": a.Address, "state": int(a.State), "born": a.Born,
+		"sequence": a.Sequence, "ageMs": age.Milliseconds(), "known": known, "cold": a.ColdFor.String()}).
+		Info("announcement changes what is known of a backend server")
+	return true
+}
+
 // Announced takes in an announcement of a backend server.
 func (d *Directory) Announced(a registry.Announcement) {
 	d.post(func(now time.Time) {
-		before := d.servers.Get(a.Server)
-		changed := d.servers.Observe(now, a)
-		if changed {
-			fields := log.Fields{"server": a.Server, "service": a.Service, "address": a.Address, "state": int(a.State),
-				"born": a.Born, "sequence": a.Sequence, "cold": a.ColdFor.String(), "known": before != nil}
-			log.WithFields(fields).Info("announcement changes what is known of a backend server")
+		if Observe(d.servers, now, 0, a) {
 			d.urgent = true
 		}
 		d.fresh[a.Server] = true
@@ -375,13 +379,3 @@
 	}
 	return d.State(), nil
 }
-
-// Status returns the state of the group's member here, nil before the group is founded.
-func (d *Directory) Status() *replica.Status {
-	r := d.member.Replica()
-	if r == nil {
-		return nil
-	}
-	status := r.Status()
-	return &status
-}
--- a/internal/directory/members.go
+++ b/internal/directory/members.go
@@ -103,20 +103,16 @@
 
 // controls returns the inner addresses of the other control instances.
 func (d *Directory) controls() []string {
-	addresses := map[string]bool{}
-	for _, a := range d.seeds {
-		addresses[a] = true
-	}
+	addresses := slices.Clone(d.seeds)
 	if r := d.member.Replica(); r != nil {
 		for _, m := range r.Status().Members.List {
-			addresses[m.Address] = true
+			addresses = append(addresses, m.Address)
 		}
 	}
-	for _, a := range d.peers {
-		addresses[a] = true
-	}
-	delete(addresses, d.config.Address)
-	return slices.Sorted(maps.Keys(addresses))
+	addresses = slices.AppendSeq(addresses, maps.Values(d.peers))
+	addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == d.config.Address })
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
 }
 
 func (d *Directory) countEntries() int {
@@ -124,7 +120,6 @@
 	for session := range d.watchers {
 		instances[string(session.Peer().Instance)] = true
 	}
-	d.entries.Store(int64(len(instances)))
 	return len(instances)
 }
 
--- a/internal/edge/knowledge.go
+++ b/internal/edge/knowledge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,9 +25,7 @@
 	stateTimeout = 400 * time.Millisecond
 	// rememberInstances is how long a higher number of entry instances counts on: one that is cut off still sends.
 	rememberInstances = 15 * time.Second
-	// forgetAnnouncements is the number of missed announcements after which a server is forgotten.
-	forgetAnnouncements = 12
-	eventQueue          = 4096
+	eventQueue        = 4096
 )
 
 // View is what a request is decided by. It is immutable.
@@ -53,10 +50,9 @@
 
 	// Owned by the loop.
 	servers   *registry.Registry
-	changed   bool // servers differ from what the dispatcher has
-	sessions  map[transport.Session]*control
-	instances int
-	most      int // entry instances seen within rememberInstances
+	changed   bool                                     // servers differ from what the dispatcher has
+	sessions  map[transport.Session]*protocol.Controls // what each control instance has told last
+	most      int                                      // entry instances seen within rememberInstances
 	mostAt    time.Time
 	asked     time.Time // when the state was asked for; zero if no answer is awaited
 	newest    uint64    // index that some control instance has told
@@ -64,21 +60,14 @@
 	sightedAt time.Time
 }
 
-// control is a control instance with a session.
-type control struct {
-	entries   int
-	addresses []string
-}
-
 func newKnowledge(config Config) *knowledge {
 	k := &knowledge{
 		config:     config,
 		events:     make(chan func(time.Time), eventQueue),
 		done:       make(chan struct{}),
 		dispatcher: dispatch.New(config.Dispatch),
-		servers:    registry.New(forgetAnnouncements * config.Dispatch.AnnounceEvery),
-		sessions:   map[transport.Session]*control{},
-		instances:  1,
+		servers:    registry.New(directory.ForgetAnnouncements * config.Dispatch.AnnounceEvery),
+		sessions:   map[transport.Session]*protocol.Controls{},
 	}
 	k.pool = transport.NewPool(func(address string) transport.ConnectFunc {
 		return config.Dial(address, config.Hello, k)
@@ -124,7 +113,7 @@
 
 // upkeep forgets servers, as long as most control instances would tell of them, and repeats unanswered requests.
 func (k *knowledge) upkeep(now time.Time) {
-	if len(k.sessions)*2 > len(k.controls()) && now.Sub(k.sightedAt) < forgetAnnouncements*k.config.Dispatch.AnnounceEvery/2 {
+	if len(k.sessions)*2 > len(k.controls()) && now.Sub(k.sightedAt) < directory.ForgetAnnouncements*k.config.Dispatch.AnnounceEvery/2 {
 		for _, id := range k.servers.Expire(now) {
 			log.WithField("server", id).Info("a backend server has been silent for too long and is forgotten")
 			k.changed = true
@@ -137,34 +126,30 @@
 
 // controls returns the inner addresses of the control instances: those of the settings and those that were told.
 func (k *knowledge) controls() []string {
-	addresses := map[string]bool{}
-	for _, a := range k.config.Controls {
-		addresses[a] = true
-	}
+	addresses := slices.Clone(k.config.Controls)
 	for _, c := range k.sessions {
-		for _, a := range c.addresses {
-			addresses[a] = true
-		}
+		addresses = append(addresses, c.Addresses...)
 	}
-	return slices.Sorted(maps.Keys(addresses))
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
 }
 
 // countInstances takes the highest number that a control instance tells. A fall counts only after a while.
 func (k *knowledge) countInstances(now time.Time) {
 	n := 1
 	for _, c := range k.sessions {
-		n = max(n, c.entries)
+		n = max(n, c.Entries)
 	}
 	if n >= k.most || now.Sub(k.mostAt) > rememberInstances {
 		k.most, k.mostAt = n, now
 	}
-	if k.instances != k.most {
-		log.WithFields(log.Fields{"before": k.instances, "now": k.most, "sessions": len(k.sessions)}).
+	k.mu.Lock()
+	before := k.dispatcher.Instances()
+	k.dispatcher.SetInstances(k.most)
+	k.mu.Unlock()
+	if before != k.most {
+		log.WithFields(log.Fields{"before": before, "now": k.most, "sessions": len(k.sessions)}).
 			Info("the number of entry instances that share bounds has changed")
-		k.instances = k.most
-		k.mu.Lock()
-		k.dispatcher.SetInstances(k.most)
-		k.mu.Unlock()
 	}
 }
 
@@ -213,7 +198,7 @@
 func (k *knowledge) SessionOpened(s transport.Session) {
 	k.post(func(now time.Time) {
 		log.WithField("peer", s.Peer().Instance).Info("session with a control instance opened")
-		k.sessions[s] = &control{}
+		k.sessions[s] = &protocol.Controls{}
 		k.ask(now)
 	})
 }
@@ -241,8 +226,8 @@
 		k.post(func(now time.Time) { k.sighted(now, m) })
 	case *protocol.Controls:
 		k.post(func(now time.Time) {
-			if c := k.sessions[s]; c != nil {
-				c.entries, c.addresses = m.Entries, m.Addresses
+			if k.sessions[s] != nil {
+				k.sessions[s] = m
 			}
 			k.countInstances(now)
 			k.pool.Set(k.controls())
@@ -265,14 +250,7 @@
 	k.sightedAt = now
 	for i := range m.Servers {
 		s := &m.Servers[i]
-		before := k.servers.Get(s.Announcement.Server)
-		known := before != nil
-		if k.servers.Observe(now.Add(-time.Duration(s.AgeMS)*time.Millisecond), s.Announcement) {
-			a := &s.Announcement
-			log.WithFields(log.Fields{"server": a.Server, "service": a.Service, "address": a.Address, "state": int(a.State),
-				"born": a.Born, "sequence": a.Sequence, "ageMs": s.AgeMS, "known": known, "cold": a.ColdFor.String()}).
-				Info("announcement changes what is known of a backend server")
-		}
+		directory.Observe(k.servers, now, time.Duration(s.AgeMS)*time.Millisecond, s.Announcement)
 		k.changed = true
 	}
 }
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -67,7 +67,7 @@
 		c.lastError = err.Error()
 		c.note(a, "broken off")
 		if c.ctx.Err() == nil {
-			c.gate.with(func(now time.Time, d *dispatch.Dispatcher) { d.Failed(now, a.choice) })
+			c.distrust(a)
 		}
 		log.WithFields(log.Fields{"request": c.id, "server": a.choice.Server.Server, "status": answer.Status, "error": c.lastError}).
 			Warn("answer broken off")
@@ -77,7 +77,7 @@
 	if success && answer.Header.Get(platform.HeaderSeal) == "" {
 		c.lastError = "the answer bears no seal"
 		c.note(a, "unsealed")
-		c.gate.with(func(now time.Time, d *dispatch.Dispatcher) { d.Failed(now, a.choice) })
+		c.distrust(a)
 		return false
 	}
 	c.judge(a)
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -76,7 +76,7 @@
 	if answer.Header.Get(platform.HeaderSeal) == "" {
 		s.lastError = "the answer bears no seal"
 		s.finish(a, false, "unsealed")
-		s.gate.with(func(now time.Time, d *dispatch.Dispatcher) { d.Failed(now, a.choice) })
+		s.distrust(a)
 		return false
 	}
 	reader := newEventReader(answer.Body)
@@ -92,7 +92,7 @@
 		if event.number > 0 && s.lastNumber() > 0 && event.number > s.lastNumber()+1 {
 			s.lastError = "an event is missing after " + s.last
 			s.finish(a, false, "gap")
-			s.gate.with(func(now time.Time, d *dispatch.Dispatcher) { d.Failed(now, a.choice) })
+			s.distrust(a)
 			return false
 		}
 		if err := s.write(a, event); err != nil {
@@ -160,7 +160,7 @@
 	s.lastError = err.Error()
 	s.finish(a, false, "broken off at "+s.last)
 	if s.ctx.Err() == nil {
-		s.gate.with(func(now time.Time, d *dispatch.Dispatcher) { d.Failed(now, a.choice) })
+		s.distrust(a)
 		log.WithFields(log.Fields{"request": s.id, "server": a.choice.Server.Server, "last": s.last, "events": s.events,
 			"error": s.lastError, "resumable": s.route.Resumable}).Warn("stream broken off")
 	}
