--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/banyanfront/banyanfront/decide/routes"
+	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
@@ -37,9 +38,9 @@
 
 // balancer keeps the entry instances that take new connections.
 type balancer struct {
-	entries []*process
+	entries []*instance
 	mu      sync.Mutex
-	misses  map[*process]int
+	misses  map[*instance]int
 }
 
 // run asks the entry instances until the context ends.
@@ -73,10 +74,10 @@
 }
 
 // inRotation returns the entry instances that get new connections: all of them where fewer than half are ready.
-func (b *balancer) inRotation() []*process {
+func (b *balancer) inRotation() []*instance {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var ready []*process
+	var ready []*instance
 	for _, e := range b.entries {
 		if misses, asked := b.misses[e]; asked && misses < balancerMisses {
 			ready = append(ready, e)
@@ -107,7 +108,7 @@
 }
 
 // connection sends requests to one entry instance over one connection, for as long as it is kept open.
-func (c *caller) connection(ctx context.Context, entry *process) {
+func (c *caller) connection(ctx context.Context, entry *instance) {
 	connections := 0
 	transport := &http.Transport{DisableCompression: true, MaxConnsPerHost: 1, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		connections++
@@ -117,23 +118,26 @@
 	client := &http.Client{Transport: transport}
 	for range requestsPerConnection {
 		pause := time.Duration(c.random.ExpFloat64() * float64(callerPause))
-		if pause += c.request(ctx, client, entry); !sleep(ctx, pause) || connections > 1 {
+		if pause += c.request(ctx, client, entry); !process.Sleep(ctx, pause) || connections > 1 {
 			return
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
+// newMessage returns a caller's request to an entry instance, below a path prefix.
+func newMessage(ctx context.Context, entry *instance, prefix, id, body string) (*http.Request, error) {
+	message, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.settings.CallersListen+prefix+"x", strings.NewReader(body))
+	if err != nil {
+		return nil, err
 	}
+	message.Host = host
+	message.Header.Set(platform.HeaderRequest, id)
+	message.Header.Set(platform.HeaderKey, callerKey)
+	return message, nil
 }
 
 // request sends one request and returns how long the caller was asked to stay away.
-func (c *caller) request(ctx context.Context, client *http.Client, entry *process) time.Duration {
+func (c *caller) request(ctx context.Context, client *http.Client, entry *instance) time.Duration {
 	c.sent++
 	route := c.routes[c.random.IntN(len(c.routes))]
 	r := &request{id: fmt.Sprintf("%s-%d", c.name, c.sent), route: route, entry: entry.settings.Instance}
@@ -141,14 +145,11 @@
 	// The caller itself stays a little longer than it says, so that an answer at the deadline is seen.
 	ctx, cancel := context.WithTimeout(ctx, callerPatience+connectTimeout)
 	defer cancel()
-	message, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.settings.CallersListen+route.PathPrefix+"x", strings.NewReader(body))
+	message, err := newMessage(ctx, entry, route.PathPrefix, r.id, body)
 	if err != nil {
 		c.ledger.violate("SOAK", "a request cannot be built: %v", err)
 		return callerPause
 	}
-	message.Host = route.Host
-	message.Header.Set(platform.HeaderRequest, r.id)
-	message.Header.Set(platform.HeaderKey, callerKey)
 	message.Header.Set(platform.HeaderDeadline, strconv.FormatInt(callerPatience.Milliseconds(), 10))
 	c.ledger.sending(r)
 	response, err := client.Do(message)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -146,10 +146,10 @@
 }
 
 // entryThat is a process whose listener answers as a test wants.
-func entryThat(t *testing.T, answer http.HandlerFunc) *process {
+func entryThat(t *testing.T, answer http.HandlerFunc) *instance {
 	server := httptest.NewServer(answer)
 	t.Cleanup(server.Close)
-	return &process{settings: platform.Settings{Instance: "entry-1", CallersListen: strings.TrimPrefix(server.URL, "http://")}}
+	return &instance{settings: platform.Settings{Instance: "entry-1", CallersListen: strings.TrimPrefix(server.URL, "http://")}}
 }
 
 // Guards against a caller that takes a wrong answer for a right one.
@@ -208,7 +208,7 @@
 			w.WriteHeader(http.StatusNotFound)
 		}
 	})
-	o := newOperator(1, l, []string{strings.TrimPrefix(control.URL, "http://")}, []*process{entry})
+	o := newOperator(1, l, []string{strings.TrimPrefix(control.URL, "http://")}, []*instance{entry})
 	o.acked, o.ackedAt[3] = 3, time.Now().Add(-time.Minute)
 	is.Equal(o.read(t.Context()), uint64(3))
 	o.probe(t.Context(), entry)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -37,13 +37,13 @@
 type fleet struct {
 	config   Config
 	ledger   *ledger
-	entries  []*process
-	controls []*process
-	ranks    []*process
+	entries  []*instance
+	controls []*instance
+	ranks    []*instance
 	servers  []*server
 	groups   []*group
 	proxies  map[string]*proxy // before the control instances and the servers, by name
-	byName   map[string]*process
+	byName   map[string]*instance
 	operator *operator
 	balancer *balancer
 	random   *rand.Rand
@@ -102,8 +102,8 @@
 		}
 		return s
 	}
-	add := func(s platform.Settings, command ...string) *process {
-		p := &process{settings: s, command: command, folder: f.config.Folder, ledger: f.ledger}
+	add := func(s platform.Settings, command ...string) *instance {
+		p := &instance{settings: s, command: command, folder: f.config.Folder, ledger: f.ledger}
 		f.byName[s.Instance] = p
 		return p
 	}
@@ -156,7 +156,7 @@
 		}
 	}
 	f.operator = newOperator(f.config.Seed, f.ledger, controlAddresses, f.entries)
-	f.balancer = &balancer{entries: f.entries, misses: map[*process]int{}}
+	f.balancer = &balancer{entries: f.entries, misses: map[*instance]int{}}
 	return nil
 }
 
--- a/internal/soak/group.go
+++ b/internal/soak/group.go
@@ -261,7 +261,7 @@
 	if !g.ranks[rank].loseOrders {
 		outOf = seldomLost
 	}
-	if g.ledger.underFaults() {
+	if g.ledger.in(faults) {
 		switch g.random.IntN(outOf) {
 		case 0: // carried out, the answer is lost
 			g.carryOut(o, rank)
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"github.com/banyanfront/banyanfront/internal/process"
 )
 
 // targets names what faults can choose from.
@@ -35,7 +37,7 @@
 	begun := time.Now()
 	var active sync.WaitGroup
 	for _, fault := range list {
-		if !sleep(ctx, time.Until(begun.Add(fault.At))) {
+		if !process.Sleep(ctx, time.Until(begun.Add(fault.At))) {
 			break
 		}
 		log.WithField("fault", fault.String()).Debug("fault begins")
@@ -47,7 +49,7 @@
 
 // bring brings one fault about and waits for its end.
 func (f *fleet) bring(ctx context.Context, fault Fault) {
-	process, proxy := f.byName[fault.Target], f.proxies[fault.Target]
+	p, proxy := f.byName[fault.Target], f.proxies[fault.Target]
 	var target *server
 	for _, s := range f.servers {
 		if s.name == fault.Target {
@@ -57,24 +59,24 @@
 	// forATime sets something and takes it back.
 	forATime := func(set func(on bool)) {
 		set(true)
-		sleep(ctx, fault.For)
+		process.Sleep(ctx, fault.For)
 		set(false)
 	}
 	switch fault.Kind {
 	case Kill:
-		process.kill()
+		p.kill()
 	case LoseDisk:
-		process.loseDisk()
+		p.loseDisk()
 	case KillControl:
 		for _, p := range f.controls {
 			p.kill()
 		}
 	case Stop:
-		process.stop()
+		p.stop()
 	case Reload:
-		process.signal(signalReload, false)
+		p.signal(signalReload, false)
 	case Pause:
-		forATime(process.pause)
+		forATime(p.pause)
 	case Reset:
 		proxy.reset()
 	case Silence:
@@ -119,7 +121,7 @@
 
 // again starts a server that has ended.
 func (f *fleet) again(ctx context.Context, s *server) {
-	sleep(ctx, downTime)
+	process.Sleep(ctx, downTime)
 	if s.present() != nil || ctx.Err() != nil {
 		return // another fault has started it
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/instance.go
@@ -20,8 +20,8 @@
 	fleetKey  = "fleet-key-of-a-fault-soak-0123456789"
 )
 
-// process is one process of the system, started again each time it ends.
-type process struct {
+// instance is one process of the system, started again each time it ends.
+type instance struct {
 	settings platform.Settings
 	command  []string
 	folder   string
@@ -39,7 +39,7 @@
 }
 
 // start starts the process.
-func (p *process) start() error {
+func (p *instance) start() error {
 	p.gone = make(chan struct{})
 	if err := p.launch(); err != nil {
 		return err
@@ -49,7 +49,7 @@
 }
 
 // launch starts the next life.
-func (p *process) launch() error {
+func (p *instance) launch() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.wipe {
@@ -86,7 +86,7 @@
 }
 
 // keep waits for the end of each life and starts the next one.
-func (p *process) keep() {
+func (p *instance) keep() {
 	defer close(p.gone)
 	for {
 		p.mu.Lock()
@@ -112,7 +112,7 @@
 }
 
 // signal sends a signal to the present life. ending says that it is to end by it.
-func (p *process) signal(s syscall.Signal, ending bool) <-chan struct{} {
+func (p *instance) signal(s syscall.Signal, ending bool) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expected = p.expected || ending
@@ -121,10 +121,10 @@
 }
 
 // kill ends the present life at once.
-func (p *process) kill() { p.signal(syscall.SIGKILL, true) }
+func (p *instance) kill() { p.signal(syscall.SIGKILL, true) }
 
 // loseDisk ends the present life at once; the next one finds its data folder empty.
-func (p *process) loseDisk() {
+func (p *instance) loseDisk() {
 	p.mu.Lock()
 	p.wipe = true
 	p.mu.Unlock()
@@ -135,7 +135,7 @@
 const signalReload = syscall.SIGHUP
 
 // pause stops the present life from running, or lets it go on.
-func (p *process) pause(on bool) {
+func (p *instance) pause(on bool) {
 	p.mu.Lock()
 	p.paused.set(time.Now(), on)
 	p.mu.Unlock()
@@ -147,7 +147,7 @@
 }
 
 // stop ends the present life as planned and waits for it.
-func (p *process) stop() {
+func (p *instance) stop() {
 	p.pause(false)
 	ended := p.signal(syscall.SIGTERM, true)
 	begun := time.Now()
@@ -166,7 +166,7 @@
 	p.kill()
 }
 
-func (p *process) pausedFor(now time.Time) time.Duration {
+func (p *instance) pausedFor(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.paused.total(now)
@@ -196,7 +196,7 @@
 }
 
 // retire ends the process for good.
-func (p *process) retire() {
+func (p *instance) retire() {
 	p.mu.Lock()
 	p.retired = true
 	p.mu.Unlock()
@@ -206,7 +206,7 @@
 }
 
 // life tells the lives of the process apart.
-func (p *process) life() string {
+func (p *instance) life() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return fmt.Sprintf("%s/%d", p.settings.Instance, p.lives)
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -109,11 +109,11 @@
 	l.phase = p
 }
 
-// underFaults reports whether faults are being brought about.
-func (l *ledger) underFaults() bool {
+// in reports whether the present phase is one of some.
+func (l *ledger) in(phases ...phase) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.phase == faults
+	return slices.Contains(phases, l.phase)
 }
 
 // sending records a request before it is sent.
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -7,11 +7,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/banyanfront/banyanfront/decide/routes"
+	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
@@ -43,7 +43,7 @@
 type operator struct {
 	ledger   *ledger
 	controls []string // addresses of the control instances
-	entries  []*process
+	entries  []*instance
 	client   *http.Client
 
 	mu      sync.Mutex
@@ -60,7 +60,7 @@
 	at      time.Time
 }
 
-func newOperator(seed uint64, l *ledger, controls []string, entries []*process) *operator {
+func newOperator(seed uint64, l *ledger, controls []string, entries []*instance) *operator {
 	return &operator{ledger: l, controls: controls, entries: entries, random: rand.New(rand.NewPCG(seed, 0x0be4)),
 		client:  &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		ackedAt: map[uint64]time.Time{}, seen: map[string]seen{}}
@@ -134,7 +134,7 @@
 			o.ledger.violate("CONFIG", "version %d is valid and was refused with %d", version, status)
 			return false
 		}
-		sleep(ctx, changeRetry)
+		process.Sleep(ctx, changeRetry)
 	}
 	return false
 }
@@ -142,11 +142,7 @@
 // ackBound is the time in which a change is acknowledged while nothing is at fault.
 const ackBound = 4 * time.Second
 
-func (o *operator) calm() bool {
-	o.ledger.mu.Lock()
-	defer o.ledger.mu.Unlock()
-	return o.ledger.phase == calm || o.ledger.phase == rolling
-}
+func (o *operator) calm() bool { return o.ledger.in(calm, rolling) }
 
 // control returns the address of some control instance.
 func (o *operator) control() string {
@@ -175,7 +171,7 @@
 		o.mu.Lock()
 		pause := time.Duration(o.random.ExpFloat64() * float64(changePause))
 		o.mu.Unlock()
-		sleep(ctx, pause)
+		process.Sleep(ctx, pause)
 	}
 }
 
@@ -220,13 +216,13 @@
 		for _, e := range o.entries {
 			o.probe(ctx, e)
 		}
-		sleep(ctx, probePause)
+		process.Sleep(ctx, probePause)
 	}
 }
 
 // probe asks an entry instance for a route of the newest acknowledged version and for one that no version has. It checks
 // that one life of an instance never goes back, and, while nothing is at fault, that it has what is certain.
-func (o *operator) probe(ctx context.Context, e *process) {
+func (o *operator) probe(ctx context.Context, e *instance) {
 	sent := time.Now()
 	life, wasCalm := e.life(), o.calm()
 	o.mu.Lock()
@@ -258,18 +254,15 @@
 }
 
 // ask sends a probe and returns the status, 0 if there is none.
-func (o *operator) ask(ctx context.Context, e *process, path string) int {
+func (o *operator) ask(ctx context.Context, e *instance, path string) int {
 	id := fmt.Sprintf("probe-%d", time.Now().UnixNano())
 	r := route("probe", addedPrefix, plainService, routes.Safe)
 	record := &request{id: id, route: &r, entry: e.settings.Instance}
-	message, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.settings.CallersListen+path+"x", strings.NewReader("probe"))
+	message, err := newMessage(ctx, e, path, id, "probe")
 	if err != nil {
 		o.ledger.violate("SOAK", "a probe cannot be built: %v", err)
 		return 0
 	}
-	message.Host = host
-	message.Header.Set(platform.HeaderRequest, id)
-	message.Header.Set(platform.HeaderKey, callerKey)
 	o.ledger.sending(record)
 	response, err := o.client.Do(message)
 	if err != nil {
@@ -296,7 +289,7 @@
 		if o.read(ctx) >= newest {
 			return nil
 		}
-		sleep(ctx, changeRetry)
+		process.Sleep(ctx, changeRetry)
 	}
 	return errNotReadBack
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,6 +13,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/banyanfront/banyanfront/internal/process"
 )
 
 // Config sets a soak.
@@ -75,7 +77,7 @@
 // Run plays one soak. It returns an error only if the soak itself could not be played.
 func Run(ctx context.Context, c Config) (*Report, error) {
 	c.Scale = max(1, c.Scale)
-	f := &fleet{config: c, ledger: newLedger(), proxies: map[string]*proxy{}, byName: map[string]*process{},
+	f := &fleet{config: c, ledger: newLedger(), proxies: map[string]*proxy{}, byName: map[string]*instance{},
 		random: rand.New(rand.NewPCG(c.Seed, 0xf1ee))}
 	network, release, err := claimNetwork()
 	if err != nil {
@@ -151,7 +153,7 @@
 	begun := time.Now()
 	var ended, served int
 	for time.Since(begun) < within+steadyTime {
-		if !sleep(ctx, poll) {
+		if !process.Sleep(ctx, poll) {
 			return
 		}
 		if time.Since(begun) < steadyTime {
@@ -168,7 +170,7 @@
 func (f *fleet) calmly(ctx context.Context) {
 	f.ledger.enter(calm)
 	begun := time.Now()
-	sleep(ctx, calmTime)
+	process.Sleep(ctx, calmTime)
 	if ended, served := f.ledger.recent(begun); float64(served) < servedShare*float64(ended) && ctx.Err() == nil {
 		f.ledger.violate("RECOVER", "without a fault, only %d of %d requests were answered", served, ended)
 	}
