Limit what a backend server can send before its response is complete

Cause: backendhttp read a head, interim responses and non-HTTP bytes until the deadline of the request, up to 880 MiB for one request; an entry instance has 424 to 544 MB for everything. Events that repeat old identifiers were skipped without a limit. Change: 128 KiB for a head with its interim responses, 5 interim responses, 1 MiB of repeated events; past a limit the connection is closed, the server is recorded as failing, a counter names the limit. The soak's damaging server sends heads without end.

--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 const (
@@ -34,6 +36,19 @@
 	// maxSkippedBytes limits the body of a skipped response.
 	maxSkippedBytes = 1 << 20
 	readBufferBytes = 4 << 10
+	// maxHeadBytes limits what is read up to the end of a response head, interim responses included: twice the 64 KiB that
+	// servers send at most.
+	maxHeadBytes = 128 << 10
+	// maxInterimResponses limits the interim responses before a response; net/http's client accepts as many.
+	maxInterimResponses = 5
+)
+
+// Errors of a server that sends more than any response needs, possibly without end. The connection is closed.
+var (
+	ErrHeadTooLong     = errors.New("the response head is longer than 128 KiB")
+	ErrInterimTooMany  = errors.New("received more than 5 interim responses")
+	ErrSkippedTooLong  = errors.New("received a response to another request that was truncated or too long to skip")
+	ErrSkippedTooOften = errors.New("received only responses to other requests")
 )
 
 // Client pools the connections of one entry instance to all backend servers. It is safe for concurrent use.
@@ -55,12 +70,39 @@
 type conn struct {
 	net.Conn
 	key         string
-	r           *bufio.Reader
+	r           *bufio.Reader // reads from limit
+	limit       *headLimit
 	reused      bool
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
 
+// headLimit reads from a connection and, while a head is expected, fails once more than remaining bytes were read.
+type headLimit struct {
+	source    io.Reader
+	active    bool
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if !l.active {
+		return l.source.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := l.source.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
+// newConn returns a connection without responses.
+func newConn(raw net.Conn, key string) *conn {
+	limit := &headLimit{source: raw}
+	return &conn{Conn: raw, key: key, r: bufio.NewReaderSize(limit, readBufferBytes), limit: limit}
+}
+
 // Request is a request to a backend server.
 type Request struct {
 	ID     string
@@ -126,6 +168,7 @@
 	detach := context.AfterFunc(ctx, func() { reset(connection.Conn) })
 	response, failure := c.exchange(connection, request)
 	if failure != nil {
+		countExcess(failure.Err)
 		detach()
 		if ctx.Err() != nil {
 			reset(connection.Conn)
@@ -138,6 +181,16 @@
 	return response, nil
 }
 
+// countExcess counts a server that exceeded a limit.
+func countExcess(err error) {
+	for limit, excess := range map[string]error{"head": ErrHeadTooLong, "interim": ErrInterimTooMany, "skipped": ErrSkippedTooLong,
+		"responses": ErrSkippedTooOften} {
+		if errors.Is(err, excess) {
+			metrics.GetOrCreateCounter(fmt.Sprintf(`banyanfront_backend_excess_total{limit=%q}`, limit)).Inc()
+		}
+	}
+}
+
 // exchange writes the request and reads response heads until the one that answers it.
 func (c *Client) exchange(connection *conn, request *Request) (*Response, *Failure) {
 	bodyWritten, failure := connection.write(request)
@@ -160,12 +213,12 @@
 			return response, nil
 		}
 		if skipped >= maxSkippedResponses {
-			return nil, &Failure{Sent: true, Err: errors.New("received only responses to other requests")}
+			return nil, &Failure{Sent: true, Err: ErrSkippedTooOften}
 		}
 		// A response to another request. The expected one may follow; the connection is not reused.
 		response.closeConnection = true
 		if n, err := io.Copy(io.Discard, io.LimitReader(httpResponse.Body, maxSkippedBytes)); err != nil || n == maxSkippedBytes {
-			return nil, &Failure{Sent: true, Err: fmt.Errorf("received a response to request %q that was truncated or too long to skip", echoed)}
+			return nil, &Failure{Sent: true, Err: fmt.Errorf("request %.64q: %w", echoed, ErrSkippedTooLong)}
 		}
 	}
 }
@@ -247,8 +300,13 @@
 
 // readHead reads the head of the next final response and skips interim ones.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	for {
+	c.limit.active, c.limit.remaining = true, maxHeadBytes
+	defer func() { c.limit.active = false }()
+	for range maxInterimResponses + 1 {
 		response, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if err != nil && c.limit.remaining <= 0 {
+			return nil, ErrHeadTooLong // the parser reports the cut line as malformed
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -256,6 +314,7 @@
 			return response, nil
 		}
 	}
+	return nil, ErrInterimTooMany
 }
 
 // Close ends the exchange. complete states that the body was read to its end; the connection is reused only then, and only
@@ -307,7 +366,7 @@
 		c.release(key)
 		return nil, &Failure{Err: err}
 	}
-	return &conn{Conn: raw, key: key, r: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConn(raw, key), nil
 }
 
 // takeIdle removes the most recently used idle connection from the pool and returns it, nil if there is none.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -21,6 +21,9 @@
 	lastEventAt time.Time // when the last event of this attempt was forwarded
 }
 
+// errRepeatedEvents reports a server that repeats events without end. A resumed stream repeats a few at most.
+var errRepeatedEvents = errors.New("more than 1 MiB of events that were received before")
+
 // serveStream forwards events as they arrive. A resumable stream that is truncated is resumed on another server.
 func (c *call) serveStream() {
 	s := &relay{call: c, lastEventID: c.r.Header.Get(platform.HeaderLastEvent)}
@@ -81,12 +84,16 @@
 	}
 	reader := newEventReader(response.Body)
 	s.lastEventAt = time.Time{}
+	repeatedBytes := 0
 	for {
 		event, err := reader.next()
 		if err != nil {
 			return s.handleEnd(a, err)
 		}
 		if !s.isNew(event) {
+			if repeatedBytes += len(event.raw); repeatedBytes > maxEventBytes {
+				return s.handleEnd(a, errRepeatedEvents)
+			}
 			continue
 		}
 		if event.number > 0 && s.lastEventNumber() > 0 && event.number > s.lastEventNumber()+1 {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -28,7 +28,7 @@
 	CrashAll          Kind = "crash all"     // all plain servers crash, so that all of them are cold after the restart
 	Freeze            Kind = "freeze"        // a backend server accepts requests and does not work on them
 	Drain             Kind = "drain"         // a backend server announces that it drains, ends, and restarts as a new server
-	DamageAnswers     Kind = "damage"        // a backend server truncates answers and sends extra ones without a request
+	DamageAnswers     Kind = "damage"        // a backend server truncates answers, sends extra ones without a request and heads without end
 	LoseOrders        Kind = "lose orders"   // a rank's answers to orders are lost, and some orders are executed late
 	HoldAnnouncements Kind = "hold announce" // a backend server sends no announcements
 )
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -311,14 +311,16 @@
 	return true
 }
 
-// writeAnswer writes a plain answer. While the server damages answers, some are truncated and some followed by an extra one.
+// writeAnswer writes a plain answer. While the server damages answers, some are truncated, some are followed by an extra one
+// and some have a head without end.
 func (inc *incarnation) writeAnswer(w http.ResponseWriter, id, body string) {
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if !inc.server.damaging.Load() || rand.IntN(intactOneIn) == 0 {
 		_, _ = io.WriteString(w, body) // the caller records failures
 		return
 	}
-	if rand.IntN(2) == 0 {
+	damage := rand.IntN(3)
+	if damage == 0 {
 		_, _ = io.WriteString(w, body[:len(body)/2])
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
@@ -328,6 +330,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { _ = connection.Close() }()
+	if damage == 1 {
+		writeEndlessHead(connection)
+		return
+	}
 	raw := func(id, body string) string {
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-%s\r\nContent-Length: %d\r\n\r\n%s", platform.HeaderRequestID, id,
 			platform.HeaderSeal, id, len(body), body)
@@ -336,6 +342,17 @@
 	time.Sleep(minWorkTime) // so that the data is sent before the connection is closed
 }
 
+// endlessBlockBytes is the size of one write of a head without end.
+const endlessBlockBytes = 32 << 10
+
+// writeEndlessHead writes a header line without end, until the peer closes the connection.
+func writeEndlessHead(connection net.Conn) {
+	_, err := io.WriteString(connection, "HTTP/1.1 200 OK\r\nX-Endless: ")
+	for block := bytes.Repeat([]byte("x"), endlessBlockBytes); err == nil; {
+		_, err = connection.Write(block)
+	}
+}
+
 // serveStream writes the events of an answer, starting after the one that HeaderLastEvent names.
 func (inc *incarnation) serveStream(w http.ResponseWriter, r *http.Request, id string) {
 	last, err := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent))
