Take a control instance back whose folder is empty and whose settings name other founders

Three causes, each found by a test in virtual time with real sessions (rejoin_test.go, red before): - A wiped instance whose settings list itself as a seed, since the seeds had changed, waited for a report of the group; the others sent reports only to the founders of their own settings. Members now answer the report of an instance without a group, which reports to every control instance it knows. - An instance that reaches no leader by its settings never asked it: control instances now also dial those that others know. - A replacement that arrived before the silence of the lost voter was noticed stayed a learner for 6 s and then voted beside the lost one: four voters, of which two more losses left no majority. A learner now replaces a silent voter after 2.5 s. TestNumberOfVotersIsRestored expected the promotion beside the silent voter; it now expects the replacement, at the same strictness.

--- a/decide/bootstrap/bootstrap.go
+++ b/decide/bootstrap/bootstrap.go
@@ -59,6 +59,7 @@
 	pledge      uint64
 	mustRenewID bool
 	reports     map[fleet.InstanceID]receivedReport
+	memberAt    time.Time // when an instance that is not a voter last reported to belong to a group
 }
 
 // NewVoter returns the initial state of a voter. voters are the instances listed in the settings, including self.
@@ -71,9 +72,15 @@
 // Report returns the report to send to the other voters.
 func (v *Voter) Report() Report { return Report{Self: v.self, Pledge: v.pledge} }
 
-// ReceiveReport processes another voter's report. Reports of instances that are not voters are ignored.
+// ReceiveReport processes another instance's report. Of an instance that is not a voter it only counts that a group exists.
 func (v *Voter) ReceiveReport(now time.Time, r Report) {
-	if !slices.Contains(v.voters, r.Self.Instance) || r.Self.Instance == v.self.Instance {
+	if r.Self.Instance == v.self.Instance {
+		return
+	}
+	if !slices.Contains(v.voters, r.Self.Instance) {
+		if r.Founded {
+			v.memberAt = now
+		}
 		return
 	}
 	v.reports[r.Self.Instance] = receivedReport{r, now}
@@ -89,7 +96,7 @@
 	if v.mustRenewID {
 		return RenewID, nil
 	}
-	groupExists := false
+	groupExists := !v.memberAt.IsZero() && now.Sub(v.memberAt) <= reportTTL
 	for _, id := range v.voters {
 		received, ok := v.reports[id]
 		if !ok || now.Sub(received.receivedAt) > reportTTL {
--- a/decide/consensus/members.go
+++ b/decide/consensus/members.go
@@ -6,12 +6,14 @@
 	"time"
 )
 
-// Change is a requested change of the configuration; exactly one field is set.
+// Change is a requested change of the configuration; exactly one field is set, apart from Replaces.
 type Change struct {
 	Add        *Member `cbor:"1,keyasint,omitempty"` // added as a learner, whatever its Learner field
 	Promote    ID      `cbor:"2,keyasint,omitempty"`
 	Remove     ID      `cbor:"3,keyasint,omitempty"`
 	SetAddress *Member `cbor:"4,keyasint,omitempty"` // changes the address of the member with this ID
+	// Replaces, with Promote, names a voter that the leader removes just before it promotes the learner.
+	Replaces ID `cbor:"5,keyasint,omitempty"`
 }
 
 // maxLearnerLagEntries is how far a learner may be behind the commit index when it becomes a voter. It cannot be 0,
@@ -39,6 +41,10 @@
 		if member == nil || !member.Learner {
 			return m, fmt.Errorf("member %x is not a learner of the group", c.Promote)
 		}
+		if c.Replaces != 0 {
+			member.Promote, member.Replaces = true, c.Replaces
+			break
+		}
 		member.Learner, member.Promote, member.Replaces = false, false, 0
 	case c.Remove != 0:
 		member := next.Find(c.Remove)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -73,11 +73,13 @@
 	entrySessions       map[transport.Session]bool
 	rankSessions        map[transport.Session]bool // sessions from rank processes, which run beside the ranks of a group
 	groups              *groups
-	controlSessions     map[transport.Session]string // sessions from control instances, with their inner addresses
+	controlSessions     map[transport.Session]string   // sessions with control instances, with their inner addresses
+	reportedAddresses   map[transport.Session][]string // control instances that the other side of a session knows
 	announcementsSentAt time.Time
 	stateSentAt         time.Time
 	statePending        bool
 	sentRoster          *protocol.ControlInstances
+	redundancyLostAt    time.Time // when this instance, as leader, found fewer voters answering than configured; zero if none
 }
 
 // New returns a control instance with the given data folder.
@@ -92,6 +94,8 @@
 		entrySessions:   map[transport.Session]bool{},
 		rankSessions:    map[transport.Session]bool{},
 		controlSessions: map[transport.Session]string{},
+
+		reportedAddresses: map[transport.Session][]string{},
 	}
 	d.groups = newGroups(d)
 	d.stateMachine = newStateMachine(d.stateChanged)
@@ -110,7 +114,7 @@
 		MayBootstrap: config.MayBootstrap,
 		StateMachine: d.stateMachine,
 		Admit:        d.admit,
-		Contacts:     d.controlAddresses,
+		Contacts:     d.dialAddresses,
 		Consensus:    config.Consensus,
 	}, folder, d.pool)
 	return d, err
@@ -122,7 +126,7 @@
 // Run serves until the context ends.
 func (d *Directory) Run(ctx context.Context) {
 	defer close(d.done)
-	d.pool.Set(d.controlAddresses())
+	d.pool.Set(d.dialAddresses())
 	upkeep := time.NewTicker(upkeepInterval)
 	defer upkeep.Stop()
 	flush := time.NewTicker(stateInterval)
@@ -165,11 +169,12 @@
 // upkeep advances founding and joining, expires servers, and updates sessions, voters and the roster.
 func (d *Directory) upkeep(now time.Time) {
 	d.member.Tick(now)
-	d.pool.Set(d.controlAddresses())
+	d.pool.Set(d.dialAddresses())
 	for _, id := range d.servers.Expire(now) {
 		log.WithField("server", id).Info("backend server dropped: too many announcements missed")
 	}
 	d.maintainVoters(now)
+	d.reportRedundancy(now)
 	d.broadcastRoster()
 }
 
@@ -180,6 +185,7 @@
 		log.WithFields(log.Fields{"peer": hello.Instance, "address": hello.Address}).Info("session opened")
 		if hello.Address != "" {
 			d.controlSessions[s] = hello.Address
+			d.send(s, d.roster())
 			return
 		}
 		if hello.Rank {
@@ -207,6 +213,7 @@
 		log.WithField("peer", s.Peer().Instance).Info("session closed")
 		delete(d.entrySessions, s)
 		delete(d.controlSessions, s)
+		delete(d.reportedAddresses, s)
 		delete(d.rankSessions, s)
 	})
 }
@@ -221,6 +228,12 @@
 	switch m := m.(type) {
 	case *protocol.Consensus, *protocol.Founding, *protocol.Join:
 		d.member.HandleMessage(s, m)
+	case *protocol.ControlInstances:
+		d.post(func(time.Time) {
+			if _, open := d.controlSessions[s]; open {
+				d.reportedAddresses[s] = m.Addresses
+			}
+		})
 	case *protocol.Rank:
 		d.post(func(now time.Time) { d.groups.handleReport(now, s, m) })
 	case *protocol.RankDone:
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -54,7 +54,8 @@
 	is.True(!d.admit(joiner, members, nil).Learner)
 }
 
-// Guards against a group that does not regain the configured number of voters, or stays above it.
+// Guards against a group that does not regain the configured number of voters, or exceeds it: with a silent voter and its
+// successor in the group, one more loss took the majority.
 func TestNumberOfVotersIsRestored(t *testing.T) {
 	is := is.New(t)
 	learner := member(4, "d")
@@ -62,13 +63,18 @@
 	members := groupOf(member(1, "a"), member(2, "b"), member(3, "c"), learner)
 	_, ok := nextVoterChange(members, nil, 3)
 	is.True(!ok)
-	silence := map[consensus.ID]time.Duration{2: promoteAfter + 1}
+	silence := map[consensus.ID]time.Duration{2: replaceAfter + 1}
 	change, ok := nextVoterChange(members, silence, 3)
 	is.True(ok)
-	is.Equal(change, consensus.Change{Promote: 4})
-	learner.Promote = true // promotion in progress
+	is.Equal(change, consensus.Change{Promote: 4, Replaces: 2})
+	learner.Promote, learner.Replaces = true, 2 // replacement in progress
 	_, ok = nextVoterChange(groupOf(member(1, "a"), member(2, "b"), member(3, "c"), learner), silence, 3)
 	is.True(!ok)
+	learner.Promote, learner.Replaces = false, 0
+	change, ok = nextVoterChange(groupOf(member(1, "a"), member(3, "c"), learner), nil, 3)
+	is.True(ok)
+	is.Equal(change, consensus.Change{Promote: 4})
+	silence[2] = removeAfter + 1
 	change, ok = nextVoterChange(groupOf(member(1, "a"), member(2, "b"), member(3, "c"), member(4, "d")), silence, 3)
 	is.True(ok)
 	is.Equal(change, consensus.Change{Remove: 2})
@@ -76,6 +82,16 @@
 	is.True(!ok) // no other voter or learner can replace it
 }
 
+// Guards against a group that runs on fewer disks than configured without showing it.
+func TestVotersWithoutAnswerAreCounted(t *testing.T) {
+	is := is.New(t)
+	learner := member(4, "d")
+	learner.Learner = true
+	members := groupOf(member(1, "a"), member(2, "b"), member(3, "c"), learner)
+	silence := map[consensus.ID]time.Duration{2: suspectAfter + 1, 3: suspectAfter}
+	is.Equal(countVoters(members, silence, 3), voterCounts{Wanted: 3, Voters: 3, Answering: 2})
+}
+
 // Guards against a snapshot that loses part of the agreed state.
 func TestStateMachineSnapshotRoundTrip(t *testing.T) {
 	is := is.New(t)
--- a/internal/directory/members.go
+++ b/internal/directory/members.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"github.com/banyanfront/banyanfront/decide/bootstrap"
@@ -16,13 +17,14 @@
 )
 
 const (
-	// replaceAfter is the silence after which a joiner replaces a voter: the replacement for a lost machine must vote within
-	// 4 s, because another machine may be lost after that.
+	// replaceAfter is the silence after which a joiner or a learner replaces a voter: the replacement for a lost machine must
+	// vote within 4 s, because another machine may be lost after that.
 	replaceAfter = 2500 * time.Millisecond
 	// suspectAfter is the silence of a voter after which joiners are refused until it is clear whether it is replaced.
 	suspectAfter = time.Second
-	// promoteAfter is the silence of a voter after which a learner is promoted: longer than a restart including log catch-up.
-	promoteAfter = 6 * time.Second
+	// removeAfter is the silence after which a voter in excess of the configured number is removed: longer than a restart
+	// including log catch-up.
+	removeAfter = 6 * time.Second
 )
 
 // instanceAt returns the identifier of a control instance: its inner address, which is what the founders' settings name.
@@ -56,7 +58,7 @@
 	})
 }
 
-// maintainVoters promotes a learner while voters are silent, and removes silent voters in excess of the configured number.
+// maintainVoters replaces silent voters by learners, and removes silent voters in excess of the configured number.
 // It does nothing unless this instance leads.
 func (d *Directory) maintainVoters(now time.Time) {
 	r := d.member.Replica()
@@ -68,8 +70,8 @@
 	if !ok {
 		return
 	}
-	log.WithFields(log.Fields{"promote": uint64(change.Promote), "remove": uint64(change.Remove), "voters": members.Voters(),
-		"silentMs": silence[change.Remove].Milliseconds()}).Warn("the voters of the agreement group change")
+	log.WithFields(log.Fields{"promote": uint64(change.Promote), "replaces": uint64(change.Replaces), "remove": uint64(change.Remove),
+		"voters": members.Voters(), "silentMs": silence[max(change.Remove, change.Replaces)].Milliseconds()}).Warn("the voters of the agreement group change")
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), upkeepInterval)
 		defer cancel()
@@ -79,30 +81,82 @@
 	}()
 }
 
-// nextVoterChange returns the next change of the voters, false if none is needed. wanted is their configured number.
+// voterCounts are the configured voters, those in the agreement group and those of them that have answered recently.
+type voterCounts struct{ Wanted, Voters, Answering int }
+
+// countVoters counts the voters of the agreement group.
+func countVoters(members consensus.Members, silence map[consensus.ID]time.Duration, wanted int) voterCounts {
+	counts := voterCounts{Wanted: wanted, Voters: members.Voters()}
+	for _, m := range members.List {
+		if !m.Learner && silence[m.ID] <= suspectAfter {
+			counts.Answering++
+		}
+	}
+	return counts
+}
+
+// reportRedundancy publishes the voter counts on the leader, and logs when redundancy is lost and restored. Another
+// instance publishes 0 voters.
+func (d *Directory) reportRedundancy(now time.Time) {
+	counts := voterCounts{Wanted: d.config.Voters}
+	r := d.member.Replica()
+	_, leads := d.member.Leads()
+	if leads {
+		counts = countVoters(r.Status().Members, d.member.Silence(now), d.config.Voters)
+	}
+	metrics.GetOrCreateGauge(`banyanfront_control_voters{count="wanted"}`, nil).Set(float64(counts.Wanted))
+	metrics.GetOrCreateGauge(`banyanfront_control_voters{count="members"}`, nil).Set(float64(counts.Voters))
+	metrics.GetOrCreateGauge(`banyanfront_control_voters{count="answering"}`, nil).Set(float64(counts.Answering))
+	if !leads {
+		d.redundancyLostAt = time.Time{}
+		return
+	}
+	switch full := counts.Answering >= counts.Wanted; {
+	case !full && d.redundancyLostAt.IsZero():
+		d.redundancyLostAt = now
+		log.WithFields(log.Fields{"wanted": counts.Wanted, "voters": counts.Voters, "answering": counts.Answering}).
+			Warn("the agreement group runs without full redundancy")
+	case full && !d.redundancyLostAt.IsZero():
+		log.WithFields(log.Fields{"voters": counts.Voters, "forMs": now.Sub(d.redundancyLostAt).Milliseconds()}).
+			Info("the agreement group has full redundancy again")
+		d.redundancyLostAt = time.Time{}
+	}
+}
+
+// nextVoterChange returns the next change of the voters, false if none is needed. wanted is their configured number. A silent
+// voter is removed before its successor votes: with both in the group, the loss of one more voter could take the majority.
 func nextVoterChange(members consensus.Members, silence map[consensus.ID]time.Duration, wanted int) (consensus.Change, bool) {
 	var silentVoter, promotableLearner consensus.ID
-	activeVoters := 0
+	beingReplaced := map[consensus.ID]bool{}
+	promoting := 0
+	for _, m := range members.List {
+		if m.Promote {
+			beingReplaced[m.Replaces] = true
+			promoting++
+		}
+	}
 	for _, m := range members.List {
-		switch isSilent := silence[m.ID] > promoteAfter; {
-		case m.Learner && !m.Promote && !isSilent:
+		switch {
+		case m.Learner && !m.Promote && silence[m.ID] <= replaceAfter:
 			promotableLearner = m.ID
-		case !m.Learner && isSilent:
+		case !m.Learner && !beingReplaced[m.ID] && silence[m.ID] > max(silence[silentVoter], replaceAfter):
 			silentVoter = m.ID
-		case !m.Learner, m.Promote:
-			activeVoters++ // a voter, or about to be one
 		}
 	}
+	voters := members.Voters()
 	switch {
-	case promotableLearner != 0 && activeVoters < wanted:
+	case promotableLearner != 0 && voters+promoting < wanted:
 		return consensus.Change{Promote: promotableLearner}, true
-	case silentVoter != 0 && members.Voters() > wanted:
+	case promotableLearner != 0 && silentVoter != 0 && voters <= wanted:
+		return consensus.Change{Promote: promotableLearner, Replaces: silentVoter}, true
+	case silentVoter != 0 && silence[silentVoter] > removeAfter && voters > wanted:
 		return consensus.Change{Remove: silentVoter}, true
 	}
 	return consensus.Change{}, false
 }
 
-// controlAddresses returns the inner addresses of the other control instances.
+// controlAddresses returns the inner addresses of the other control instances that this one knows from its settings, the
+// agreement group or a session.
 func (d *Directory) controlAddresses() []string {
 	addresses := slices.Clone(d.seeds)
 	if r := d.member.Replica(); r != nil {
@@ -110,7 +164,21 @@
 			addresses = append(addresses, m.Address)
 		}
 	}
-	addresses = slices.AppendSeq(addresses, maps.Values(d.controlSessions))
+	return d.otherAddresses(slices.AppendSeq(addresses, maps.Values(d.controlSessions)))
+}
+
+// dialAddresses returns the inner addresses of all control instances to open sessions to, including those that only others
+// know: the settings of a new machine may name no instance that still runs except one that does not lead.
+func (d *Directory) dialAddresses() []string {
+	addresses := d.controlAddresses()
+	for _, reported := range d.reportedAddresses {
+		addresses = append(addresses, reported...)
+	}
+	return d.otherAddresses(addresses)
+}
+
+// otherAddresses sorts addresses and removes duplicates and that of this instance.
+func (d *Directory) otherAddresses(addresses []string) []string {
 	addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == d.config.Address })
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
--- /dev/null
+++ b/internal/directory/rejoin_test.go
@@ -0,0 +1,224 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/decide/controlstate"
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/storage/faultfs"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+// controlFleet runs control instances over in-memory sessions, within a testing/synctest bubble.
+type controlFleet struct {
+	t      *testing.T
+	voters int
+	mu     sync.Mutex
+	nodes  map[string]*controlNode // running instances, by inner address
+}
+
+// controlNode is a running control instance.
+type controlNode struct {
+	*Directory
+	address string
+	disk    *faultfs.FS
+	links   []*transport.Faults
+	cancel  context.CancelFunc
+}
+
+const controlFleetKey = "test-fleet-key-0123456789"
+
+func newControlFleet(t *testing.T, voters int) *controlFleet {
+	return &controlFleet{t: t, voters: voters, nodes: map[string]*controlNode{}}
+}
+
+func emptyDisk(seed uint64) *faultfs.FS { return faultfs.New(rand.New(rand.NewPCG(seed, 1))) }
+
+// start starts an instance whose settings list the given seeds.
+func (f *controlFleet) start(address string, disk *faultfs.FS, firstStart bool, seeds ...string) *controlNode {
+	f.t.Helper()
+	n := &controlNode{address: address, disk: disk}
+	hello := func() protocol.Hello {
+		return protocol.Hello{Version: protocol.Version, Instance: fleet.InstanceID(address), Address: address}
+	}
+	d, err := New(Config{Instance: address, Address: address, Founders: seeds, MayBootstrap: firstStart, Voters: f.voters,
+		AnnounceInterval: time.Second, Hello: hello,
+		Dial: func(to string, hello func() protocol.Hello, _ transport.Handler) transport.ConnectFunc {
+			return func(_ context.Context, h transport.Handler) (transport.Session, error) {
+				return f.connect(n, to, hello(), h)
+			}
+		}}, disk)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.Directory = d
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	f.mu.Lock()
+	f.nodes[address] = n
+	f.mu.Unlock()
+	go d.Run(ctx)
+	return n
+}
+
+// connect opens a session to the instance at an address.
+func (f *controlFleet) connect(from *controlNode, address string, hello protocol.Hello, h transport.Handler) (transport.Session, error) {
+	f.mu.Lock()
+	to := f.nodes[address]
+	f.mu.Unlock()
+	if to == nil {
+		return nil, errors.New("connection refused")
+	}
+	config := transport.Config{FleetKey: []byte(controlFleetKey)}
+	session, _, link, err := transport.Pipe(config, hello, h, config, to.config.Hello(), to.Directory)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	from.links, to.links = append(from.links, link), append(to.links, link)
+	f.mu.Unlock()
+	return session, nil
+}
+
+// crash ends an instance without handing leadership over.
+func (f *controlFleet) crash(n *controlNode) {
+	f.mu.Lock()
+	delete(f.nodes, n.address)
+	links := slices.Clone(n.links)
+	f.mu.Unlock()
+	for _, link := range links {
+		link.Reset()
+	}
+	n.cancel()
+	<-n.done
+	n.Close()
+}
+
+func (f *controlFleet) stopAll() {
+	f.mu.Lock()
+	var all []*controlNode
+	for _, n := range f.nodes {
+		all = append(all, n)
+	}
+	f.mu.Unlock()
+	for _, n := range all {
+		f.crash(n)
+	}
+}
+
+// commit commits a configuration through any running instance.
+func (f *controlFleet) commit(version uint64) error {
+	f.mu.Lock()
+	var all []*controlNode
+	for _, n := range f.nodes {
+		all = append(all, n)
+	}
+	f.mu.Unlock()
+	err := errors.New("no instance runs")
+	for _, n := range all {
+		command := controlstate.Command{Configure: &controlstate.Configure{Version: version, Body: []byte("body")}}
+		if err = n.Propose(context.Background(), fmt.Sprint("configuration/", version), command); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// votes reports whether the leader counts the instance's present data folder as a voter.
+func (f *controlFleet) votes(n *controlNode) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, other := range f.nodes {
+		if _, leads := other.member.Leads(); leads {
+			return other.member.Replica().Status().Members.IsVoter(n.member.ID())
+		}
+	}
+	return false
+}
+
+// waitForVote waits until the instance votes, and fails the test after the limit.
+func (f *controlFleet) waitForVote(n *controlNode, limit time.Duration, situation string) {
+	f.t.Helper()
+	for end := time.Now().Add(limit); !f.votes(n); {
+		if time.Now().After(end) {
+			f.t.Fatalf("%s: %s does not vote after %v", situation, n.address, limit)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// rejoinLimit is the time for a voter with an empty disk to vote again while a majority lives: the platform counts a
+// machine as lost for 4 s after its return, and expects another loss after that.
+const rejoinLimit = 4 * time.Second
+
+// Guards against a control instance that lost its disk and is never taken back: its settings list it among the seeds, but
+// the others were started with earlier seeds and do not know it as a founder. The next lost disk took the majority.
+func TestWipedReplacementRejoinsAfterSeedsChanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newControlFleet(t, 3)
+		defer f.stopAll()
+		seeds := []string{"a", "b", "c"}
+		for i, address := range seeds {
+			f.start(address, emptyDisk(uint64(i)), true, seeds...)
+		}
+		time.Sleep(5 * time.Second)
+		is.NoErr(f.commit(1))
+		f.crash(f.nodes["c"])
+		f.waitForVote(f.start("d", emptyDisk(4), false, seeds...), 2*rejoinLimit, "replacement of c")
+		f.crash(f.nodes["d"])
+		f.waitForVote(f.start("d", emptyDisk(5), false, "a", "b", "d"), rejoinLimit, "d with an empty disk")
+		f.crash(f.nodes["a"])
+		is.NoErr(f.commit(2)) // two of three voters have their disks
+	})
+}
+
+// Guards against lost redundancy while machines are replaced, disks are lost and seeds change one after the other: a
+// machine that came back must vote before the next one is lost.
+func TestRedundancyIsRestoredBetweenLosses(t *testing.T) {
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 2))
+			f := newControlFleet(t, 3)
+			defer f.stopAll()
+			running := []string{"a", "b", "c"}
+			for i, address := range running {
+				f.start(address, emptyDisk(uint64(i)), true, running...)
+			}
+			time.Sleep(5 * time.Second)
+			version, machines := uint64(0), 3
+			for loss := range 6 {
+				lost := random.IntN(3)
+				f.crash(f.nodes[running[lost]])
+				limit := rejoinLimit
+				if random.IntN(2) == 0 {
+					machines++
+					running[lost] = fmt.Sprint("machine-", machines)
+					limit = 2 * rejoinLimit // the lost voter must be silent for a while before it is replaced
+				}
+				time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+				seeds := slices.Clone(running)
+				if random.IntN(2) == 0 { // settings written before the last loss
+					seeds[random.IntN(3)] = "gone"
+				}
+				n := f.start(running[lost], emptyDisk(seed*100+uint64(loss)+10), false, seeds...)
+				f.waitForVote(n, limit, fmt.Sprintf("seed %d, loss %d", seed, loss))
+				version++
+				if err := f.commit(version); err != nil {
+					t.Fatalf("seed %d, loss %d: %v", seed, loss, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/groupmember/member.go
+++ b/internal/groupmember/member.go
@@ -288,37 +288,64 @@
 	return nil
 }
 
-// sendReports sends the state of this member's folder to the other voters.
-func (m *Member) sendReports() {
-	report := bootstrap.Report{Self: m.self(), Founded: true, Members: m.initialMembers}
+// report returns the state of this member's folder.
+func (m *Member) report() bootstrap.Report {
 	if m.foundingVoter != nil {
-		report = m.foundingVoter.Report()
-	}
-	message := &protocol.Founding{
-		Self:    protocol.Member(report.Self),
-		Founded: report.Founded,
-		Pledge:  report.Pledge,
+		return m.foundingVoter.Report()
 	}
+	return bootstrap.Report{Self: m.self(), Founded: m.belongsToGroup(), Members: m.initialMembers}
+}
+
+// belongsToGroup reports whether the running replica has the members of a group. A new folder has none until a leader has
+// added it.
+func (m *Member) belongsToGroup() bool {
+	r := m.replica.Load()
+	return r != nil && len(r.Status().Members.List) > 0
+}
+
+// encodeReport returns the message with a report.
+func encodeReport(report bootstrap.Report) *protocol.Founding {
+	message := &protocol.Founding{Self: protocol.Member(report.Self), Founded: report.Founded, Pledge: report.Pledge}
 	for _, f := range report.Members {
 		message.Members = append(message.Members, protocol.Member(f))
 	}
-	for _, v := range m.config.Voters {
-		if session := m.sessions.Session(v.Address); session != nil && v.Instance != m.config.Instance {
-			_ = session.Send(message)
-		}
-	}
+	return message
 }
 
-func (m *Member) requestJoin() {
+// sendReports sends the state of this member's folder to the initial voters, and while it belongs to no group also to the
+// other known control instances: the settings may list only voters that no longer exist.
+func (m *Member) sendReports() {
+	report := m.report()
 	addresses := map[string]bool{}
 	for _, v := range m.config.Voters {
 		addresses[v.Address] = true
 	}
+	if !report.Founded {
+		m.addContacts(addresses)
+	}
+	delete(addresses, m.config.Address)
+	message := encodeReport(report)
+	for address := range addresses {
+		if session := m.sessions.Session(address); session != nil {
+			_ = session.Send(message) // repeated at the next tick
+		}
+	}
+}
+
+func (m *Member) addContacts(addresses map[string]bool) {
 	if m.config.Contacts != nil {
 		for _, address := range m.config.Contacts() {
 			addresses[address] = true
 		}
 	}
+}
+
+func (m *Member) requestJoin() {
+	addresses := map[string]bool{}
+	for _, v := range m.config.Voters {
+		addresses[v.Address] = true
+	}
+	m.addContacts(addresses)
 	delete(addresses, m.config.Address)
 	for address := range addresses {
 		if session := m.sessions.Session(address); session != nil {
@@ -346,6 +373,10 @@
 		case m.reports <- report:
 		default:
 		}
+		if !report.Founded && m.belongsToGroup() {
+			// The sender may have lost its folder, and need not be a voter in this member's settings.
+			_ = session.Send(&protocol.Founding{Self: protocol.Member(m.self()), Founded: true})
+		}
 	case *protocol.Join:
 		if message.Removed {
 			select {
