--- a/decide/controlstate/controlstate.go
+++ b/decide/controlstate/controlstate.go
@@ -1,9 +1,10 @@
 // Package controlstate is the replicated state of the control instances of a fleet without agents: the current routing
-// configuration and the evacuated data centres. It is a deterministic state machine: the same commands at the same log
+// configuration, the evacuated data centres and the coordinators of lock-step groups. It is a deterministic state machine: the same commands at the same log
 // indexes give the same state on every instance.
 package controlstate
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -12,6 +13,8 @@
 type Command struct {
 	Configure *Configure `cbor:"1,keyasint,omitempty"`
 	Evacuate  *Evacuate  `cbor:"2,keyasint,omitempty"`
+	// Coordinate assigns coordinators; the Lease of each is set when the command is applied.
+	Coordinate []Coordinator `cbor:"3,keyasint,omitempty"`
 }
 
 // Configure replaces the routing configuration if its version is higher than the current one.
@@ -27,13 +30,55 @@
 	Evacuated  bool   `cbor:"2,keyasint,omitempty"`
 }
 
+// Coordinator is the assignment of a lock-step group to the control instance that changes its expert maps.
+type Coordinator struct {
+	Group    string `cbor:"1,keyasint"`
+	Instance string `cbor:"2,keyasint,omitempty"` // inner address; a command with an empty one removes the assignment
+	// Deputy receives the same reports and completes changes that the coordinator has left behind. Empty if there is none.
+	Deputy string `cbor:"3,keyasint,omitempty"`
+	// Lease is the log index of the assignment. It fences the changes of earlier coordinators.
+	Lease uint64 `cbor:"4,keyasint,omitempty"`
+}
+
 // State is the result of the commands applied so far. Slices are shared between copies and must not be modified.
 type State struct {
-	Index      uint64   `cbor:"1,keyasint"` // log index of the last command that changed the state
+	Index      uint64   `cbor:"1,keyasint"` // log index of the last change of what requests are routed by
 	Version    uint64   `cbor:"2,keyasint,omitempty"`
 	Configured bool     `cbor:"3,keyasint,omitempty"` // a configuration has been applied
 	Body       []byte   `cbor:"4,keyasint,omitempty"`
 	Evacuated  []string `cbor:"5,keyasint,omitempty"` // sorted
+	// Coordinators are sorted by group. Entry instances do not need them, so that their changes leave Index as it is.
+	Coordinators []Coordinator `cbor:"6,keyasint,omitempty"`
+}
+
+// Coordinator returns the assignment of a group, the zero value if it has none.
+func (s State) Coordinator(group string) Coordinator {
+	if i, ok := s.findCoordinator(group); ok {
+		return s.Coordinators[i]
+	}
+	return Coordinator{}
+}
+
+func (s State) findCoordinator(group string) (int, bool) {
+	return slices.BinarySearchFunc(s.Coordinators, group, func(c Coordinator, group string) int { return cmp.Compare(c.Group, group) })
+}
+
+// assign returns the state after assignments made by the log entry at index.
+func (s State) assign(index uint64, assignments []Coordinator) State {
+	s.Coordinators = slices.Clone(s.Coordinators)
+	for _, a := range assignments {
+		a.Lease = index
+		i, found := s.findCoordinator(a.Group)
+		switch {
+		case found && a.Instance == "":
+			s.Coordinators = slices.Delete(s.Coordinators, i, i+1)
+		case found:
+			s.Coordinators[i] = a
+		case a.Instance != "":
+			s.Coordinators = slices.Insert(s.Coordinators, i, a)
+		}
+	}
+	return s
 }
 
 // Apply returns the state after a command and whether the command changed it.
@@ -56,6 +101,8 @@
 		}
 		maps.DeleteFunc(evacuated, func(_ string, out bool) bool { return !out })
 		s.Evacuated = slices.Sorted(maps.Keys(evacuated))
+	case len(c.Coordinate) > 0:
+		return s.assign(index, c.Coordinate), true
 	default:
 		return s, false
 	}
--- a/decide/controlstate/controlstate_test.go
+++ b/decide/controlstate/controlstate_test.go
@@ -39,3 +39,21 @@
 	}
 	is.Equal(s.Index, uint64(4)) // commands without effect do not change the index
 }
+
+// Guards against an assignment that keeps an old lease, and against one that makes entry instances fetch the whole state.
+func TestCoordinatorsAreAssigned(t *testing.T) {
+	is := is.New(t)
+	apply := func(s State, index uint64, c ...Coordinator) State {
+		next, changed := s.Apply(index, Command{Coordinate: c})
+		is.True(changed)
+		is.Equal(next.Index, s.Index)
+		return next
+	}
+	first := apply(State{Index: 3}, 4, Coordinator{Group: "b", Instance: "x", Deputy: "y"}, Coordinator{Group: "a", Instance: "y"})
+	is.Equal(first.Coordinators, []Coordinator{{Group: "a", Instance: "y", Lease: 4}, {Group: "b", Instance: "x", Deputy: "y", Lease: 4}})
+	second := apply(first, 5, Coordinator{Group: "b", Instance: "y"}, Coordinator{Group: "a"}, Coordinator{Group: "none"})
+	is.Equal(second.Coordinators, []Coordinator{{Group: "b", Instance: "y", Lease: 5}})
+	is.Equal(second.Coordinator("b").Lease, uint64(5))
+	is.Equal(second.Coordinator("a"), Coordinator{})
+	is.Equal(first.Coordinator("b").Lease, uint64(4)) // earlier states are not modified
+}
--- a/decide/experts/switchover.go
+++ b/decide/experts/switchover.go
@@ -86,6 +86,9 @@
 // use.
 const defaultStepTime = 80 * time.Millisecond
 
+// holdRetryDelay is the delay after repeated refusals to hold a step: a rank that holds another step refuses all.
+const holdRetryDelay = 40 * time.Millisecond
+
 // maxReportAge is the age of the last report of a rank beyond which no step is held: ranks report every 120 ms, and a
 // stalled rank would block the group at the held step until it resumes.
 const maxReportAge = 400 * time.Millisecond
@@ -144,10 +147,14 @@
 	version      uint64
 	lists        RankLists
 	step         uint64
-	holder       int           // rank that holds the step
-	allArmed     bool          // the map changes at the released step
-	extraSteps   uint64        // steps added to the lead time because holds were refused
-	meanStepTime time.Duration // moving average according to the reports
+	holder       int    // rank that holds the step
+	allArmed     bool   // the map changes at the released step
+	extraSteps   uint64 // steps added to the lead time because holds were refused
+	refusedHolds int    // in this change
+	// startedStep is the highest step that a refused hold has shown to have started, and stepStartedBy when.
+	startedStep   uint64
+	stepStartedBy time.Time
+	meanStepTime  time.Duration // moving average according to the reports
 }
 
 // NewSwitchover returns a Switchover without any state of the group.
@@ -184,7 +191,7 @@
 	if report.Epoch > s.epoch {
 		s.epoch = report.Epoch
 		clear(s.ranks)
-		s.extraSteps = 0
+		s.extraSteps, s.startedStep = 0, 0
 		s.lastChange.version, s.leftoverHold.since = 0, time.Time{}
 		s.phase, s.lists = switchIdle, nil
 	}
@@ -204,6 +211,9 @@
 		r.stepReportedAt = now
 	}
 	r.report, r.reportedAt = report, now
+	if s.lastChange.version != 0 && report.Map != s.lastChange.version && now.After(s.lastChange.dueAt.Add(s.config.MaxReportLag)) {
+		s.lastChange.version = 0 // another process has changed the map since
+	}
 }
 
 // HandleResult processes the result of an order.
@@ -225,7 +235,10 @@
 		case OrderRefused:
 			// The step has started: reports are older than assumed, but not by more than MaxReportLag.
 			s.extraSteps = min(s.extraSteps+1, uint64(s.config.MaxReportLag/s.stepTime())+2)
-			s.chooseStep(now)
+			s.startedStep, s.stepStartedBy = max(s.startedStep, s.step), now
+			if s.refusedHolds++; s.refusedHolds == 1 {
+				s.chooseStep(now)
+			}
 		}
 	case o.Operation == OrderArm && s.phase == switchArming && o.Version == s.version && o.Step == s.step:
 		switch result {
@@ -325,6 +338,7 @@
 func (s *Switchover) Begin(now time.Time, number uint64, lists RankLists) uint64 {
 	s.version, s.lists = number*2, lists
 	s.extraSteps -= min(s.extraSteps, 1)
+	s.refusedHolds = 0
 	for _, r := range s.ranks {
 		r.prepareAccepted, r.prepareDone, r.armed, r.armRefusedAt = 0, false, false, time.Time{}
 	}
@@ -365,6 +379,9 @@
 	for _, r := range s.ranks {
 		highest = max(highest, r.report.Step+uint64(now.Sub(r.reportedAt)/duration))
 	}
+	if s.startedStep > 0 {
+		highest = max(highest, s.startedStep+uint64(now.Sub(s.stepStartedBy)/duration))
+	}
 	return highest
 }
 
@@ -380,8 +397,18 @@
 	}
 }
 
+// stepWasReleased reports whether reports from well after the begin of the phase show that the rank does not hold the step:
+// another process has completed or undone the change.
+func (s *Switchover) stepWasReleased() bool {
+	r := s.ranks[s.holder]
+	return r != nil && r.reportedAt.After(s.phaseSince.Add(s.config.MaxReportLag)) && !(r.report.Holding && r.report.HeldStep == s.step)
+}
+
 // Tick returns the orders that are due.
 func (s *Switchover) Tick(now time.Time) []RankOrder {
+	if s.phase >= switchArming && s.stepWasReleased() {
+		s.enterPhase(now, switchIdle)
+	}
 	switch s.phase {
 	case switchIdle:
 		return s.recoverChange(now)
@@ -406,6 +433,12 @@
 			s.enterPhase(now, switchIdle) // finish the other change first
 			return nil
 		}
+		if s.startedStep >= s.step {
+			if now.Sub(s.stepStartedBy) < holdRetryDelay {
+				return nil
+			}
+			s.chooseStep(now)
+		}
 		return s.ordersFor(now, func(r *switchRank) (RankOrder, bool) {
 			return RankOrder{Operation: OrderHold, Step: s.step}, r.report.Rank == s.holder
 		})
--- a/decide/experts/switchover_test.go
+++ b/decide/experts/switchover_test.go
@@ -365,3 +365,88 @@
 	is.Equal(orders[0].Operation, OrderHold)
 	is.Equal(c.ChangeVersion(), version)
 }
+
+// Guards against a process that has completed a change left behind by another one, and never begins a change again after
+// that one has gone on to a newer map.
+func TestLaterMapOfAnotherProcessIsRecognised(t *testing.T) {
+	is := is.New(t)
+	c := NewSwitchover(SwitchoverConfig{Ranks: 2}, time.Unix(0, 0))
+	now := time.Unix(1, 0)
+	report := func(change func(*RankReport)) {
+		for rank := range 2 {
+			r := RankReport{Rank: rank, Epoch: 1, Open: true, Step: uint64(now.UnixMilli() / 80), Map: 2}
+			change(&r)
+			c.HandleReport(now, r)
+		}
+	}
+	for range 20 {
+		report(func(r *RankReport) {
+			r.Prepared, r.ArmedVersion, r.ArmedStep, r.Holding, r.HeldStep = 4, 4, 45, r.Rank == 0, 45
+		})
+		for _, o := range c.Tick(now) {
+			c.HandleResult(now, o, OrderDone)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	is.Equal(c.MapVersion(), uint64(4))
+	now = now.Add(time.Minute)
+	report(func(r *RankReport) { r.Map = 8 })
+	is.Equal(c.MapVersion(), uint64(8))
+	is.True(c.Ready(now))
+}
+
+// Guards against orders without end to a rank that refuses to hold a step: each refusal brought the next order at once.
+func TestRefusedHoldsAreDelayed(t *testing.T) {
+	is := is.New(t)
+	c := NewSwitchover(SwitchoverConfig{Ranks: 1}, time.Unix(0, 0))
+	now := time.Unix(1, 0)
+	c.HandleReport(now, RankReport{Epoch: 1, Open: true, Step: 100})
+	c.Begin(now, 1, RankLists{{{0}}})
+	holds, lastStep := 0, uint64(0)
+	for range 20 { // answers within 1 ms
+		for _, o := range c.Tick(now) {
+			result := OrderDone
+			if o.Operation == OrderHold {
+				is.True(o.Step > lastStep)
+				holds, lastStep, result = holds+1, o.Step, OrderRefused
+			}
+			c.HandleResult(now, o, result)
+		}
+		now = now.Add(time.Millisecond)
+	}
+	is.Equal(holds, 2) // the second one with the knowledge that the first step has started
+	now = now.Add(holdRetryDelay)
+	is.Equal(len(c.Tick(now)), 1)
+}
+
+// Guards against a process that goes on arming ranks for good after another process has completed the change.
+func TestChangeCompletedByAnotherProcessEnds(t *testing.T) {
+	is := is.New(t)
+	c := NewSwitchover(SwitchoverConfig{Ranks: 2}, time.Unix(0, 0))
+	now := time.Unix(1, 0)
+	report := func(change func(*RankReport)) {
+		now = now.Add(100 * time.Millisecond)
+		for rank := range 2 {
+			r := RankReport{Rank: rank, Epoch: 1, Open: true, Step: 100}
+			change(&r)
+			c.HandleReport(now, r)
+		}
+	}
+	report(func(*RankReport) {})
+	version := c.Begin(now, 1, RankLists{{{0}, {1}}})
+	for range 2 { // prepared, then held
+		for _, o := range c.Tick(now) {
+			c.HandleResult(now, o, OrderDone)
+		}
+	}
+	is.Equal(c.Phase(), "arming")
+	for range 20 {
+		report(func(r *RankReport) { r.Step, r.Map, r.Prepared = 200, version, version })
+		for _, o := range c.Tick(now) {
+			is.Equal(o.Operation, OrderArm)
+			c.HandleResult(now, o, OrderRefused)
+		}
+	}
+	is.Equal(c.Phase(), "idle")
+	is.True(c.Ready(now))
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,10 +6,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"github.com/banyanfront/banyanfront/decide/consensus"
@@ -28,6 +32,8 @@
 	upkeepInterval = 500 * time.Millisecond
 	// announcementInterval is the minimum interval between messages about announcements that change nothing.
 	announcementInterval = 500 * time.Millisecond
+	// rosterInterval is the interval of checks whether this instance has become the leader or no longer leads.
+	rosterInterval = 50 * time.Millisecond
 	// stateInterval is the minimum interval between messages about new state, so that a burst of changes is sent once.
 	stateInterval = 100 * time.Millisecond
 	// maxAnnouncementsPerMessage limits one message to an entry instance: at 300 bytes each it stays far below the size limit.
@@ -65,14 +71,16 @@
 	pool         *transport.Pool
 	events       chan func(now time.Time)
 	done         chan struct{}
+	groups       *groups // lock-step groups, with a loop of their own
+	// dataCentres holds the data centres of the other control instances by address. It is replaced as a whole.
+	dataCentres atomic.Pointer[map[string]string]
 
 	// Owned by the loop.
 	servers             *registry.Registry
 	unsent              map[string]bool // servers with an announcement not yet sent to the entry instances
 	unsentChange        bool            // one of those changes the server's recorded state
 	entrySessions       map[transport.Session]bool
-	rankSessions        map[transport.Session]bool // sessions from rank processes, which run beside the ranks of a group
-	groups              *groups
+	rankSessions        map[transport.Session]bool     // sessions from rank processes, which run beside the ranks of a group
 	controlSessions     map[transport.Session]string   // sessions with control instances, with their inner addresses
 	reportedAddresses   map[transport.Session][]string // control instances that the other side of a session knows
 	announcementsSentAt time.Time
@@ -131,8 +139,11 @@
 	defer upkeep.Stop()
 	flush := time.NewTicker(stateInterval)
 	defer flush.Stop()
-	groupTick := time.NewTicker(groupTickInterval)
-	defer groupTick.Stop()
+	rosterTick := time.NewTicker(rosterInterval)
+	defer rosterTick.Stop()
+	var groups sync.WaitGroup
+	groups.Go(func() { d.groups.run(ctx) })
+	defer groups.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -140,21 +151,27 @@
 			return
 		case f := <-d.events:
 			f(time.Now())
-		case now := <-upkeep.C:
+		case due := <-upkeep.C:
+			now := time.Now()
+			loopLag("announcements").Update(now.Sub(due).Seconds())
 			d.upkeep(now)
 			continue
 		case <-flush.C:
-		case now := <-groupTick.C:
+		case <-rosterTick.C:
 			if _, leads := d.member.Leads(); d.sentRoster != nil && leads != d.sentRoster.Leader {
 				d.broadcastRoster()
 			}
-			d.groups.tick(now)
 			continue
 		}
 		d.sendUpdates(time.Now())
 	}
 }
 
+// loopLag is the histogram of the delay with which the loop of a duty runs its regular work.
+func loopLag(duty string) *metrics.Histogram {
+	return metrics.GetOrCreateHistogram(fmt.Sprintf(`banyanfront_control_loop_lag_seconds{duty=%q}`, duty))
+}
+
 // post queues an event for the loop. It drops the event once the loop has ended.
 func (d *Directory) post(f func(now time.Time)) {
 	select {
@@ -175,6 +192,11 @@
 	}
 	d.maintainVoters(now)
 	d.reportRedundancy(now)
+	dataCentres := map[string]string{d.config.Address: string(d.config.Hello().DataCentre)}
+	for session, address := range d.controlSessions {
+		dataCentres[address] = string(session.Peer().DataCentre)
+	}
+	d.dataCentres.Store(&dataCentres)
 	d.broadcastRoster()
 }
 
@@ -235,9 +257,9 @@
 			}
 		})
 	case *protocol.Rank:
-		d.post(func(now time.Time) { d.groups.handleReport(now, s, m) })
+		d.groups.postReport(func(now time.Time) { d.groups.handleReport(now, s, m) })
 	case *protocol.RankDone:
-		d.post(func(now time.Time) { d.groups.handleRankDone(now, m) })
+		d.groups.postReport(func(now time.Time) { d.groups.handleRankDone(now, m) })
 	case *protocol.State:
 		if m.Request {
 			go d.sendState(s, m.Index)
@@ -297,9 +319,13 @@
 
 // stateChanged schedules a message about the new state. The replica's goroutine calls it.
 func (d *Directory) stateChanged(s controlstate.State) {
-	log.WithFields(log.Fields{"index": s.Index, "version": s.Version, "evacuated": s.Evacuated}).Info("agreed state changed")
+	log.WithFields(log.Fields{"index": s.Index, "version": s.Version, "evacuated": s.Evacuated, "coordinators": s.Coordinators}).
+		Info("agreed state changed")
 	select {
-	case d.events <- func(time.Time) { d.statePending = true }:
+	case d.events <- func(time.Time) {
+		d.statePending = true
+		d.broadcastRoster() // does nothing unless the coordinators of groups have changed
+	}:
 	default:
 		// The loop is far behind or not yet running. The newest state is sent with the next change, and to each new
 		// session at once.
--- a/internal/directory/groups.go
+++ b/internal/directory/groups.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/banyanfront/banyanfront/decide/controlstate"
+	"github.com/banyanfront/banyanfront/decide/coordination"
 	"github.com/banyanfront/banyanfront/decide/experts"
 	"github.com/banyanfront/banyanfront/decide/routes"
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -19,12 +25,23 @@
 	maxTickGap = time.Second
 	// groupExpiry is the time without reports after which a group is dropped.
 	groupExpiry = 30 * time.Second
-	// termShiftBits is the position of the term in a change number. Leaders of the agreement group never share a term, so two
-	// leaders never issue the same number.
-	termShiftBits = 20
+	// assignInterval is the interval at which the leader checks the coordinators of the groups.
+	assignInterval = 250 * time.Millisecond
+	// groupQueueLength limits the reports that wait for the loop: about two seconds of those of 256 ranks.
+	groupQueueLength = 4096
 	// maxRankProcessAttempts is the number of consecutive orders sent to a rank's process without a result, after which the
-	// leader sends orders directly to the engine.
-	maxRankProcessAttempts = 3
+	// coordinator sends orders directly to the engine. The process reports after 400 ms that the engine does not answer; orders
+	// are repeated every 150 ms.
+	maxRankProcessAttempts = 8
+)
+
+// role is the part of this control instance in the coordination of a group.
+type role uint8
+
+const (
+	noRole      role = iota // other instances coordinate the group
+	deputy                  // receives the reports and completes changes that the coordinator has left behind
+	coordinator             // plans and begins changes
 )
 
 // group is this control instance's view of a lock-step group.
@@ -35,6 +52,8 @@
 	reportedAt time.Time // when any rank last reported
 	ranks      map[int]*groupRank
 	switchover *experts.Switchover
+	role       role
+	numbers    experts.ChangeNumbers // of the current lease
 
 	planner        *experts.Planner
 	plannerVersion uint64 // map version that the planner starts from
@@ -48,35 +67,79 @@
 	plannedAt      time.Time
 	demand         [][]float64 // recent demand, by set and expert
 	decayedAt      time.Time   // when demand was last decayed
+	encodedMap     []byte      // lists of the map version encodedVersion, as sent to rank processes
+	encodedVersion uint64
 }
 
 // groupRank is one rank of a group.
 type groupRank struct {
 	session       transport.Session
 	address       string
-	startedAtMS   int64    // distinguishes a restarted engine from the previous incarnation
-	expertCounts  []uint64 // last reported selection counts, set by set
+	startedAtMS   int64 // distinguishes a restarted engine from the previous incarnation
 	stepTimeRatio float64
 	held          [][]int
 	heldVersion   uint64 // map version of held
 	heldEpoch     uint64 // epoch in which held was reported
-	unanswered    int    // consecutive orders without a result
+	unanswered    int    // consecutive orders without a result from the rank process or the engine
 }
 
-// groups manages the expert maps of the lock-step groups that report to this control instance. It is owned by the loop of
-// the Directory.
+// groups manages the expert maps of the lock-step groups that report to this control instance. Its loop is separate from
+// that of the Directory, so that neither a slow plan nor many reports delay announcements or the agreement group.
 type groups struct {
 	directory *Directory
-	byName    map[string]*group
-	version   uint64 // of the routing configuration that engines was read from
-	engines   map[string]*routes.Engine
-	counter   uint64 // of the change numbers in this term
-	term      uint64
-	lastTick  time.Time
+	events    chan func(now time.Time)
+	done      chan struct{}
+	dropped   *metrics.Counter
+
+	// Owned by the loop.
+	byName      map[string]*group // by "service/group"
+	version     uint64            // of the routing configuration that engines was read from
+	engines     map[string]*routes.Engine
+	lastTick    time.Time
+	assignedAt  time.Time
+	leadingFrom time.Time // since when this instance leads the agreement group; zero if it does not
+	assigning   bool      // an assignment of coordinators is being agreed on
 }
 
 func newGroups(d *Directory) *groups {
-	return &groups{directory: d, byName: map[string]*group{}, engines: map[string]*routes.Engine{}}
+	return &groups{directory: d, byName: map[string]*group{}, engines: map[string]*routes.Engine{}, done: make(chan struct{}),
+		events: make(chan func(time.Time), groupQueueLength), dropped: metrics.GetOrCreateCounter(`banyanfront_control_group_reports_dropped_total`)}
+}
+
+// run processes reports and sends orders until the context ends.
+func (gs *groups) run(ctx context.Context) {
+	defer close(gs.done)
+	tick := time.NewTicker(groupTickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-gs.events:
+			f(time.Now())
+		case due := <-tick.C:
+			now := time.Now()
+			loopLag("groups").Update(now.Sub(due).Seconds())
+			gs.tick(now)
+		}
+	}
+}
+
+// post queues an event for the loop. It drops the event once the loop has ended.
+func (gs *groups) post(f func(now time.Time)) {
+	select {
+	case gs.events <- f:
+	case <-gs.done:
+	}
+}
+
+// postReport queues an event that a later one replaces. It drops the event if the queue is full.
+func (gs *groups) postReport(f func(now time.Time)) {
+	select {
+	case gs.events <- f:
+	default:
+		gs.dropped.Inc()
+	}
 }
 
 // handleReport processes a report of a rank.
@@ -84,15 +147,18 @@
 	if m.Size <= 0 {
 		return
 	}
-	name := m.Service + "/" + m.Group
-	g := gs.byName[name]
+	key := m.Service + "/" + m.Group
+	g := gs.byName[key]
 	if g == nil || g.size != m.Size {
-		g = &group{name: m.Group, service: m.Service, size: m.Size, ranks: map[int]*groupRank{},
-			switchover: experts.NewSwitchover(experts.SwitchoverConfig{Ranks: m.Size}, now)}
-		gs.byName[name] = g
-		log.WithFields(log.Fields{"group": name, "ranks": m.Size}).Info("first report of a lock-step group of this size")
+		g = newGroup(now, m.Service, m.Group, m.Size)
+		gs.byName[key] = g
+		log.WithFields(log.Fields{"group": key, "ranks": m.Size}).Info("first report of a lock-step group of this size")
 	}
 	g.reportedAt = now
+	gs.updateRole(now, key, g)
+	if g.role == noRole {
+		return // the report only shows that the group exists
+	}
 	r := g.ranks[m.Report.Rank]
 	if r == nil || r.startedAtMS != m.StartedAtMS {
 		r = &groupRank{startedAtMS: m.StartedAtMS}
@@ -102,39 +168,64 @@
 	if m.HeldExperts != nil {
 		r.held, r.heldVersion, r.heldEpoch = m.HeldExperts, m.Report.Map, m.Report.Epoch
 	}
-	if m.ExpertCounts != nil {
+	if len(m.ExpertLoad) > 0 {
 		g.decayDemand(now)
-		gs.addDemand(g, r, m.ExpertCounts)
+		gs.addDemand(g, m)
 	}
 	before := g.switchover.Epoch()
 	g.switchover.HandleReport(now, m.Report)
 	if epoch := g.switchover.Epoch(); epoch != before {
-		log.WithFields(log.Fields{"group": name, "epoch": epoch, "before": before}).Info("lock-step group has a new epoch")
+		log.WithFields(log.Fields{"group": key, "epoch": epoch, "before": before}).Info("lock-step group has a new epoch")
 		g.planner, g.pending, g.demand = nil, nil, nil
 	}
 }
 
-// addDemand adds the expert selections of a rank's requests since its last report to the demand.
-func (gs *groups) addDemand(g *group, r *groupRank, counts []uint64) {
+func newGroup(now time.Time, service, name string, size int) *group {
+	return &group{name: name, service: service, size: size, ranks: map[int]*groupRank{},
+		switchover: experts.NewSwitchover(experts.SwitchoverConfig{Ranks: size}, now)}
+}
+
+// updateRole applies the agreed coordinator of a group. An instance that had no role starts without knowledge of the
+// group's state, and one that has none any more sends no orders.
+func (gs *groups) updateRole(now time.Time, key string, g *group) {
+	assigned := gs.directory.State().Coordinator(key)
+	next := noRole
+	switch gs.directory.config.Address {
+	case assigned.Instance:
+		next = coordinator
+	case assigned.Deputy:
+		next = deputy
+	}
+	if next == g.role && (next == noRole || assigned.Lease == g.numbers.Lease) {
+		return
+	}
+	log.WithFields(log.Fields{"group": key, "coordinator": assigned.Instance, "deputy": assigned.Deputy, "lease": assigned.Lease}).
+		Info("coordinator of a lock-step group assigned")
+	if next == noRole || g.role == noRole {
+		*g = *newGroup(now, g.service, g.name, g.size)
+		g.reportedAt = now
+	}
+	g.role, g.numbers = next, experts.ChangeNumbers{Lease: assigned.Lease, Deputy: next == deputy}
+}
+
+// addDemand adds the expert selections of a rank's requests since its last reading to the demand.
+func (gs *groups) addDemand(g *group, m *protocol.Rank) {
 	engine := gs.engines[g.service]
-	if engine == nil || engine.Sets*engine.Experts != len(counts) {
-		r.expertCounts = counts
+	if engine == nil || engine.Sets*engine.Experts != len(m.ExpertLoad) {
 		return
 	}
-	if len(r.expertCounts) == len(counts) {
-		if g.demand == nil {
-			g.demand = make([][]float64, engine.Sets)
-			for set := range g.demand {
-				g.demand[set] = make([]float64, engine.Experts)
-			}
+	if g.demand == nil {
+		g.demand = make([][]float64, engine.Sets)
+		for set := range g.demand {
+			g.demand[set] = make([]float64, engine.Experts)
 		}
-		for i, n := range counts {
-			if n >= r.expertCounts[i] {
-				g.demand[i/engine.Experts][i%engine.Experts] += float64(n - r.expertCounts[i])
-			}
+	}
+	unit := float64(m.LoadUnit)
+	for set, demand := range g.demand {
+		for expert, load := range m.ExpertLoad[set*engine.Experts : (set+1)*engine.Experts] {
+			demand[expert] += float64(load) * unit
 		}
 	}
-	r.expertCounts = counts
 }
 
 // updateEngines reads the engine descriptions from the configuration if its version has changed.
@@ -169,39 +260,64 @@
 		clear(gs.byName)
 	}
 	gs.lastTick = now
-	term, leads := gs.directory.member.Leads()
-	if term != gs.term {
-		gs.term, gs.counter = term, 0
-	}
 	gs.updateEngines()
-	for name, g := range gs.byName {
+	for key, g := range gs.byName {
 		if now.Sub(g.reportedAt) > groupExpiry {
-			delete(gs.byName, name)
+			delete(gs.byName, key)
 			continue
 		}
-		gs.advance(now, g, leads)
+		gs.updateRole(now, key, g)
+		gs.advance(now, g)
 	}
+	gs.assignCoordinators(now)
 }
 
-// newChangeNumber returns a number that no other change uses, higher than all numbers the group has reported.
-func (gs *groups) newChangeNumber(g *group) uint64 {
-	gs.counter++
-	number := max(gs.term<<termShiftBits+gs.counter, g.switchover.HighestChangeNumber()+1)
-	gs.counter = max(gs.counter, number-gs.term<<termShiftBits)
-	return number
+// assignCoordinators proposes, on the leader, coordinators for the groups that have none that answers.
+func (gs *groups) assignCoordinators(now time.Time) {
+	if _, leads := gs.directory.member.Leads(); !leads {
+		gs.leadingFrom = time.Time{}
+		return
+	}
+	if gs.leadingFrom.IsZero() {
+		gs.leadingFrom = now
+	}
+	if gs.assigning || now.Sub(gs.assignedAt) < assignInterval {
+		return
+	}
+	gs.assignedAt = now
+	current := gs.directory.State().Coordinators
+	knowsAll := now.Sub(gs.leadingFrom) > groupExpiry // by then every group has reported
+	changes := coordination.Next(current, slices.Collect(maps.Keys(gs.byName)), gs.directory.answeringInstances(now), knowsAll)
+	if len(changes) == 0 {
+		return
+	}
+	gs.assigning = true
+	go func() {
+		id := "coordinate/" + strconv.FormatInt(now.UnixNano(), 36)
+		err := gs.directory.Propose(context.Background(), id, controlstate.Command{Coordinate: changes})
+		if err != nil {
+			log.WithError(err).Warn("coordinators of lock-step groups not agreed on; trying again")
+		}
+		gs.post(func(time.Time) { gs.assigning = false })
+	}()
 }
 
-// advance sends the orders that are due and, on the leader, plans the next map change. Other instances only complete or
-// undo changes that a failed leader has left behind.
-func (gs *groups) advance(now time.Time, g *group, leads bool) {
-	if leads && g.switchover.NeedsCurrentMap() {
-		if current := g.currentMap(); current != nil {
-			g.switchover.ProvideCurrentMap(gs.newChangeNumber(g), current)
-		}
+// advance sends the orders that are due and, on the coordinator, plans the next map change. The deputy only completes or
+// undoes changes that the coordinator has left behind.
+func (gs *groups) advance(now time.Time, g *group) {
+	if g.role == noRole {
+		return
 	}
-	if !leads {
+	if g.role == deputy {
 		g.switchover.AbortPreparing(now)
 	}
+	if g.switchover.NeedsCurrentMap() {
+		if current := g.currentMap(); current != nil {
+			if number, ok := g.numbers.Next(g.switchover.HighestChangeNumber()); ok {
+				g.switchover.ProvideCurrentMap(number, current)
+			}
+		}
+	}
 	before := g.switchover.Phase()
 	for _, o := range g.switchover.Tick(now) {
 		gs.sendOrder(g, o)
@@ -209,7 +325,7 @@
 	if after := g.switchover.Phase(); after != before {
 		log.WithFields(log.Fields{"group": g.name, "version": g.switchover.ChangeVersion(), "before": before, "now": after}).Info("change of expert map goes on")
 	}
-	if leads {
+	if g.role == coordinator {
 		gs.planChange(now, g)
 	}
 }
@@ -239,7 +355,9 @@
 		return
 	}
 	if r.unanswered++; r.unanswered <= maxRankProcessAttempts {
-		if r.session != nil && r.session.Send(&protocol.RankOrder{Group: g.name, Order: o}) == nil {
+		message := &protocol.RankOrder{Group: g.name, Order: o, Map: g.encodeMap(o)}
+		message.Order.Map = nil
+		if r.session != nil && r.session.Send(message) == nil {
 			return
 		}
 	}
@@ -254,10 +372,21 @@
 		if err != nil {
 			log.WithError(err).WithField("rank", o.Rank).Info("order sent directly to the engine failed")
 		}
-		gs.directory.post(func(now time.Time) { gs.handleResult(now, key, o, result) })
+		gs.post(func(now time.Time) { gs.handleResult(now, key, o, result) })
 	}()
 }
 
+// encodeMap returns the encoded map of an order, nil if it has none. All ranks of a group get the same map.
+func (g *group) encodeMap(o experts.RankOrder) []byte {
+	if o.Map == nil {
+		return nil
+	}
+	if g.encodedMap == nil || g.encodedVersion != o.Version {
+		g.encodedMap, g.encodedVersion = o.Map.Encode(), o.Version
+	}
+	return g.encodedMap
+}
+
 // handleResult processes the result of an order.
 func (gs *groups) handleResult(now time.Time, key string, o experts.RankOrder, result experts.OrderResult) {
 	g := gs.byName[key]
@@ -268,14 +397,16 @@
 		r.unanswered = 0
 	}
 	g.switchover.HandleResult(now, o, result)
-	_, leads := gs.directory.member.Leads()
-	gs.advance(now, g, leads) // the next order does not wait for a tick
+	gs.advance(now, g) // the next order does not wait for a tick
 }
 
 // handleRankDone processes the result of an order that a rank process reports.
 func (gs *groups) handleRankDone(now time.Time, m *protocol.RankDone) {
 	for key, g := range gs.byName {
 		if g.name == m.Group {
+			if r := g.ranks[m.Order.Rank]; r != nil {
+				r.unanswered = 0 // also if the engine does not answer: the rank process does
+			}
 			gs.handleResult(now, key, m.Order, m.Result)
 		}
 	}
--- /dev/null
+++ b/internal/directory/groups_test.go
@@ -0,0 +1,323 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/decide/controlstate"
+	"github.com/banyanfront/banyanfront/decide/experts"
+	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/decide/routes"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/rank"
+	"github.com/banyanfront/banyanfront/internal/transport"
+	"github.com/banyanfront/banyanfront/platform"
+)
+
+// Dimensions and times of the model groups.
+const (
+	modelSets     = 2
+	modelExperts  = 16
+	modelSlots    = 6
+	modelStepTime = 25 * time.Millisecond
+	modelCopyTime = 60 * time.Millisecond
+	// modelReportLag is the age of an engine's report, as on the platform.
+	modelReportLag = 200 * time.Millisecond
+	// modelShiftInterval is the time after which other experts are in demand.
+	modelShiftInterval = 3 * time.Second
+)
+
+// modelGroup is a lock-step group of engines in memory.
+type modelGroup struct {
+	t    *testing.T
+	name string
+	mu   sync.Mutex
+
+	ranks []*modelEngine
+	step  uint64
+	steppedAt,
+	started time.Time
+	longest  time.Duration // longest time without a step
+	changes  int
+	loseHalf bool // half of the answers to orders are lost
+	random   *rand.Rand
+}
+
+// modelEngine is one rank of a modelGroup. Fields are guarded by the group's mutex.
+type modelEngine struct {
+	group             *modelGroup
+	rank              int
+	current, prepared uint64
+	lists, next       experts.RankLists
+	preparedAt        time.Time
+	armed, armedStep  uint64
+	holding           bool
+	heldStep          uint64
+	counts            []uint64
+	history           []experts.RankReport // one a step, for reports that lag
+}
+
+func newModelGroup(t *testing.T, name string, size int, seed uint64) *modelGroup {
+	even, err := experts.EvenMap(modelSets, modelExperts, size, modelSlots)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &modelGroup{t: t, name: name, random: rand.New(rand.NewPCG(seed, 3)), started: time.Now(), steppedAt: time.Now()}
+	for i := range size {
+		g.ranks = append(g.ranks, &modelEngine{group: g, rank: i, lists: even.RankLists(size), counts: make([]uint64, modelSets*modelExperts)})
+	}
+	return g
+}
+
+// run runs decode steps until the context ends.
+func (g *modelGroup) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(modelStepTime)
+		g.runStep()
+	}
+}
+
+func (g *modelGroup) runStep() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.longest = max(g.longest, time.Since(g.steppedAt))
+	for _, r := range g.ranks {
+		r.history = append(r.history, experts.RankReport{Rank: r.rank, Epoch: 1, Open: true, Step: g.step, Map: r.current, Prepared: r.ready(),
+			ArmedVersion: r.armed, ArmedStep: r.armedStep, Holding: r.holding, HeldStep: r.heldStep})
+	}
+	for _, r := range g.ranks {
+		if r.holding && r.heldStep == g.step+1 {
+			return
+		}
+	}
+	g.step, g.steppedAt = g.step+1, time.Now()
+	hot := int(time.Since(g.started) / modelShiftInterval)
+	for _, r := range g.ranks {
+		if r.armed != 0 && r.armedStep == g.step {
+			r.current, r.lists, r.armed = r.armed, r.next, 0
+			if r.rank == 0 {
+				g.changes++
+			}
+		}
+		if first := g.ranks[0]; r.current != first.current || !reflect.DeepEqual(r.lists, first.lists) {
+			g.t.Errorf("%s: step %d uses map %d on rank 0 and %d on rank %d", g.name, g.step, first.current, r.current, r.rank)
+		}
+		for i := range r.counts {
+			popularity := (7*(i%modelExperts) + 5*hot) % modelExperts
+			r.counts[i] += uint64(max(2, 200>>popularity))
+		}
+	}
+}
+
+// ready returns the version whose experts are copied.
+func (e *modelEngine) ready() uint64 {
+	if time.Now().Before(e.preparedAt) {
+		return 0
+	}
+	return e.prepared
+}
+
+// Report implements rank.Engine.
+func (e *modelEngine) Report(context.Context) (*platform.EngineReport, error) {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	r := &platform.EngineReport{Born: 1, Group: e.group.name, Size: len(e.group.ranks)}
+	if n := len(e.history); n > 0 {
+		r.RankReport = e.history[max(0, n-1-int(modelReportLag/modelStepTime))]
+	} else {
+		r.RankReport = experts.RankReport{Rank: e.rank, Epoch: 1, Open: true}
+	}
+	return r, nil
+}
+
+// ExpertCounts implements rank.Engine.
+func (e *modelEngine) ExpertCounts(context.Context) (uint64, []uint64, error) {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	return 1, slices.Clone(e.counts), nil
+}
+
+// HeldExperts implements rank.Engine.
+func (e *modelEngine) HeldExperts(context.Context) (uint64, uint64, [][]int, error) {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	var held [][]int
+	for _, ranks := range e.lists {
+		held = append(held, ranks[e.rank])
+	}
+	return 1, e.current, held, nil
+}
+
+// Order implements rank.Engine.
+func (e *modelEngine) Order(_ context.Context, o experts.RankOrder) (experts.OrderResult, error) {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	result := e.execute(o)
+	if e.group.loseHalf && e.group.random.IntN(2) == 0 {
+		return experts.OrderUnanswered, errors.New("the answer is lost")
+	}
+	return result, nil
+}
+
+func (e *modelEngine) execute(o experts.RankOrder) experts.OrderResult {
+	switch o.Operation {
+	case experts.OrderPrepare:
+		if o.Version == e.prepared {
+			if time.Now().Before(e.preparedAt) {
+				return experts.OrderAccepted
+			}
+			return experts.OrderDone
+		}
+		if o.Version < e.prepared || e.armed != 0 {
+			return experts.OrderRefused
+		}
+		e.prepared, e.next, e.preparedAt = o.Version, o.Map, time.Now().Add(modelCopyTime)
+		return experts.OrderAccepted
+	case experts.OrderArm:
+		if e.armed == o.Version && e.armedStep == o.Step {
+			return experts.OrderDone
+		}
+		if e.ready() != o.Version || o.Step <= e.group.step || e.armed != 0 {
+			return experts.OrderRefused
+		}
+		e.armed, e.armedStep = o.Version, o.Step
+	case experts.OrderDisarm:
+		if e.current == o.Version {
+			return experts.OrderRefused
+		}
+		if e.armed == o.Version {
+			e.armed = 0
+		}
+	case experts.OrderHold:
+		if e.holding && e.heldStep == o.Step {
+			return experts.OrderDone
+		}
+		if e.holding || o.Step <= e.group.step {
+			return experts.OrderRefused
+		}
+		e.holding, e.heldStep = true, o.Step
+	case experts.OrderRelease:
+		if !e.holding || e.heldStep != o.Step {
+			return experts.OrderRefused
+		}
+		e.holding = false
+	}
+	return experts.OrderDone
+}
+
+// setLoseHalf sets whether half of the answers to orders are lost.
+func (g *modelGroup) setLoseHalf(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.loseHalf = on
+}
+
+// progress returns the number of map changes and the longest time without a step.
+func (g *modelGroup) progress() (changes int, longest time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changes, g.longest
+}
+
+// startRanks runs the group's engines and the rank processes beside them until the context ends.
+func (f *controlFleet) startRanks(ctx context.Context, g *modelGroup, running *sync.WaitGroup, seeds ...string) {
+	running.Go(func() { g.run(ctx) })
+	settings := &platform.Settings{Service: "s", BackendServer: "engine", InnerPorts: [2]uint16{1, 1}}
+	for _, seed := range seeds {
+		settings.Seeds = append(settings.Seeds, netip.AddrPortFrom(netip.MustParseAddrPort(seed).Addr(), 2))
+	}
+	for _, e := range g.ranks {
+		hello := protocol.Hello{Version: protocol.Version, Instance: fleet.InstanceID(fmt.Sprint(g.name, "-", e.rank)), Rank: true}
+		dial := func(address string, _ transport.Handler) transport.ConnectFunc {
+			return func(_ context.Context, h transport.Handler) (transport.Session, error) {
+				return f.connect(&controlNode{}, address, hello, h)
+			}
+		}
+		running.Go(func() { rank.Run(ctx, settings, e, dial, nil) })
+	}
+}
+
+// coordinatorOf returns the instance that coordinates a group, according to the agreed state.
+func (f *controlFleet) coordinatorOf(group string) *controlNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newest := controlstate.Coordinator{}
+	for _, n := range f.nodes {
+		if c := n.State().Coordinator(group); c.Lease > newest.Lease {
+			newest = c
+		}
+	}
+	return f.nodes[newest.Instance]
+}
+
+// maxHold is the longest time that a group may run no step: callers abandon a stream after a gap of 2 s.
+const maxHold = 2 * time.Second
+
+// Guards against a fleet whose groups all depend on the leader, and against a group that stays held, changes its map no
+// more or uses two maps when its coordinator is lost at any moment of a change and answers to orders are lost.
+func TestGroupsOutliveTheirCoordinators(t *testing.T) {
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			random := rand.New(rand.NewPCG(seed, 4))
+			f := newControlFleet(t, 5)
+			f.decode = func([]byte) (*routes.Configuration, error) {
+				return &routes.Configuration{Services: []routes.Service{{Name: "s", Engine: &routes.Engine{Sets: modelSets, Experts: modelExperts,
+					MaxPlacements: modelSlots, Spare: 2, ExpertCopyTime: modelCopyTime}}}}, nil
+			}
+			defer f.stopAll()
+			addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"}
+			for i, address := range addresses {
+				f.start(address, emptyDisk(uint64(i)), true, addresses...)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			var running sync.WaitGroup
+			defer running.Wait()
+			defer cancel()
+			groups := []*modelGroup{newModelGroup(t, "g1", 4, seed), newModelGroup(t, "g2", 5, seed)}
+			for _, g := range groups {
+				f.startRanks(ctx, g, &running, addresses...)
+			}
+			time.Sleep(5 * time.Second)
+			is.NoErr(f.commit(1))
+			time.Sleep(4 * time.Second)
+			is.True(f.coordinatorOf("s/g1") != nil && f.coordinatorOf("s/g2") != nil)
+			is.True(f.coordinatorOf("s/g1") != f.coordinatorOf("s/g2"))
+			for loss := range 4 {
+				var before []int
+				for _, g := range groups {
+					g.setLoseHalf(random.IntN(2) == 0)
+					changes, _ := g.progress()
+					is.True(changes > 0)
+					before = append(before, changes)
+				}
+				time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+				lost := f.coordinatorOf(fmt.Sprint("s/g", 1+random.IntN(2)))
+				f.crash(lost)
+				time.Sleep(3 * modelShiftInterval)
+				for i, g := range groups {
+					changes, longest := g.progress()
+					if changes == before[i] {
+						t.Fatalf("seed %d, loss %d: group %s has changed its map no more", seed, loss, g.name)
+					}
+					if longest > maxHold {
+						t.Fatalf("seed %d, loss %d: group %s was held for %v", seed, loss, g.name, longest)
+					}
+				}
+				f.start(lost.address, lost.disk, false, addresses...)
+				time.Sleep(2 * time.Second)
+			}
+		})
+	}
+}
--- a/internal/directory/members.go
+++ b/internal/directory/members.go
@@ -11,6 +11,7 @@
 
 	"github.com/banyanfront/banyanfront/decide/bootstrap"
 	"github.com/banyanfront/banyanfront/decide/consensus"
+	"github.com/banyanfront/banyanfront/decide/coordination"
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/internal/groupmember"
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -81,6 +82,27 @@
 	}()
 }
 
+// answeringInstances returns this control instance and those members of the agreement group that have sent a message
+// recently.
+func (d *Directory) answeringInstances(now time.Time) []coordination.Instance {
+	r := d.member.Replica()
+	if r == nil {
+		return nil
+	}
+	dataCentres := map[string]string{}
+	if known := d.dataCentres.Load(); known != nil {
+		dataCentres = *known
+	}
+	silence := d.member.Silence(now)
+	var out []coordination.Instance
+	for _, m := range r.Status().Members.List {
+		if silence[m.ID] <= suspectAfter {
+			out = append(out, coordination.Instance{Address: m.Address, DataCentre: dataCentres[m.Address], Leads: m.Address == d.config.Address})
+		}
+	}
+	return out
+}
+
 // voterCounts are the configured voters, those in the agreement group and those of them that have answered recently.
 type voterCounts struct{ Wanted, Voters, Answering int }
 
@@ -196,7 +218,7 @@
 func (d *Directory) broadcastRoster() {
 	roster := d.roster()
 	if d.sentRoster == nil || d.sentRoster.EntryInstances != roster.EntryInstances || d.sentRoster.Leader != roster.Leader ||
-		!slices.Equal(d.sentRoster.Addresses, roster.Addresses) {
+		!slices.Equal(d.sentRoster.Addresses, roster.Addresses) || !slices.Equal(d.sentRoster.Coordinators, roster.Coordinators) {
 		d.sentRoster = roster
 		d.broadcast(roster)
 		for session := range d.controlSessions {
@@ -208,8 +230,9 @@
 	}
 }
 
-// roster returns the addresses of the control instances, and whether this one leads.
+// roster returns the addresses of the control instances, whether this one leads, and the coordinators of the groups.
 func (d *Directory) roster() *protocol.ControlInstances {
 	term, leads := d.member.Leads()
-	return &protocol.ControlInstances{Addresses: append(d.controlAddresses(), d.config.Address), EntryInstances: d.countEntryInstances(), Leader: leads, Term: term}
+	return &protocol.ControlInstances{Addresses: append(d.controlAddresses(), d.config.Address), EntryInstances: d.countEntryInstances(), Leader: leads, Term: term,
+		Coordinators: d.State().Coordinators}
 }
--- a/internal/directory/placement.go
+++ b/internal/directory/placement.go
@@ -74,9 +74,9 @@
 	go func() {
 		plan, err := planner.Plan(demand, speeds)
 		if err == nil && plan.Map != nil {
-			err = gs.directory.readBarrier(context.Background()) // another instance may lead by now
+			err = gs.directory.readBarrier(context.Background()) // another instance may coordinate the group by now
 		}
-		gs.directory.post(func(now time.Time) { gs.startChange(now, g, planner, plan, err) })
+		gs.post(func(now time.Time) { gs.startChange(now, g, planner, plan, err) })
 	}()
 }
 
@@ -144,10 +144,16 @@
 		log.WithError(err).WithField("group", g.name).Warn("change of expert map not started")
 		return
 	}
-	if plan.Map == nil || g.planner != planner || !g.switchover.Ready(now) {
+	gs.updateRole(now, g.service+"/"+g.name, g) // the read barrier may have brought a newer assignment
+	if plan.Map == nil || g.role != coordinator || g.planner != planner || !g.switchover.Ready(now) {
 		return
 	}
-	version := g.switchover.Begin(now, gs.newChangeNumber(g), plan.Map.RankLists(g.size))
+	number, ok := g.numbers.Next(g.switchover.HighestChangeNumber())
+	if !ok {
+		log.WithFields(log.Fields{"group": g.name, "lease": g.numbers.Lease}).Warn("change of expert map not started: a later coordinator has changed the map")
+		return
+	}
+	version := g.switchover.Begin(now, number, plan.Map.RankLists(g.size))
 	g.pending, g.pendingVersion = &plan, version
 	log.WithFields(log.Fields{"group": g.name, "version": version, "epoch": g.switchover.Epoch(), "skewBefore": plan.Before, "skew": plan.Skew, "moves": len(plan.Moves),
 		"limited": plan.Limited}).Info("change of expert map begins")
--- a/internal/directory/rejoin_test.go
+++ b/internal/directory/rejoin_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/decide/routes"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/storage/faultfs"
 	"github.com/banyanfront/banyanfront/internal/transport"
@@ -26,6 +27,7 @@
 	voters int
 	mu     sync.Mutex
 	nodes  map[string]*controlNode // running instances, by inner address
+	decode func([]byte) (*routes.Configuration, error)
 }
 
 // controlNode is a running control instance.
@@ -53,7 +55,7 @@
 		return protocol.Hello{Version: protocol.Version, Instance: fleet.InstanceID(address), Address: address}
 	}
 	d, err := New(Config{Instance: address, Address: address, Founders: seeds, MayBootstrap: firstStart, Voters: f.voters,
-		AnnounceInterval: time.Second, Hello: hello,
+		AnnounceInterval: time.Second, Hello: hello, Decode: f.decode,
 		Dial: func(to string, hello func() protocol.Hello, _ transport.Handler) transport.ConnectFunc {
 			return func(_ context.Context, h transport.Handler) (transport.Session, error) {
 				return f.connect(n, to, hello(), h)
@@ -125,9 +127,13 @@
 		all = append(all, n)
 	}
 	f.mu.Unlock()
-	err := errors.New("no instance runs")
+	body, err := PackConfiguration([]byte("body"))
+	if err != nil {
+		return err
+	}
+	err = errors.New("no instance runs")
 	for _, n := range all {
-		command := controlstate.Command{Configure: &controlstate.Configure{Version: version, Body: []byte("body")}}
+		command := controlstate.Command{Configure: &controlstate.Configure{Version: version, Body: body}}
 		if err = n.Propose(context.Background(), fmt.Sprint("configuration/", version), command); err == nil {
 			return nil
 		}
--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/experts"
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/decide/registry"
@@ -43,9 +44,10 @@
 		&Join{Member: Member{Instance: "a", ID: 1, Address: "127.0.0.1:1"}},
 		&DataCentres{Payload: []byte{9}},
 		&RelayedAnnouncements{Servers: []RelayedAnnouncement{{Announcement: registry.Announcement{Server: "s", Sequence: 3, ColdRemaining: 5}, AgeMS: 7}}},
-		&ControlInstances{Addresses: []string{"127.0.0.1:1"}, EntryInstances: 4},
-		&Rank{Service: "s", Group: "g", Size: 2, Report: experts.RankReport{Rank: 1, Step: 5}, ExpertCounts: []uint64{1, 2}, HeldExperts: [][]int{{0}, {1}}},
-		&RankOrder{Group: "g", Order: experts.RankOrder{Rank: 1, Operation: experts.OrderPrepare, Version: 2, Map: experts.RankLists{{{0}, {1}}}}},
+		&ControlInstances{Addresses: []string{"127.0.0.1:1"}, EntryInstances: 4,
+			Coordinators: []controlstate.Coordinator{{Group: "s/g", Instance: "127.0.0.1:1", Deputy: "127.0.0.1:2", Lease: 3}}},
+		&Rank{Service: "s", Group: "g", Size: 2, Report: experts.RankReport{Rank: 1, Step: 5}, ExpertLoad: []byte{1, 2}, LoadUnit: 3, HeldExperts: [][]int{{0}, {1}}},
+		&RankOrder{Group: "g", Order: experts.RankOrder{Rank: 1, Operation: experts.OrderPrepare, Version: 2}, Map: experts.RankLists{{{0}, {1}}}.Encode()},
 		&RankDone{Group: "g", Order: experts.RankOrder{Rank: 1, Operation: experts.OrderArm, Step: 3}, Result: experts.OrderDone},
 	}
 }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -3,6 +3,7 @@
 package protocol
 
 import (
+	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/experts"
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/decide/registry"
@@ -305,6 +306,9 @@
 	EntryInstances int      `cbor:"2,keyasint,omitempty"`
 	Leader         bool     `cbor:"3,keyasint,omitempty"` // the sender leads the agreement group
 	Term           uint64   `cbor:"4,keyasint,omitempty"` // consensus term; of two claimed leaders the higher term is right
+	// Coordinators are the agreed coordinators of the lock-step groups, by "service/group". Of two assignments of a group the
+	// one with the higher lease is right.
+	Coordinators []controlstate.Coordinator `cbor:"5,keyasint,omitempty"`
 }
 
 // Rank is the report of a rank process, which runs beside a rank of a lock-step group, about its engine.
@@ -315,9 +319,11 @@
 	Address     string             `cbor:"4,keyasint"` // address of the engine
 	StartedAtMS int64              `cbor:"5,keyasint"` // start of the engine's process in Unix milliseconds
 	Report      experts.RankReport `cbor:"6,keyasint"`
-	// ExpertCounts are the numbers of times that each expert was chosen by the rank's requests since the start of the
-	// engine, set by set; empty if they were not read for this report.
-	ExpertCounts []uint64 `cbor:"7,keyasint,omitempty"`
+	// ExpertLoad is the number of times that each expert was chosen by the rank's requests in the time since its last
+	// reading, set by set, one byte an expert in units of LoadUnit; empty if none was read for this report. Number 7 was
+	// the count since the engine's start.
+	ExpertLoad []byte `cbor:"9,keyasint,omitempty"`
+	LoadUnit   uint64 `cbor:"10,keyasint,omitempty"`
 	// HeldExperts are the experts that the rank holds under the current expert map, by set.
 	HeldExperts [][]int `cbor:"8,keyasint,omitempty"`
 }
@@ -325,7 +331,8 @@
 // RankOrder asks a rank process to send an order to its engine.
 type RankOrder struct {
 	Group string            `cbor:"1,keyasint"`
-	Order experts.RankOrder `cbor:"2,keyasint"`
+	Order experts.RankOrder `cbor:"2,keyasint"`           // without its map
+	Map   []byte            `cbor:"3,keyasint,omitempty"` // experts.RankLists.Encode, encoded once for all ranks of a group
 }
 
 // RankDone answers RankOrder.
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -1,6 +1,6 @@
 // Package rank runs the rank process, one beside each rank of a lock-step group. It reads the engine's state and the
-// demand for its experts, which is free on the engine's own machine, reports them to the control instance that leads, and
-// forwards that instance's orders to the engine.
+// demand for its experts, which is free on the engine's own machine, reports them to the control instance that coordinates
+// the group, and forwards that instance's orders to the engine.
 package rank
 
 import (
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/experts"
 	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -25,22 +26,42 @@
 	eventQueueLength = 1024
 	// preparePollInterval is the interval for polling whether a preparation is complete. Polling is free on this machine.
 	preparePollInterval = 40 * time.Millisecond
-	// prepareTimeout ends the polling: the leader aborts a change whose preparation takes longer.
+	// prepareTimeout ends the polling: the coordinator aborts a change whose preparation takes longer.
 	prepareTimeout = 10 * time.Second
+	// inventoryInterval is the number of reports after which one goes to all control instances, from the first
+	// inventoryRanks ranks of a group, so that every instance knows which groups exist.
+	inventoryInterval = 16
+	inventoryRanks    = 4
+	// heldInterval is the number of reports after which the held experts are sent again: a coordinator that has just been
+	// assigned or was paused may have dropped those sent before.
+	heldInterval = 4
 )
 
+// Engine is the interface to the engine beside this process.
+type Engine interface {
+	Report(ctx context.Context) (*platform.EngineReport, error)
+	ExpertCounts(ctx context.Context) (epoch uint64, counts []uint64, err error)
+	HeldExperts(ctx context.Context) (epoch, version uint64, held [][]int, err error)
+	Order(ctx context.Context, o experts.RankOrder) (experts.OrderResult, error)
+}
+
+var _ Engine = (*platform.EngineClient)(nil)
+
 // rankProcess is the rank process. Its state is owned by the goroutine of run.
 type rankProcess struct {
 	settings *platform.Settings
-	engine   *platform.EngineClient
+	engine   Engine
 	pool     *transport.Pool
 	events   chan func()
 	done     chan struct{}
 
 	sessions  map[transport.Session]*protocol.ControlInstances // last roster received over each session
-	reachable bool                                             // the engine answered the last report request
-	// heldSent is the session, epoch and map version for which the held experts were last sent.
+	reports   int                                              // reports read so far
+	demand    demandReader
+	reachable bool // the engine answered the last report request
+	// heldSent is the session, epoch and map version for which the held experts were last sent, and the number of the report.
 	heldSent struct {
+		report  int
 		session transport.Session
 		epoch   uint64
 		version uint64
@@ -49,27 +70,39 @@
 
 // Serve runs the process until the context ends.
 func Serve(ctx context.Context, s *platform.Settings, link *process.Link, reloads <-chan *platform.Settings) error {
-	p := &rankProcess{
-		settings: s,
-		engine:   platform.NewEngineClient(s.BackendServer),
-		events:   make(chan func(), eventQueueLength),
-		done:     make(chan struct{}),
-		sessions: map[transport.Session]*protocol.ControlInstances{},
-	}
 	hello := link.Hello(s.Instance, s.DataCentre, "")
 	rankHello := func() protocol.Hello {
 		h := hello()
 		h.Rank = true
 		return h
 	}
-	p.pool = transport.NewPool(func(address string) transport.ConnectFunc { return link.Dial(address, rankHello, p) }, p)
+	dial := func(address string, h transport.Handler) transport.ConnectFunc {
+		return link.Dial(address, rankHello, h)
+	}
 	log.WithFields(log.Fields{"instance": s.Instance, "engine": s.BackendServer, "seeds": s.SeedControlAddresses()}).Info("rank process serves")
-	p.run(ctx, reloads)
-	p.pool.Close("the process stops")
+	Run(ctx, s, platform.NewEngineClient(s.BackendServer), dial, reloads)
 	log.WithField("instance", s.Instance).Info("rank process has stopped")
 	return nil
 }
 
+// Run reports the engine's state and forwards orders until the context ends. dial opens sessions to control instances.
+func Run(ctx context.Context, s *platform.Settings, e Engine, dial func(address string, h transport.Handler) transport.ConnectFunc, reloads <-chan *platform.Settings) {
+	p := newRankProcess(s, e)
+	p.pool = transport.NewPool(func(address string) transport.ConnectFunc { return dial(address, p) }, p)
+	p.run(ctx, reloads)
+	p.pool.Close("the process stops")
+}
+
+func newRankProcess(s *platform.Settings, e Engine) *rankProcess {
+	return &rankProcess{
+		settings: s,
+		engine:   e,
+		events:   make(chan func(), eventQueueLength),
+		done:     make(chan struct{}),
+		sessions: map[transport.Session]*protocol.ControlInstances{},
+	}
+}
+
 func (p *rankProcess) run(ctx context.Context, reloads <-chan *platform.Settings) {
 	defer close(p.done)
 	p.pool.Set(p.controlAddresses())
@@ -110,25 +143,43 @@
 	return addresses
 }
 
-// leaderSession returns the session to the control instance that leads, nil if none is known. Of two, the one with the
-// higher term counts.
-func (p *rankProcess) leaderSession() transport.Session {
-	var leader transport.Session
-	for session, c := range p.sessions {
-		if c.Leader && (leader == nil || c.Term > p.sessions[leader].Term) {
-			leader = session
+// assignment returns the newest assignment of a group, the zero value if none is known.
+func (p *rankProcess) assignment(group string) controlstate.Coordinator {
+	var newest controlstate.Coordinator
+	for _, c := range p.sessions {
+		for _, a := range c.Coordinators {
+			if a.Group == group && a.Lease > newest.Lease {
+				newest = a
+			}
+		}
+	}
+	return newest
+}
+
+// recipients returns the session to the coordinator of the group, nil if there is none, and the other sessions that receive
+// the state of this rank: that to the deputy, all while no coordinator is known, and from time to time all so that each
+// control instance knows the group.
+func (p *rankProcess) recipients(group string, rank int) (coordinator transport.Session, others []transport.Session) {
+	assigned := p.assignment(group)
+	all := assigned.Lease == 0 || rank < inventoryRanks && p.reports%inventoryInterval == 0
+	for session := range p.sessions {
+		switch address := session.Peer().Address; {
+		case assigned.Lease != 0 && address == assigned.Instance:
+			coordinator = session
+		case all || address == assigned.Deputy && address != "":
+			others = append(others, session)
 		}
 	}
-	return leader
+	return coordinator, others
 }
 
-// report reads the engine's state and reports it to the leader. The other control instances receive only the state of the
-// rank, so that they can complete a map change whose leader has failed.
+// report reads the engine's state and reports it to the coordinator and to the deputy, which completes a map change whose
+// coordinator has failed. Only the coordinator receives the demand.
 func (p *rankProcess) report(ctx context.Context) {
-	leader := p.leaderSession()
 	if len(p.sessions) == 0 {
 		return
 	}
+	p.reports++
 	r, err := p.engine.Report(ctx)
 	if reachable := err == nil; reachable != p.reachable {
 		p.reachable = reachable
@@ -138,37 +189,37 @@
 	if err != nil || r.Group == "" {
 		return
 	}
+	coordinator, others := p.recipients(p.settings.Service+"/"+r.Group, r.Rank)
 	m := &protocol.Rank{Service: p.settings.Service, Group: r.Group, Size: r.Size, Address: p.settings.BackendServer, StartedAtMS: r.Born,
 		Report: r.RankReport}
-	for session := range p.sessions {
-		if session == leader {
-			continue
-		}
+	for _, session := range others {
 		if err := session.Send(m); err != nil {
 			log.WithError(err).Debug("report not sent")
 		}
 	}
-	if leader == nil {
+	if coordinator == nil {
 		return
 	}
 	full := *m
 	m = &full // the other sessions may still be sending the first one
-	if r.Open {
+	if read, turn := p.demand.due(p.reports, r.Rank, r.Size); r.Open && read {
 		if epoch, counts, err := p.engine.ExpertCounts(ctx); err != nil {
 			log.WithError(err).Debug("the demand for experts was not read")
 		} else if epoch == r.Epoch {
-			m.ExpertCounts = counts
+			if load, unit := p.demand.add(p.reports, r.Born, counts); turn {
+				m.ExpertLoad, m.LoadUnit = load, unit
+			}
 		}
 	}
-	if p.heldSent.session != leader || p.heldSent.epoch != r.Epoch || p.heldSent.version != r.Map {
+	if p.heldSent.session != coordinator || p.heldSent.epoch != r.Epoch || p.heldSent.version != r.Map || p.reports-p.heldSent.report >= heldInterval {
 		if epoch, version, held, err := p.engine.HeldExperts(ctx); err != nil {
 			log.WithError(err).Debug("the held experts were not read")
 		} else if epoch == r.Epoch && version == r.Map {
 			m.HeldExperts = held
-			p.heldSent.session, p.heldSent.epoch, p.heldSent.version = leader, epoch, version
+			p.heldSent.session, p.heldSent.epoch, p.heldSent.version, p.heldSent.report = coordinator, epoch, version, p.reports
 		}
 	}
-	if err := leader.Send(m); err != nil {
+	if err := coordinator.Send(m); err != nil {
 		log.WithError(err).Debug("report not sent")
 	}
 }
@@ -182,32 +233,40 @@
 
 // executeOrder sends an order to the engine and reports the result over the session that it came from.
 func (p *rankProcess) executeOrder(session transport.Session, m *protocol.RankOrder) {
-	result, err := p.engine.Order(context.Background(), m.Order)
 	o := m.Order
-	o.Map = nil
+	if m.Map != nil {
+		lists, err := experts.DecodeRankLists(m.Map)
+		if err != nil {
+			log.WithError(err).WithField("group", m.Group).Error("order not given to the engine")
+			return
+		}
+		o.Map = lists
+	}
+	result, err := p.engine.Order(context.Background(), o)
 	if o.Operation == experts.OrderPrepare && result == experts.OrderAccepted {
-		go p.awaitPrepared(session, m)
+		go p.awaitPrepared(session, m.Group, o)
 	}
+	o.Map = nil
 	log.WithFields(log.Fields{"group": m.Group, "operation": string(o.Operation), "version": o.Version, "step": o.Step,
 		"epoch": o.Epoch, "result": int(result), "error": errorText(err)}).Info("order given to the engine")
 	if err := session.Send(&protocol.RankDone{Group: m.Group, Order: o, Result: result}); err != nil {
-		log.WithError(err).Debug("result of an order not sent; the leader repeats the order")
+		log.WithError(err).Debug("result of an order not sent; the coordinator repeats the order")
 	}
 }
 
 // awaitPrepared repeats a preparation order until it is complete, because reports show completion only with a lag.
-func (p *rankProcess) awaitPrepared(session transport.Session, m *protocol.RankOrder) {
-	o := m.Order
+func (p *rankProcess) awaitPrepared(session transport.Session, group string, order experts.RankOrder) {
+	o := order
 	o.Map = nil
 	for end := time.Now().Add(prepareTimeout); time.Now().Before(end); {
 		time.Sleep(preparePollInterval)
-		result, err := p.engine.Order(context.Background(), m.Order)
+		result, err := p.engine.Order(context.Background(), order)
 		if result == experts.OrderAccepted || result == experts.OrderUnanswered {
 			continue
 		}
-		log.WithFields(log.Fields{"group": m.Group, "version": o.Version, "result": int(result), "error": errorText(err)}).
+		log.WithFields(log.Fields{"group": group, "version": o.Version, "result": int(result), "error": errorText(err)}).
 			Debug("preparation has ended")
-		if err := session.Send(&protocol.RankDone{Group: m.Group, Order: o, Result: result}); err != nil {
+		if err := session.Send(&protocol.RankDone{Group: group, Order: o, Result: result}); err != nil {
 			log.WithError(err).Debug("end of a preparation not sent; the reports include it")
 		}
 		return
