--- a/decide/experts/switchover.go
+++ b/decide/experts/switchover.go
@@ -267,6 +267,9 @@
 	}
 }
 
+// MayWait reports whether no step is held for a change of this process, so that its next order can wait.
+func (s *Switchover) MayWait() bool { return s.phase <= switchPreparing }
+
 // AbortPreparing aborts a change in the preparing phase, in which no rank can have been armed yet.
 func (s *Switchover) AbortPreparing(now time.Time) {
 	if s.phase == switchPreparing {
--- a/internal/directory/groups.go
+++ b/internal/directory/groups.go
@@ -25,6 +25,9 @@
 	maxTickGap = time.Second
 	// groupExpiry is the time without reports after which a group is dropped.
 	groupExpiry = 30 * time.Second
+	// maxLoopLag is the delay of the loop beyond which no change begins and no step is held: a group waits at a held step
+	// until the orders to all its ranks are out.
+	maxLoopLag = 100 * time.Millisecond
 	// assignInterval is the interval at which the leader checks the coordinators of the groups.
 	assignInterval = 250 * time.Millisecond
 	// groupQueueLength limits the reports that wait for the loop: about two seconds of those of 256 ranks.
@@ -90,6 +93,7 @@
 	events    chan func(now time.Time)
 	done      chan struct{}
 	dropped   *metrics.Counter
+	postponed *metrics.Counter // ticks at which a change waited because the loop was late
 
 	// Owned by the loop.
 	byName      map[string]*group // by "service/group"
@@ -99,11 +103,13 @@
 	assignedAt  time.Time
 	leadingFrom time.Time // since when this instance leads the agreement group; zero if it does not
 	assigning   bool      // an assignment of coordinators is being agreed on
+	late        bool      // the last tick came later than maxLoopLag
 }
 
 func newGroups(d *Directory) *groups {
 	return &groups{directory: d, byName: map[string]*group{}, engines: map[string]*routes.Engine{}, done: make(chan struct{}),
-		events: make(chan func(time.Time), groupQueueLength), dropped: metrics.GetOrCreateCounter(`banyanfront_control_group_reports_dropped_total`)}
+		events: make(chan func(time.Time), groupQueueLength), dropped: metrics.GetOrCreateCounter(`banyanfront_control_group_reports_dropped_total`),
+		postponed: metrics.GetOrCreateCounter(`banyanfront_control_map_changes_postponed_total`)}
 }
 
 // run processes reports and sends orders until the context ends.
@@ -120,6 +126,7 @@
 		case due := <-tick.C:
 			now := time.Now()
 			loopLag("groups").Update(now.Sub(due).Seconds())
+			gs.late = now.Sub(due) > maxLoopLag
 			gs.tick(now)
 		}
 	}
@@ -318,6 +325,10 @@
 			}
 		}
 	}
+	if gs.late && g.switchover.MayWait() {
+		gs.postponed.Inc()
+		return
+	}
 	before := g.switchover.Phase()
 	for _, o := range g.switchover.Tick(now) {
 		gs.sendOrder(g, o)
--- a/internal/directory/groups_test.go
+++ b/internal/directory/groups_test.go
@@ -321,3 +321,47 @@
 		})
 	}
 }
+
+// orderSession records the orders sent to a rank process.
+type orderSession struct {
+	transport.Session
+	orders []experts.RankOrder
+}
+
+func (s *orderSession) Send(m protocol.Message) error {
+	if order, ok := m.(*protocol.RankOrder); ok {
+		s.orders = append(s.orders, order.Order)
+	}
+	return nil
+}
+
+// Guards against a step that is held while the process is too late to send the orders that end the hold.
+func TestNoStepIsHeldWhileTheLoopIsLate(t *testing.T) {
+	is := is.New(t)
+	d, err := New(Config{Address: "a", Founders: []string{"b"}, Voters: 1, AnnounceInterval: time.Second,
+		Hello: func() protocol.Hello { return protocol.Hello{} }}, emptyDisk(1))
+	is.NoErr(err)
+	defer d.Close()
+	gs, session := d.groups, &orderSession{}
+	now := time.Now()
+	g := newGroup(now.Add(-time.Second), "s", "g", 1)
+	g.role, g.numbers = coordinator, experts.ChangeNumbers{Lease: 1}
+	g.ranks[0] = &groupRank{session: session}
+	g.switchover.HandleReport(now, experts.RankReport{Epoch: 1, Open: true, Step: 5})
+	g.switchover.Begin(now, 1, experts.RankLists{{{0}}})
+	gs.advance(now, g)
+	is.Equal(len(session.orders), 1)
+	g.switchover.HandleResult(now, session.orders[0], experts.OrderDone)
+	gs.late = true
+	gs.advance(now, g)
+	is.Equal(len(session.orders), 1)
+	gs.late = false
+	gs.advance(now, g)
+	is.Equal(len(session.orders), 2)
+	is.Equal(session.orders[1].Operation, experts.OrderHold)
+	gs.late = true // a step is held: the orders that release it do not wait
+	g.switchover.HandleResult(now, session.orders[1], experts.OrderDone)
+	gs.advance(now, g)
+	is.Equal(len(session.orders), 3)
+	is.Equal(session.orders[2].Operation, experts.OrderArm)
+}
