--- a/decide/experts/even_split.go
+++ b/decide/experts/even_split.go
@@ -47,8 +47,10 @@
 		var best exchange
 		found := false
 		for _, to := range byLoad[:min(maxExchangeTargets, i)] {
-			for _, x := range s.exchanges(l, byLoad[i], to) {
-				if after := s.imbalance(l.loadsAfter(x)); after < lowest {
+			s.candidates = s.appendExchanges(s.candidates[:0], l, byLoad[i], to)
+			for _, x := range s.candidates {
+				s.loadChanges = l.appendLoadChanges(s.loadChanges[:0], x)
+				if after := initial + s.imbalanceChange(l, s.loadChanges); after < lowest {
 					best, lowest, found = x, after, true
 				}
 			}
@@ -122,12 +124,11 @@
 	return nil, false
 }
 
-// exchanges lists the possible exchanges between two ranks within the limits.
-func (s *search) exchanges(l *layerSearch, from, to int) []exchange {
+// appendExchanges appends the possible exchanges between two ranks within the limits.
+func (s *search) appendExchanges(out []exchange, l *layerSearch, from, to int) []exchange {
 	if s.stagingFull(l, to) {
-		return nil
+		return out
 	}
-	var out []exchange
 	for _, e := range l.onRank[from] {
 		if slices.Contains(l.onRank[to], e) {
 			continue
@@ -148,28 +149,23 @@
 	return out
 }
 
-// loadsAfter returns the loads of the ranks after an exchange.
-func (l *layerSearch) loadsAfter(x exchange) []float64 {
-	loads := slices.Clone(l.loads)
-	moveLoad := func(expert int, added, removed int) {
-		before := len(l.layer[expert])
-		replicas := before
-		if added >= 0 {
-			replicas++
-		}
-		if removed >= 0 {
-			replicas--
-		}
-		for _, r := range l.layer[expert] {
-			loads[r.Rank] += l.experts[expert] * (1/float64(replicas) - 1/float64(before))
-		}
-		if added >= 0 {
-			loads[added] += l.experts[expert] / float64(replicas)
-		}
-		if removed >= 0 {
-			loads[removed] -= l.experts[expert] / float64(replicas)
-		}
+// loadChange is the change of the load of one rank.
+type loadChange struct {
+	rank   int
+	change float64
+}
+
+// imbalanceChange returns by how much changes of the loads change the imbalance of a layer. Each rank occurs once.
+func (s *search) imbalanceChange(l *layerSearch, changes []loadChange) float64 {
+	sum := 0.0
+	for _, c := range changes {
+		sum += c.change * (2*l.loads[c.rank] + c.change) / planningSpeed(s.speeds, c.rank)
 	}
+	return sum
+}
+
+// appendLoadChanges appends the changes of the loads that an exchange causes, one for each rank.
+func (l *layerSearch) appendLoadChanges(out []loadChange, x exchange) []loadChange {
 	removeFrom, evictTo := -1, -1
 	if x.removeSource {
 		removeFrom = x.from
@@ -177,9 +173,53 @@
 	if x.swap {
 		evictTo = x.from
 	}
-	moveLoad(x.expert, x.to, removeFrom)
+	out = l.appendReplicaChange(out, x.expert, x.to, removeFrom)
 	if x.evict >= 0 {
-		moveLoad(x.evict, evictTo, x.to)
+		out = l.appendReplicaChange(out, x.evict, evictTo, x.to)
+	}
+	return out
+}
+
+// appendReplicaChange appends the changes of the loads if a replica of an expert is added to one rank and removed from
+// another one, -1 for none.
+func (l *layerSearch) appendReplicaChange(out []loadChange, expert, added, removed int) []loadChange {
+	before := len(l.layer[expert])
+	replicas := before
+	if added >= 0 {
+		replicas++
+	}
+	if removed >= 0 {
+		replicas--
+	}
+	share := l.experts[expert] / float64(replicas)
+	for _, r := range l.layer[expert] {
+		out = addLoadChange(out, r.Rank, share-l.experts[expert]/float64(before))
+	}
+	if added >= 0 {
+		out = addLoadChange(out, added, share)
+	}
+	if removed >= 0 {
+		out = addLoadChange(out, removed, -share)
+	}
+	return out
+}
+
+// addLoadChange adds a change to that of its rank.
+func addLoadChange(changes []loadChange, rank int, change float64) []loadChange {
+	for i := range changes {
+		if changes[i].rank == rank {
+			changes[i].change += change
+			return changes
+		}
+	}
+	return append(changes, loadChange{rank, change})
+}
+
+// loadsAfter returns the loads of the ranks after an exchange.
+func (l *layerSearch) loadsAfter(x exchange) []float64 {
+	loads := slices.Clone(l.loads)
+	for _, c := range l.appendLoadChanges(nil, x) {
+		loads[c.rank] += c.change
 	}
 	return loads
 }
--- a/decide/experts/moves.go
+++ b/decide/experts/moves.go
@@ -11,6 +11,9 @@
 	speeds []float64
 	budget int   // replicas that may still be loaded, negative for no limit
 	staged []int // replicas loaded, by rank
+
+	candidates  []exchange   // buffer of improveEvenSplit
+	loadChanges []loadChange // buffer of improveEvenSplit
 }
 
 // layerSearch is the planning state of one layer.
--- a/decide/experts/planner_test.go
+++ b/decide/experts/planner_test.go
@@ -160,3 +160,38 @@
 		})
 	}
 }
+
+// Guards against a search whose estimate of an exchange differs from its effect.
+func TestEstimatedImbalanceMatchesTheExchange(t *testing.T) {
+	const layers, experts, ranks, slots = 1, 32, 8, 5
+	even, err := EvenMap(layers, experts, ranks, slots)
+	if err != nil {
+		t.Fatal(err)
+	}
+	random := rand.New(rand.NewPCG(2, 1))
+	speeds := []float64{1, 1, 0.5, 1, 1, 1, 1, 0.8}
+	s := &search{config: &PlannerConfig{Ranks: ranks, SlotsPerRank: slots, StagingPerRank: 8}, speeds: speeds, budget: -1, staged: make([]int, ranks)}
+	l := &layerSearch{layer: even.Layers[0].clone(), experts: zipf(experts, 1, random), staged: make([]int, ranks)}
+	splitEvenly(l.layer)
+	l.loads = l.layer.Loads(l.experts, ranks)
+	l.indexByRank(s)
+	tried := 0
+	for range 40 {
+		from, to := random.IntN(ranks), random.IntN(ranks)
+		candidates := s.appendExchanges(nil, l, from, to)
+		if from == to || len(candidates) == 0 {
+			continue
+		}
+		x := candidates[random.IntN(len(candidates))]
+		before := s.imbalance(l.loads)
+		change := s.imbalanceChange(l, l.appendLoadChanges(nil, x))
+		l.applyExchange(x)
+		if fresh := l.layer.Loads(l.experts, ranks); math.Abs(s.imbalance(fresh)-before-change) > 1e-6*before {
+			t.Fatalf("%+v: imbalance %v, expected %v", x, s.imbalance(fresh), before+change)
+		}
+		tried++
+	}
+	if tried < 20 {
+		t.Fatalf("only %d exchanges were possible", tried)
+	}
+}
