Confirm coordinators every 0.5 s instead of before each change of map

Change: an assignment is valid for 4 s after the last confirmation; a silent instance loses its groups after 0.8 s, not 1 s.

--- a/internal/directory/groups.go
+++ b/internal/directory/groups.go
@@ -28,6 +28,13 @@
 	// maxLoopLag is the delay of the loop beyond which no change begins and no step is held: a group waits at a held step
 	// until the orders to all its ranks are out.
 	maxLoopLag = 100 * time.Millisecond
+	// confirmInterval is the interval at which a coordinator confirms with a majority that its assignments still hold, and
+	// leaseDuration the time after the last confirmation in which it begins changes. It bridges the election of a leader. Two
+	// coordinators at once are safe (package experts); the lease only keeps them from undoing each other's changes.
+	confirmInterval = 500 * time.Millisecond
+	leaseDuration   = 4 * time.Second
+	// silentAfter is the silence of a control instance after which its groups get another coordinator: four heartbeats.
+	silentAfter = 800 * time.Millisecond
 	// assignInterval is the interval at which the leader checks the coordinators of the groups.
 	assignInterval = 250 * time.Millisecond
 	// groupQueueLength limits the reports that wait for the loop: about two seconds of those of 256 ranks.
@@ -104,6 +111,8 @@
 	leadingFrom time.Time // since when this instance leads the agreement group; zero if it does not
 	assigning   bool      // an assignment of coordinators is being agreed on
 	late        bool      // the last tick came later than maxLoopLag
+	confirmedAt time.Time // when the last successful confirmation of the assignments was requested
+	requestedAt time.Time // when the last confirmation was requested
 }
 
 func newGroups(d *Directory) *groups {
@@ -277,6 +286,26 @@
 		gs.advance(now, g)
 	}
 	gs.assignCoordinators(now)
+	gs.confirmLeases(now)
+}
+
+// confirmLeases asks a majority at regular intervals for the newest agreed state, if this instance coordinates a group.
+func (gs *groups) confirmLeases(now time.Time) {
+	coordinates := false
+	for _, g := range gs.byName {
+		coordinates = coordinates || g.role == coordinator
+	}
+	if !coordinates || now.Sub(gs.requestedAt) < confirmInterval {
+		return
+	}
+	gs.requestedAt = now
+	go func() {
+		if err := gs.directory.readBarrier(context.Background()); err != nil {
+			log.WithError(err).Debug("coordinators of groups not confirmed; trying again")
+			return
+		}
+		gs.post(func(time.Time) { gs.confirmedAt = now })
+	}()
 }
 
 // assignCoordinators proposes, on the leader, coordinators for the groups that have none that answers.
--- a/internal/directory/members.go
+++ b/internal/directory/members.go
@@ -96,7 +96,7 @@
 	silence := d.member.Silence(now)
 	var out []coordination.Instance
 	for _, m := range r.Status().Members.List {
-		if silence[m.ID] <= suspectAfter {
+		if silence[m.ID] <= silentAfter {
 			out = append(out, coordination.Instance{Address: m.Address, DataCentre: dataCentres[m.Address], Leads: m.Address == d.config.Address})
 		}
 	}
--- a/internal/directory/placement.go
+++ b/internal/directory/placement.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"context"
 	"math"
 	"slices"
 	"time"
@@ -34,6 +33,9 @@
 		return
 	}
 	obstacle := g.switchover.NotReadyReason(now)
+	if now.Sub(gs.confirmedAt) > leaseDuration {
+		obstacle = "no majority has confirmed the coordinator"
+	}
 	if obstacle == "" && g.demand == nil {
 		obstacle = "no demand was reported"
 	}
@@ -73,9 +75,6 @@
 	demand, speeds, planner := g.copyDemand(), g.speeds(), g.planner
 	go func() {
 		plan, err := planner.Plan(demand, speeds)
-		if err == nil && plan.Map != nil {
-			err = gs.directory.readBarrier(context.Background()) // another instance may coordinate the group by now
-		}
 		gs.post(func(now time.Time) { gs.startChange(now, g, planner, plan, err) })
 	}()
 }
@@ -144,8 +143,8 @@
 		log.WithError(err).WithField("group", g.name).Warn("change of expert map not started")
 		return
 	}
-	gs.updateRole(now, g.service+"/"+g.name, g) // the read barrier may have brought a newer assignment
-	if plan.Map == nil || g.role != coordinator || g.planner != planner || !g.switchover.Ready(now) {
+	gs.updateRole(now, g.service+"/"+g.name, g) // the group may have another coordinator by now
+	if plan.Map == nil || g.role != coordinator || now.Sub(gs.confirmedAt) > leaseDuration || g.planner != planner || !g.switchover.Ready(now) {
 		return
 	}
 	number, ok := g.numbers.Next(g.switchover.HighestChangeNumber())
