Let a restarted control instance coordinate only under a lease granted after its start

Cause, found by reading: a coordinator that restarts within the silence that the leader tolerates kept its lease and issued its change numbers again. An order of before that is carried out late could prepare another map under the same version on one rank: a step with two maps. The same after a pause, which discards the state of the groups. Change: the first confirmation by a majority tells the newest lease from before the start; assignments up to it are granted again under a new lease before they are used. Numbers outlive the state of a group. Tests: TestRestartedCoordinatorNeedsANewLease and TestChangeNumbersOutliveThePauseOfAProcess, both red without the change.

--- a/internal/directory/groups.go
+++ b/internal/directory/groups.go
@@ -63,7 +63,7 @@
 	ranks      map[int]*groupRank
 	switchover *experts.Switchover
 	role       role
-	numbers    experts.ChangeNumbers // of the current lease
+	numbers    *experts.ChangeNumbers // of the current lease, nil without a role
 
 	planner        *experts.Planner
 	plannerVersion uint64 // map version that the planner starts from
@@ -113,10 +113,17 @@
 	late        bool      // the last tick came later than maxLoopLag
 	confirmedAt time.Time // when the last successful confirmation of the assignments was requested
 	requestedAt time.Time // when the last confirmation was requested
+	// earlierLease is the newest lease that may have been granted before the start of this process, which would issue its
+	// numbers again. It is known once the first confirmation has succeeded.
+	earlierLease      uint64
+	earlierLeaseKnown bool
+	// numbers holds the change numbers by group: they outlive the group's state, which is discarded after a pause.
+	numbers map[string]*experts.ChangeNumbers
 }
 
 func newGroups(d *Directory) *groups {
-	return &groups{directory: d, byName: map[string]*group{}, engines: map[string]*routes.Engine{}, done: make(chan struct{}),
+	return &groups{directory: d, byName: map[string]*group{}, engines: map[string]*routes.Engine{},
+		numbers: map[string]*experts.ChangeNumbers{}, done: make(chan struct{}),
 		events: make(chan func(time.Time), groupQueueLength), dropped: metrics.GetOrCreateCounter(`banyanfront_control_group_reports_dropped_total`),
 		postponed: metrics.GetOrCreateCounter(`banyanfront_control_map_changes_postponed_total`)}
 }
@@ -212,6 +219,9 @@
 	case assigned.Deputy:
 		next = deputy
 	}
+	if !gs.earlierLeaseKnown || assigned.Lease <= gs.earlierLease {
+		next = noRole
+	}
 	if next == g.role && (next == noRole || assigned.Lease == g.numbers.Lease) {
 		return
 	}
@@ -221,7 +231,14 @@
 		*g = *newGroup(now, g.service, g.name, g.size)
 		g.reportedAt = now
 	}
-	g.role, g.numbers = next, experts.ChangeNumbers{Lease: assigned.Lease, Deputy: next == deputy}
+	g.role, g.numbers = next, nil
+	if next == noRole {
+		return
+	}
+	if n := gs.numbers[key]; n == nil || n.Lease != assigned.Lease {
+		gs.numbers[key] = &experts.ChangeNumbers{Lease: assigned.Lease, Deputy: next == deputy}
+	}
+	g.numbers = gs.numbers[key]
 }
 
 // addDemand adds the expert selections of a rank's requests since its last reading to the demand.
@@ -289,32 +306,58 @@
 	gs.confirmLeases(now)
 }
 
-// confirmLeases asks a majority at regular intervals for the newest agreed state, if this instance coordinates a group.
+// confirmLeases asks a majority at regular intervals for the newest agreed state, at first to learn which leases are from
+// before the start of this process, and then while it coordinates a group.
 func (gs *groups) confirmLeases(now time.Time) {
-	coordinates := false
+	needed := !gs.earlierLeaseKnown
 	for _, g := range gs.byName {
-		coordinates = coordinates || g.role == coordinator
+		needed = needed || g.role == coordinator
 	}
-	if !coordinates || now.Sub(gs.requestedAt) < confirmInterval {
+	if !needed || now.Sub(gs.requestedAt) < confirmInterval {
 		return
 	}
 	gs.requestedAt = now
 	go func() {
-		if err := gs.directory.readBarrier(context.Background()); err != nil {
+		state, err := gs.directory.ConfirmedState(context.Background())
+		if err != nil {
 			log.WithError(err).Debug("coordinators of groups not confirmed; trying again")
 			return
 		}
-		gs.post(func(time.Time) { gs.confirmedAt = now })
+		gs.post(func(time.Time) { gs.leasesConfirmed(now, state) })
 	}()
 }
 
-// assignCoordinators proposes, on the leader, coordinators for the groups that have none that answers.
-func (gs *groups) assignCoordinators(now time.Time) {
-	if _, leads := gs.directory.member.Leads(); !leads {
-		gs.leadingFrom = time.Time{}
+// leasesConfirmed processes the agreed state that a majority has confirmed after the time of the request.
+func (gs *groups) leasesConfirmed(requestedAt time.Time, state controlstate.State) {
+	gs.confirmedAt = requestedAt
+	if gs.earlierLeaseKnown {
 		return
 	}
-	if gs.leadingFrom.IsZero() {
+	gs.earlierLeaseKnown = true
+	for _, c := range state.Coordinators {
+		gs.earlierLease = max(gs.earlierLease, c.Lease)
+	}
+}
+
+// renewLeases returns the assignments to this instance from before its start, to be granted again under new leases.
+func (gs *groups) renewLeases(current []controlstate.Coordinator) []controlstate.Coordinator {
+	var renewed []controlstate.Coordinator
+	for _, c := range current {
+		if address := gs.directory.config.Address; gs.earlierLeaseKnown && c.Lease <= gs.earlierLease && (c.Instance == address || c.Deputy == address) {
+			renewed = append(renewed, c)
+		}
+	}
+	return renewed
+}
+
+// assignCoordinators proposes new leases for assignments from before the start of this process and, on the leader,
+// coordinators for the groups that have none that answers.
+func (gs *groups) assignCoordinators(now time.Time) {
+	_, leads := gs.directory.member.Leads()
+	switch {
+	case !leads:
+		gs.leadingFrom = time.Time{}
+	case gs.leadingFrom.IsZero():
 		gs.leadingFrom = now
 	}
 	if gs.assigning || now.Sub(gs.assignedAt) < assignInterval {
@@ -322,8 +365,11 @@
 	}
 	gs.assignedAt = now
 	current := gs.directory.State().Coordinators
-	knowsAll := now.Sub(gs.leadingFrom) > groupExpiry // by then every group has reported
-	changes := coordination.Next(current, slices.Collect(maps.Keys(gs.byName)), gs.directory.answeringInstances(now), knowsAll)
+	changes := gs.renewLeases(current)
+	if leads && len(changes) == 0 {
+		knowsAll := now.Sub(gs.leadingFrom) > groupExpiry // by then every group has reported
+		changes = coordination.Next(current, slices.Collect(maps.Keys(gs.byName)), gs.directory.answeringInstances(now), knowsAll)
+	}
 	if len(changes) == 0 {
 		return
 	}
--- a/internal/directory/groups_test.go
+++ b/internal/directory/groups_test.go
@@ -322,6 +322,82 @@
 	}
 }
 
+// Guards against a restarted coordinator that issues a number again for another map: it knows nothing of orders that are
+// still on their way. It acts only under a lease granted after its start.
+func TestRestartedCoordinatorNeedsANewLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newControlFleet(t, 3)
+		defer f.stopAll()
+		addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+		for i, address := range addresses {
+			f.start(address, emptyDisk(uint64(i)), true, addresses...)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		f.startRanks(ctx, newModelGroup(t, "g1", 4, 1), &running, addresses...)
+		time.Sleep(8 * time.Second)
+		for range 3 {
+			n := f.coordinatorOf("s/g1")
+			before := n.State().Coordinator("s/g1").Lease
+			f.crash(n)
+			time.Sleep(silentAfter / 4) // too short for the leader to notice
+			n = f.start(n.address, n.disk, false, addresses...)
+			issued := make(chan uint64)
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				n.groups.post(func(time.Time) {
+					lease := uint64(0)
+					if g := n.groups.byName["s/g1"]; g != nil && g.role != noRole {
+						lease = g.numbers.Lease
+					}
+					issued <- lease
+				})
+				if lease := <-issued; lease != 0 && lease <= before {
+					t.Fatalf("the restarted instance acts under lease %d from before its start, %d", lease, before)
+				}
+			}
+			after := f.coordinatorOf("s/g1").State().Coordinator("s/g1")
+			is.True(after.Lease > before)
+		}
+	})
+}
+
+// Guards against numbers that are issued again after the state of the groups was discarded.
+func TestChangeNumbersOutliveThePauseOfAProcess(t *testing.T) {
+	is := is.New(t)
+	d, err := New(Config{Address: "a", Founders: []string{"b"}, Voters: 1, AnnounceInterval: time.Second,
+		Hello: func() protocol.Hello { return protocol.Hello{} }}, emptyDisk(1))
+	is.NoErr(err)
+	defer d.Close()
+	d.stateMachine.state.Store(&controlstate.State{Coordinators: []controlstate.Coordinator{{Group: "s/g", Instance: "a", Lease: 3}}})
+	gs, now := d.groups, time.Now()
+	report := func() uint64 {
+		gs.handleReport(now, &orderSession{}, &protocol.Rank{Service: "s", Group: "g", Size: 1, Report: experts.RankReport{Epoch: 1, Open: true}})
+		g := gs.byName["s/g"]
+		if g.role == noRole {
+			return 0
+		}
+		number, ok := g.numbers.Next(0)
+		is.True(ok)
+		return number
+	}
+	is.Equal(report(), uint64(0)) // whether the lease is from before the start is not known yet
+	gs.leasesConfirmed(now, controlstate.State{Coordinators: []controlstate.Coordinator{{Group: "s/g", Lease: 2}}})
+	first := report()
+	is.True(first > 0)
+	gs.tick(now)
+	gs.tick(now.Add(maxTickGap + 1)) // a pause: the state is discarded
+	is.Equal(len(gs.byName), 0)
+	is.True(report() > first)
+	gs.earlierLease = 3
+	gs.tick(now.Add(maxTickGap + 2))
+	is.Equal(report(), uint64(0))
+	is.Equal(len(gs.renewLeases(d.State().Coordinators)), 1)
+}
+
 // orderSession records the orders sent to a rank process.
 type orderSession struct {
 	transport.Session
@@ -345,7 +421,7 @@
 	gs, session := d.groups, &orderSession{}
 	now := time.Now()
 	g := newGroup(now.Add(-time.Second), "s", "g", 1)
-	g.role, g.numbers = coordinator, experts.ChangeNumbers{Lease: 1}
+	g.role, g.numbers = coordinator, &experts.ChangeNumbers{Lease: 1}
 	g.ranks[0] = &groupRank{session: session}
 	g.switchover.HandleReport(now, experts.RankReport{Epoch: 1, Open: true, Step: 5})
 	g.switchover.Begin(now, 1, experts.RankLists{{{0}}})
