--- a/internal/groupmember/member.go
+++ b/internal/groupmember/member.go
@@ -293,12 +293,12 @@
 	if m.foundingVoter != nil {
 		return m.foundingVoter.Report()
 	}
-	return bootstrap.Report{Self: m.self(), Founded: m.belongsToGroup(), Members: m.initialMembers}
+	return bootstrap.Report{Self: m.self(), Founded: m.inGroup(), Members: m.initialMembers}
 }
 
-// belongsToGroup reports whether the running replica has the members of a group. A new folder has none until a leader has
+// inGroup reports whether the running replica has the members of a group. A new folder has none until a leader has
 // added it.
-func (m *Member) belongsToGroup() bool {
+func (m *Member) inGroup() bool {
 	r := m.replica.Load()
 	return r != nil && len(r.Status().Members.List) > 0
 }
@@ -373,7 +373,7 @@
 		case m.reports <- report:
 		default:
 		}
-		if !report.Founded && m.belongsToGroup() {
+		if !report.Founded && m.inGroup() {
 			// The sender may have lost its folder, and need not be a voter in this member's settings.
 			_ = session.Send(&protocol.Founding{Self: protocol.Member(m.self()), Founded: true})
 		}
