--- a/internal/directory/rejoin_test.go
+++ b/internal/directory/rejoin_test.go
@@ -54,7 +54,7 @@
 	hello := func() protocol.Hello {
 		return protocol.Hello{Version: protocol.Version, Instance: fleet.InstanceID(address), Address: address}
 	}
-	d, err := New(Config{Instance: address, Address: address, Founders: seeds, MayBootstrap: firstStart, Voters: f.voters,
+	d, err := New(Config{Instance: address, Address: address, Founders: slices.Clone(seeds), MayBootstrap: firstStart, Voters: f.voters,
 		AnnounceInterval: time.Second, Hello: hello, Decode: f.decode,
 		Dial: func(to string, hello func() protocol.Hello, _ transport.Handler) transport.ConnectFunc {
 			return func(_ context.Context, h transport.Handler) (transport.Session, error) {
