Send the loads of engines to all entry instances, and draw servers instead of sorting them

An entry instance knew the load of an engine from its own responses only, and let it fade after a second.

As all instances then hold the same picture, each draws two servers of its data centre and two of all and takes the least loaded; taking the least loaded of all would send everybody to the same few engines until the next reading.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,6 +15,8 @@
 // Config sets the parameters of a Dispatcher.
 type Config struct {
 	DataCentre string // of this entry instance; its servers are preferred among equals
+	// Seed of the random choices. Instances with equal seeds and knowledge would choose the same server at the same time.
+	Seed uint64
 	// AnnounceInterval is the time between two announcements of a server.
 	AnnounceInterval time.Duration
 	// RetryRatio, RetrySlack and RetryWindow are the retry budget of a service over all entry instances: retries in a sliding
@@ -109,6 +112,7 @@
 	otherRequests       float64 // requests of other clients, from the last reported load
 	reportedSlots       int
 	loadReportedAt      time.Time
+	loadSharedAt        time.Time // when the group's loads were last received, which all entry instances receive
 	consecutiveFailures int
 	avoidUntil          time.Time
 	consecutiveErrors   int // responses with an error of the server's own
@@ -137,13 +141,15 @@
 	gapsByGroup  map[string]*eventGaps // by group, or by server if it is in none
 	instances    int                   // entry instances that share the bounds, this one included
 	tieOffset    int                   // rotates the first server examined, which wins ties
+	random       *rand.Rand
+	candidates   candidates // of the current choice; kept to reuse its memory
 }
 
 // New returns a dispatcher without servers.
 func New(config Config) *Dispatcher {
 	return &Dispatcher{config: config, servers: map[string]*server{}, byService: map[string][]*server{},
 		evacuated: map[string]bool{}, groups: map[string]*group{}, retryBudgets: map[string]*retryBudget{},
-		gapsByGroup: map[string]*eventGaps{}, instances: 1}
+		gapsByGroup: map[string]*eventGaps{}, instances: 1, random: rand.New(rand.NewPCG(config.Seed, 0))}
 }
 
 // SetTable replaces the routing configuration.
@@ -202,7 +208,7 @@
 
 // closeGroup excludes a group that has lost a rank until the given time.
 func (d *Dispatcher) closeGroup(now time.Time, service, name string, until time.Time) {
-	key := service + "\x00" + name
+	key := groupKey(service, name)
 	g := d.groups[key]
 	if g == nil {
 		g = &group{}
@@ -218,7 +224,7 @@
 
 // groupOf returns the group of a server, nil if it was never closed.
 func (d *Dispatcher) groupOf(s *server) *group {
-	return d.groups[s.announcement.Service+"\x00"+s.announcement.Group.Name]
+	return d.groups[groupKey(s.announcement.Service, s.announcement.Group.Name)]
 }
 
 // isLockStep reports whether the servers of a service are ranks of lock-step groups.
@@ -259,8 +265,7 @@
 	if request.Retry && !d.MayRetry(now, request.Service) {
 		return nil, &Refusal{NoBudget, d.retryAfter(request.Service)}
 	}
-	var best *server
-	var bestCost float64
+	d.candidates.reset()
 	refusal := &Refusal{Reason: Evacuated, RetryAfter: maxRetryAfter}
 	d.tieOffset++
 	for i := range servers {
@@ -272,10 +277,14 @@
 			}
 			continue
 		}
-		if cost := d.cost(now, s); best == nil || cost < bestCost {
-			best, bestCost = s, cost
+		c := candidate{s, d.cost(now, s)}
+		d.candidates.all = append(d.candidates.all, c)
+		if s.announcement.DataCentre == d.config.DataCentre {
+			d.candidates.local = append(d.candidates.local, c)
 		}
+		d.candidates.shared = d.candidates.shared || now.Sub(s.loadSharedAt) <= loadDecayAfter
 	}
+	best := d.candidates.choose(d.random)
 	if best == nil {
 		refusal.RetryAfter = min(max(refusal.RetryAfter, minRetryAfter), maxRetryAfter)
 		return nil, refusal
--- a/decide/dispatch/event_gap.go
+++ b/decide/dispatch/event_gap.go
@@ -122,9 +122,12 @@
 	c.state.gaps.record(now, gap, d.groupLoad(now, c.state))
 }
 
+// groupKey is the key of a lock-step group in the maps of a Dispatcher.
+func groupKey(service, group string) string { return service + "\x00" + group }
+
 // gapsFor returns the event gaps of a server's group, or of the server if it is in none.
 func (d *Dispatcher) gapsFor(s *server) *eventGaps {
-	key := s.announcement.Service + "\x00" + s.announcement.Group.Name
+	key := groupKey(s.announcement.Service, s.announcement.Group.Name)
 	if s.announcement.Group.Name == "" {
 		key = s.announcement.Service + "\x00\x00" + s.announcement.Server
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -73,7 +73,8 @@
 	done         chan struct{}
 	groups       *groups // lock-step groups, with a loop of their own
 	// dataCentres holds the data centres of the other control instances by address. It is replaced as a whole.
-	dataCentres atomic.Pointer[map[string]string]
+	dataCentres    atomic.Pointer[map[string]string]
+	entryInstances atomic.Int64 // sessions with entry instances
 
 	// Owned by the loop.
 	servers             *registry.Registry
@@ -197,6 +198,7 @@
 		dataCentres[address] = string(session.Peer().DataCentre)
 	}
 	d.dataCentres.Store(&dataCentres)
+	d.entryInstances.Store(int64(len(d.entrySessions)))
 	d.broadcastRoster()
 }
 
--- a/internal/directory/groups.go
+++ b/internal/directory/groups.go
@@ -79,6 +79,9 @@
 	decayedAt      time.Time   // when demand was last decayed
 	encodedMap     []byte      // lists of the map version encodedVersion, as sent to rank processes
 	encodedVersion uint64
+
+	loadsSent   []byte // last loads sent to the entry instances
+	loadsSentAt time.Time
 }
 
 // groupRank is one rank of a group.
@@ -91,6 +94,8 @@
 	heldVersion   uint64 // map version of held
 	heldEpoch     uint64 // epoch in which held was reported
 	unanswered    int    // consecutive orders without a result from the rank process or the engine
+	requests      int    // running and waiting at the engine
+	reportedAt    time.Time
 }
 
 // groups manages the expert maps of the lock-step groups that report to this control instance. Its loop is separate from
@@ -188,6 +193,7 @@
 		g.ranks[m.Report.Rank] = r
 	}
 	r.session, r.address, r.stepTimeRatio = s, m.Address, m.Report.StepTimeRatio
+	r.requests, r.reportedAt = m.Requests, now
 	if m.HeldExperts != nil {
 		r.held, r.heldVersion, r.heldEpoch = m.HeldExperts, m.Report.Map, m.Report.Epoch
 	}
@@ -301,6 +307,7 @@
 		}
 		gs.updateRole(now, key, g)
 		gs.advance(now, g)
+		gs.sendLoads(now, g)
 	}
 	gs.assignCoordinators(now)
 	gs.confirmLeases(now)
--- a/internal/directory/groups_test.go
+++ b/internal/directory/groups_test.go
@@ -66,6 +66,7 @@
 	heldStep          uint64
 	counts            []uint64
 	history           []experts.RankReport // one a step, for reports that lag
+	requests          int                  // running, as reported
 }
 
 func newModelGroup(t *testing.T, name string, size int, seed uint64) *modelGroup {
@@ -132,7 +133,7 @@
 func (e *modelEngine) Report(context.Context) (*platform.EngineReport, error) {
 	e.group.mu.Lock()
 	defer e.group.mu.Unlock()
-	r := &platform.EngineReport{Born: 1, Group: e.group.name, Size: len(e.group.ranks)}
+	r := &platform.EngineReport{Born: 1, Group: e.group.name, Size: len(e.group.ranks), Running: e.requests}
 	if n := len(e.history); n > 0 {
 		r.RankReport = e.history[max(0, n-1-int(modelReportLag/modelStepTime))]
 	} else {
@@ -223,6 +224,13 @@
 	g.loseHalf = on
 }
 
+// setRequests sets the number of requests that run at a rank.
+func (g *modelGroup) setRequests(rank, requests int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ranks[rank].requests = requests
+}
+
 // progress returns the number of map changes and the longest time without a step.
 func (g *modelGroup) progress() (changes int, longest time.Duration) {
 	g.mu.Lock()
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -236,6 +236,8 @@
 			f.updateInstanceCount(now)
 			f.pool.Set(f.controlAddresses())
 		})
+	case *protocol.GroupLoads:
+		f.applyLoads(time.Now(), m)
 	case *protocol.State:
 		if m.Report {
 			f.post(func(now time.Time) {
@@ -260,6 +262,20 @@
 	}
 }
 
+// applyLoads passes the loads of a lock-step group to the dispatcher.
+func (f *fleetState) applyLoads(now time.Time, m *protocol.GroupLoads) {
+	loads := make([]int, len(m.Requests))
+	for rank, requests := range m.Requests {
+		loads[rank] = int(requests)
+		if requests == protocol.UnknownGroupLoad {
+			loads[rank] = dispatch.UnknownLoad
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dispatcher.RecordGroupLoads(now, m.Service, m.Group, loads)
+}
+
 // installState decodes an agreed state and applies it. States not newer than the current one are ignored.
 func (f *fleetState) installState(now time.Time, m *protocol.State) {
 	f.stateRequestedAt = time.Time{}
--- a/internal/edge/proxy_test.go
+++ b/internal/edge/proxy_test.go
@@ -22,6 +22,7 @@
 	"github.com/banyanfront/banyanfront/decide/dispatch"
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/decide/routes"
+	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
@@ -410,3 +411,24 @@
 	_, err = newEventReader(strings.NewReader("")).next()
 	is.True(errors.Is(err, errStreamEnd))
 }
+
+// Guards against an instance that does not use the loads that the coordinators of the groups send: a rank that is full with
+// the requests of other instances gets none.
+func TestLoadsOfAGroupSteerRequests(t *testing.T) {
+	is := is.New(t)
+	full := startBackend(t, func(w http.ResponseWriter, _ *http.Request, _ int) { respondSealed(w, http.StatusOK, "full") })
+	free := startBackend(t, func(w http.ResponseWriter, _ *http.Request, _ int) { respondSealed(w, http.StatusOK, "free") })
+	proxy, url := startProxy(t, full, free)
+	var known []*registry.Record
+	for i, b := range []*backend{full, free} {
+		known = append(known, &registry.Record{ReceivedAt: time.Now(), Announcement: registry.Announcement{Server: fmt.Sprint("i", i), Service: "s",
+			Address: strings.TrimPrefix(b.URL, "http://"), DataCentre: "z", Slots: 4, Group: registry.Group{Name: "g", Rank: i, Size: 2}}})
+	}
+	proxy.dispatcher.SetServers(time.Now(), known)
+	proxy.MessageReceived(nil, &protocol.GroupLoads{Service: "s", Group: "g", Requests: []byte{20, protocol.UnknownGroupLoad}})
+	for range 6 {
+		_, _, body, err := send(t, url, "/safe/x")
+		is.NoErr(err)
+		is.Equal(body, "free")
+	}
+}
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -31,6 +32,7 @@
 		Seeds:    s.SeedControlAddresses(),
 		Dispatch: dispatch.Config{
 			DataCentre:       s.DataCentre,
+			Seed:             rand.Uint64(),
 			AnnounceInterval: s.AnnounceInterval,
 			RetryRatio:       s.RetryRatio,
 			RetrySlack:       s.RetrySlack,
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -317,6 +317,8 @@
 		return new(RankOrder)
 	case TypeRankDone:
 		return new(RankDone)
+	case TypeGroupLoads:
+		return new(GroupLoads)
 	}
 	return nil
 }
--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -46,16 +46,17 @@
 		&RelayedAnnouncements{Servers: []RelayedAnnouncement{{Announcement: registry.Announcement{Server: "s", Sequence: 3, ColdRemaining: 5}, AgeMS: 7}}},
 		&ControlInstances{Addresses: []string{"127.0.0.1:1"}, EntryInstances: 4,
 			Coordinators: []controlstate.Coordinator{{Group: "s/g", Instance: "127.0.0.1:1", Deputy: "127.0.0.1:2", Lease: 3}}},
-		&Rank{Service: "s", Group: "g", Size: 2, Report: experts.RankReport{Rank: 1, Step: 5}, ExpertLoad: []byte{1, 2}, LoadUnit: 3, HeldExperts: [][]int{{0}, {1}}},
+		&Rank{Service: "s", Group: "g", Size: 2, Report: experts.RankReport{Rank: 1, Step: 5}, ExpertLoad: []byte{1, 2}, LoadUnit: 3, HeldExperts: [][]int{{0}, {1}}, Requests: 7},
 		&RankOrder{Group: "g", Order: experts.RankOrder{Rank: 1, Operation: experts.OrderPrepare, Version: 2}, Map: experts.RankLists{{{0}, {1}}}.Encode()},
 		&RankDone{Group: "g", Order: experts.RankOrder{Rank: 1, Operation: experts.OrderArm, Step: 3}, Result: experts.OrderDone},
+		&GroupLoads{Service: "s", Group: "g", Requests: []byte{0, 3, UnknownGroupLoad}},
 	}
 }
 
 // Guards against a message type that cannot be encoded, or that loses a field.
 func TestRoundTrip(t *testing.T) {
 	is := is.New(t)
-	is.Equal(len(samples()), int(TypeRankDone)) // every type has a sample
+	is.Equal(len(samples()), int(TypeGroupLoads)) // every type has a sample
 	for i, m := range samples() {
 		stream := uint64(i) << (2 * i)
 		frame, err := Encode(stream, m)
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -56,6 +56,7 @@
 	TypeRank                 Type = 29
 	TypeRankOrder            Type = 30
 	TypeRankDone             Type = 31
+	TypeGroupLoads           Type = 32
 )
 
 // Hello is the first message in both directions of a session.
@@ -326,8 +327,24 @@
 	LoadUnit   uint64 `cbor:"10,keyasint,omitempty"`
 	// HeldExperts are the experts that the rank holds under the current expert map, by set.
 	HeldExperts [][]int `cbor:"8,keyasint,omitempty"`
+	Requests    int     `cbor:"11,keyasint,omitempty"` // running and waiting at the engine
 }
 
+// GroupLoads carries the loads of the ranks of a lock-step group from its coordinator to the entry instances.
+type GroupLoads struct {
+	Service string `cbor:"1,keyasint"`
+	Group   string `cbor:"2,keyasint"`
+	// Requests holds one byte a rank, in order of the ranks: the requests running and waiting there, MaxGroupLoad for that
+	// many or more, UnknownGroupLoad for a rank that has not reported recently.
+	Requests []byte `cbor:"3,keyasint"`
+}
+
+// Special values of GroupLoads.Requests.
+const (
+	MaxGroupLoad     = 254
+	UnknownGroupLoad = 255
+)
+
 // RankOrder asks a rank process to send an order to its engine.
 type RankOrder struct {
 	Group string            `cbor:"1,keyasint"`
--- a/internal/protocol/types.go
+++ b/internal/protocol/types.go
@@ -92,3 +92,6 @@
 
 // Type implements Message.
 func (*RankDone) Type() Type { return TypeRankDone }
+
+// Type implements Message.
+func (*GroupLoads) Type() Type { return TypeGroupLoads }
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -191,7 +191,7 @@
 	}
 	coordinator, others := p.recipients(p.settings.Service+"/"+r.Group, r.Rank)
 	m := &protocol.Rank{Service: p.settings.Service, Group: r.Group, Size: r.Size, Address: p.settings.BackendServer, StartedAtMS: r.Born,
-		Report: r.RankReport}
+		Report: r.RankReport, Requests: r.Running + r.Waiting}
 	for _, session := range others {
 		if err := session.Send(m); err != nil {
 			log.WithError(err).Debug("report not sent")
