--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -37,6 +37,8 @@
 	skipped       map[uint64]bool // entries after restoredIndex that had no effect
 
 	compacting bool // a snapshot is being written
+	// retryCompactionAt is the applied index before which no snapshot is tried again, after one could not be encoded.
+	retryCompactionAt uint64
 	// background runs work concurrently with the driver and afterwards done in the driver's goroutine. The default runs
 	// both synchronously.
 	background func(work, done func())
@@ -245,9 +247,18 @@
 	if d.compacting || (d.applied < newest.Index+d.options.SnapshotEntries && d.logBytes < d.options.SnapshotBytes) {
 		return
 	}
+	if d.applied < d.retryCompactionAt {
+		return
+	}
 	s := d.node.SnapshotMetadata()
 	data := snapshotData{Window: slices.Clone(d.window.queue), State: d.options.StateMachine.Snapshot()}
-	d.compacting, d.logBytes = true, 0
+	d.logBytes = 0
+	if data.State == nil {
+		d.retryCompactionAt = d.applied + d.options.SnapshotEntries
+		d.options.Logf("agreement member %x could not encode its state and keeps the whole log; it grows until a snapshot succeeds", d.id)
+		return
+	}
+	d.compacting = true
 	var err error
 	d.background(func() {
 		s.Data = encode(data)
--- a/internal/replica/member_test.go
+++ b/internal/replica/member_test.go
@@ -201,3 +201,49 @@
 		is.NoErr(err) // the new voter completes the majority
 	})
 }
+
+// unencodable is a state machine whose state cannot be encoded while broken is set.
+type unencodable struct {
+	counter
+	broken bool
+}
+
+func (u *unencodable) Snapshot() []byte {
+	if u.broken {
+		return nil
+	}
+	return u.counter.Snapshot()
+}
+
+// Guards against acknowledged changes that are lost with the log, since a snapshot without state replaces it: while the state
+// cannot be encoded, the log is kept.
+func TestLogIsKeptWhileTheStateCannotBeEncoded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		folder := inMemory(0)
+		state := &unencodable{broken: true}
+		options := Options{SnapshotEntries: 4, KeepEntries: 1, StateMachine: state}
+		c, replicas := startGroup(t, 1, func(int) storage.FS { return folder }, options)
+		propose := func(r *Replica, from, to int) {
+			for i := from; i < to; i++ {
+				_, result, err := r.Propose(within(5*time.Second), fmt.Sprint("id", i), []byte("x"))
+				is.NoErr(err)
+				is.Equal(binary.BigEndian.Uint64(result), uint64(i+1))
+			}
+		}
+		restart := func(r *Replica) *Replica {
+			is.NoErr(r.Close())
+			options.FS = folder
+			return c.open(t, options)
+		}
+		propose(replicas[0], 0, 40)
+		first := replicas[0].Status().First
+		r := restart(replicas[0])
+		propose(r, 40, 41) // all earlier commands are applied again
+		state.broken = false
+		propose(r, 41, 60)
+		is.True(r.Status().First > first) // the log is shortened once the state can be encoded
+		r = restart(r)
+		propose(r, 60, 61)
+	})
+}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -23,7 +23,7 @@
 type StateMachine interface {
 	// Apply applies a command and returns its result, which the replica keeps for Options.DedupWindowEntries.
 	Apply(index uint64, command []byte) []byte
-	// Snapshot returns the whole state. The caller may retain the slice.
+	// Snapshot returns the whole state, nil if it could not be encoded. The caller may retain the slice.
 	Snapshot() []byte
 	// Restore replaces the whole state; nil means the initial state.
 	Restore(snapshot []byte) error
