Send new streams to groups that keep the pace, and wait longer for a first event where none does

Change: engines of a group whose steps of the last 0.4 s exceed the route's longest pause count as half of their slots fuller; servers with a penalty are drawn separately. The wait for a first event grows with the steps.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -277,12 +277,8 @@
 			}
 			continue
 		}
-		c := candidate{s, d.cost(now, s)}
-		d.candidates.all = append(d.candidates.all, c)
-		if s.announcement.DataCentre == d.config.DataCentre {
-			d.candidates.local = append(d.candidates.local, c)
-		}
-		d.candidates.shared = d.candidates.shared || now.Sub(s.loadSharedAt) <= loadDecayAfter
+		shared := now.Sub(s.loadSharedAt) <= loadDecayAfter
+		d.candidates.add(s, d.loadCost(now, s), d.penalty(now, s, &request), s.announcement.DataCentre == d.config.DataCentre, shared)
 	}
 	best := d.candidates.choose(d.random)
 	if best == nil {
@@ -381,12 +377,22 @@
 	return float64(s.inFlight) + others
 }
 
-// cost orders servers: lower is better.
-func (d *Dispatcher) cost(now time.Time, s *server) float64 {
+// loadCost orders servers without a penalty: lower is better.
+func (d *Dispatcher) loadCost(now time.Time, s *server) float64 {
 	cost := d.load(now, s) / float64(slots(s))
 	if s.announcement.DataCentre != d.config.DataCentre {
 		cost += 0.25 / float64(slots(s)) // less than one request: local only among equals
 	}
+	return cost
+}
+
+// penalty returns what is added to the cost of a server that is likely to serve worse than others with the same load, 0 if
+// nothing speaks against it.
+func (d *Dispatcher) penalty(now time.Time, s *server, request *Request) float64 {
+	cost := 0.0
+	if request.MaxEventGap > 0 && s.gaps.recentSeconds(now) > request.MaxEventGap.Seconds() {
+		cost += slowGroupCost
+	}
 	if d.isCold(now, s) {
 		cost++
 	}
--- a/decide/dispatch/dispatch_test.go
+++ b/decide/dispatch/dispatch_test.go
@@ -360,3 +360,23 @@
 		}
 	}
 }
+
+// Guards against streams that are taken for hung and sent again while their group is slow, which slows it further: prompts are
+// read between the decode steps.
+func TestFirstEventTakesLongerInASlowGroup(t *testing.T) {
+	is := is.New(t)
+	const bound = 150 * time.Millisecond
+	d := dispatcher(1, true)
+	c, _ := d.Pick(start, Request{Service: "s"})
+	is.Equal(d.Slowdown(start, c, bound), 1.0) // nothing known
+	for at := start; at.Before(start.Add(2 * time.Second)); at = at.Add(100 * time.Millisecond) {
+		d.RecordEventGap(at, c, bound/2)
+	}
+	is.Equal(d.Slowdown(start.Add(2*time.Second), c, bound), 1.0)
+	for at := start.Add(2 * time.Second); at.Before(start.Add(3 * time.Second)); at = at.Add(100 * time.Millisecond) {
+		d.RecordEventGap(at, c, 2*bound)
+	}
+	is.True(d.Slowdown(start.Add(3*time.Second), c, bound) > 3.9)
+	is.Equal(d.Slowdown(start.Add(5*time.Second), c, bound), 1.0) // outdated
+	is.Equal(d.Slowdown(start.Add(3*time.Second), c, 0), 1.0)     // the route has no bound
+}
--- a/decide/dispatch/event_gap.go
+++ b/decide/dispatch/event_gap.go
@@ -24,6 +24,12 @@
 	maxWaitRatio = 0.5
 	// minSlotsRatio is the part of a server's slots that is open at any event gap: below it refusals would leave engines idle.
 	minSlotsRatio = 0.5
+	// recentGapBins is the number of bins whose mean shows whether a group keeps the maximum event gap now: a few decode
+	// steps.
+	recentGapBins = 4
+	// slowGroupCost is added to the cost of the servers of a group that does not, as a part of a server's slots: half of them,
+	// like minSlotsRatio. A group that has just opened again has an unbalanced expert map for a second or two.
+	slowGroupCost = 0.5
 	// missedObjectiveRatio is the part of the concurrency limit open to requests that will miss their objective anyway.
 	missedObjectiveRatio = 0.8
 )
@@ -70,6 +76,16 @@
 	return !g.newestAt.IsZero() && now.Sub(g.newestAt) < maxGapAge
 }
 
+// recentSeconds returns the mean of the gaps of the last recentGapBins bins, 0 if there are none.
+func (g *eventGaps) recentSeconds(now time.Time) float64 {
+	sum, n := 0.0, 0
+	for bin := now.UnixNano()/int64(gapBinWidth) - recentGapBins + 1; bin <= g.newestBin; bin++ {
+		i := bin % gapBins
+		sum, n = sum+g.seconds[i], n+g.counts[i]
+	}
+	return sum / float64(max(n, 1))
+}
+
 // meanSeconds returns the mean of the recorded gaps.
 func (g *eventGaps) meanSeconds() float64 {
 	sum, n := 0.0, 0
@@ -125,6 +141,18 @@
 // groupKey is the key of a lock-step group in the maps of a Dispatcher.
 func groupKey(service, group string) string { return service + "\x00" + group }
 
+// usualGapRatio is the part of the longest event gap that a group keeps in usual times: prompts are read between its decode
+// steps, so that a first event takes as many times longer as the steps do.
+const usualGapRatio = 0.5
+
+// Slowdown returns by how much longer than usual a first event from the group of the chosen server takes now, at least 1.
+func (d *Dispatcher) Slowdown(now time.Time, c *Choice, maxGap time.Duration) float64 {
+	if maxGap <= 0 {
+		return 1
+	}
+	return max(1, c.state.gaps.recentSeconds(now)/(usualGapRatio*maxGap.Seconds()))
+}
+
 // gapsFor returns the event gaps of a server's group, or of the server if it is in none.
 func (d *Dispatcher) gapsFor(s *server) *eventGaps {
 	key := groupKey(s.announcement.Service, s.announcement.Group.Name)
--- a/decide/dispatch/shared_load.go
+++ b/decide/dispatch/shared_load.go
@@ -40,52 +40,67 @@
 	cost   float64
 }
 
-// candidates are the servers that may be chosen for one attempt.
+// candidates are the servers that may be chosen for one attempt. Those with a penalty are kept apart: of a few drawn from
+// all, each could be one of them.
 type candidates struct {
-	all, local []candidate // local are those of the own data centre
-	shared     bool        // their loads are shared with the other entry instances
+	sound, penalised []candidate
+	local            []candidate // the sound ones of the own data centre
+	shared           bool        // the loads are shared with the other entry instances
 }
 
 func (c *candidates) reset() {
-	c.all, c.local, c.shared = c.all[:0], c.local[:0], false
+	c.sound, c.penalised, c.local, c.shared = c.sound[:0], c.penalised[:0], c.local[:0], false
 }
 
-// cheapest returns the server with the lowest cost, the first of several, nil if there is none.
-func cheapest(servers []candidate) *candidate {
-	var best *candidate
-	for i := range servers {
-		if best == nil || servers[i].cost < best.cost {
-			best = &servers[i]
-		}
+func (c *candidates) add(s *server, loadCost, penalty float64, local, shared bool) {
+	added := candidate{s, loadCost + penalty}
+	c.shared = c.shared || shared
+	if penalty > 0 {
+		c.penalised = append(c.penalised, added)
+		return
+	}
+	c.sound = append(c.sound, added)
+	if local {
+		c.local = append(c.local, added)
 	}
-	return best
 }
 
-// cheapestDrawn returns the server with the lowest cost among some that are drawn at random, nil if there is none.
-func cheapestDrawn(random *rand.Rand, servers []candidate) *candidate {
-	if len(servers) <= drawnServers {
-		return cheapest(servers)
+// choose returns the server for an attempt, nil if there is none: the cheapest, or the cheapest of those drawn if the other
+// instances choose by the same loads.
+func (c *candidates) choose(random *rand.Rand) *server {
+	var best candidate
+	for _, servers := range [][]candidate{c.local, c.sound, c.penalised} {
+		var found candidate
+		if c.shared && len(servers) > drawnServers {
+			found = cheapestDrawn(random, servers)
+		} else {
+			found = cheapest(servers)
+		}
+		if best.server == nil || found.server != nil && found.cost < best.cost {
+			best = found
+		}
 	}
-	var best *candidate
-	for range drawnServers {
-		if c := &servers[random.IntN(len(servers))]; best == nil || c.cost < best.cost {
+	return best.server
+}
+
+// cheapest returns the server with the lowest cost, the first of several, and the zero value if there is none.
+func cheapest(servers []candidate) candidate {
+	var best candidate
+	for _, c := range servers {
+		if best.server == nil || c.cost < best.cost {
 			best = c
 		}
 	}
 	return best
 }
 
-// choose returns the server for an attempt, nil if there is none.
-func (c *candidates) choose(random *rand.Rand) *server {
-	best := cheapest(c.all)
-	if c.shared {
-		best = cheapestDrawn(random, c.all)
-		if local := cheapestDrawn(random, c.local); local != nil && local.cost <= best.cost {
-			best = local
+// cheapestDrawn returns the server with the lowest cost among some that are drawn at random.
+func cheapestDrawn(random *rand.Rand, servers []candidate) candidate {
+	best := servers[random.IntN(len(servers))]
+	for range drawnServers - 1 {
+		if c := servers[random.IntN(len(servers))]; c.cost < best.cost {
+			best = c
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return best.server
+	return best
 }
--- a/internal/edge/watchdog.go
+++ b/internal/edge/watchdog.go
@@ -62,7 +62,11 @@
 	if w.attempt.choice.Load >= float64(w.attempt.choice.Server.Slots) {
 		return 0 // the request may wait for a slot
 	}
-	return hangTimeoutObjectives * w.call.route.Objective
+	slowdown := 1.0
+	w.call.proxy.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) {
+		slowdown = d.Slowdown(now, w.attempt.choice, w.call.route.LongestPause)
+	})
+	return time.Duration(slowdown * float64(hangTimeoutObjectives*w.call.route.Objective))
 }
 
 // run cancels the attempt when the server has hung.
