Exclude a data centre that accepts no connections as a whole, and probe it

Change: three servers of a data centre that accept no connection in time, with no sign of life from there in between, exclude all of it; what only it could serve is refused at once.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -141,6 +141,7 @@
 	gapsByGroup  map[string]*eventGaps // by group, or by server if it is in none
 	instances    int                   // entry instances that share the bounds, this one included
 	tieOffset    int                   // rotates the first server examined, which wins ties
+	paths        map[string]*path      // by data centre; none is kept for those with signs of life only
 	random       *rand.Rand
 	candidates   candidates // of the current choice; kept to reuse its memory
 }
@@ -149,7 +150,7 @@
 func New(config Config) *Dispatcher {
 	return &Dispatcher{config: config, servers: map[string]*server{}, byService: map[string][]*server{},
 		evacuated: map[string]bool{}, groups: map[string]*group{}, retryBudgets: map[string]*retryBudget{},
-		gapsByGroup: map[string]*eventGaps{}, instances: 1, random: rand.New(rand.NewPCG(config.Seed, 0))}
+		gapsByGroup: map[string]*eventGaps{}, paths: map[string]*path{}, instances: 1, random: rand.New(rand.NewPCG(config.Seed, 0))}
 }
 
 // SetTable replaces the routing configuration.
@@ -323,6 +324,10 @@
 	if slices.Contains(request.Tried, s.announcement.Server) {
 		return Tried, minRetryAfter
 	}
+	if lost := d.lost(now, s.announcement.DataCentre); lost > 0 {
+		// As with a group, the longer the outage has lasted, the longer it is expected to last.
+		return Unreachable, max(lost, ProbeInterval)
+	}
 	if now.Before(s.avoidUntil) {
 		return Unreachable, s.avoidUntil.Sub(now)
 	}
@@ -469,7 +474,10 @@
 }
 
 // RecordActivity records that data was received from the server.
-func (d *Dispatcher) RecordActivity(now time.Time, c *Choice) { c.state.lastActivityAt = now }
+func (d *Dispatcher) RecordActivity(now time.Time, c *Choice) {
+	c.state.lastActivityAt = now
+	d.RecordReachable(c.Server.DataCentre)
+}
 
 // IsHung reports whether a server that has sent nothing for the time of silence has hung: others that should be as fast,
 // the ranks of its group or else the servers of its service without a group, have sent data meanwhile. It is false if the
--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -129,6 +130,13 @@
 	return "request not sent: " + f.Err.Error()
 }
 
+// Unreachable reports whether the server's machine gave no answer: it accepted no connection in time, did not acknowledge
+// what was sent, or no path leads there.
+func (f *Failure) Unreachable() bool {
+	var timeout net.Error
+	return errors.As(f.Err, &timeout) && timeout.Timeout() || errors.Is(f.Err, syscall.EHOSTUNREACH) || errors.Is(f.Err, syscall.ENETUNREACH)
+}
+
 // Unwrap returns the cause of the failure.
 func (f *Failure) Unwrap() error { return f.Err }
 
@@ -343,6 +351,32 @@
 	r.client.putIdle(r.conn)
 }
 
+// Connect opens a connection to a server for a later request.
+func (c *Client) Connect(ctx context.Context, server, address string, maxConnections int) error {
+	key := address + " " + server
+	if !c.reserve(key, maxConnections) {
+		return ErrTooManyConnections
+	}
+	connection, err := c.dial(ctx, key, address)
+	if err != nil {
+		return err
+	}
+	connection.idleTimeout = defaultIdleTimeout
+	c.putIdle(connection)
+	return nil
+}
+
+// dial opens a connection that was reserved.
+func (c *Client) dial(ctx context.Context, key, address string) (*conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAlive: -1}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		c.release(key)
+		return nil, err
+	}
+	return newConn(raw, key), nil
+}
+
 // connect returns an idle connection that can still be reused, or else a new one.
 func (c *Client) connect(ctx context.Context, server, address string, maxConnections int) (*conn, *Failure) {
 	key := address + " " + server
@@ -360,13 +394,11 @@
 	if !c.reserve(key, maxConnections) {
 		return nil, &Failure{Err: ErrTooManyConnections}
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	connection, err := c.dial(ctx, key, address)
 	if err != nil {
-		c.release(key)
 		return nil, &Failure{Err: err}
 	}
-	return newConn(raw, key), nil
+	return connection, nil
 }
 
 // takeIdle removes the most recently used idle connection from the pool and returns it, nil if there is none.
--- a/internal/backendhttp/client_test.go
+++ b/internal/backendhttp/client_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -301,3 +303,31 @@
 	_, err = io.ReadAll(c)
 	is.True(errors.Is(err, syscall.ECONNRESET))
 }
+
+// Guards against a server whose machine is alive but that is taken for unreachable: only silence and a missing path count.
+func TestUnreachableIsSilence(t *testing.T) {
+	is := is.New(t)
+	for err, want := range map[error]bool{os.ErrDeadlineExceeded: true, syscall.EHOSTUNREACH: true, syscall.ENETUNREACH: true, syscall.ETIMEDOUT: true,
+		syscall.ECONNREFUSED: false, syscall.ECONNRESET: false, io.ErrUnexpectedEOF: false, ErrTooManyConnections: false} {
+		is.Equal((&Failure{Err: &net.OpError{Op: "dial", Err: err}}).Unreachable(), want)
+	}
+}
+
+// Guards against a connection opened without a request that is lost or not reused.
+func TestConnectionIsOpenedForALaterRequest(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	}))
+	defer server.Close()
+	client, address := NewClient("X-Id"), strings.TrimPrefix(server.URL, "http://")
+	is.NoErr(client.Connect(t.Context(), "i", address, 1))
+	is.Equal(client.Connect(t.Context(), "i", address, 1), ErrTooManyConnections)
+	response, failure := client.Do(t.Context(), "i", address, 1, &Request{ID: "r", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"X-Id": {"r"}}})
+	is.True(failure == nil)
+	is.True(response.Reused)
+	response.Close(true)
+	server.Close()
+	is.True(client.Connect(t.Context(), "j", address, 1) != nil)
+	is.True(client.pools[address+" j"] == nil) // a failed connection does not count
+}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -162,6 +162,16 @@
 	c.proxy.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) { d.RecordFailure(now, a.choice) })
 }
 
+// recordUnreachable records that the server's machine gave no answer.
+func (c *call) recordUnreachable(a *attempt) {
+	lost := false
+	c.proxy.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) { lost = d.RecordUnreachable(now, a.choice) })
+	if lost {
+		log.WithFields(log.Fields{"dataCentre": a.choice.Server.DataCentre, "request": c.id}).
+			Warn("data centre lost: its servers accept no connections; requests for it are refused until one does")
+	}
+}
+
 // handleFailure ends an attempt that received no response.
 func (c *call) handleFailure(a *attempt, failure *backendhttp.Failure) {
 	c.release(a, false)
@@ -177,7 +187,11 @@
 	if c.ctx.Err() != nil {
 		return // the caller disconnected or the deadline passed, so the server is not at fault
 	}
-	c.recordFailure(a)
+	if failure.Unreachable() {
+		c.recordUnreachable(a)
+	} else {
+		c.recordFailure(a)
+	}
 	log.WithFields(log.Fields{"request": c.id, "server": server, "sent": failure.Sent, "error": c.lastError,
 		"heardMs": a.started.Sub(a.choice.AnnouncedAt).Milliseconds(), "load": a.choice.Load,
 		"afterMs": time.Since(a.started).Milliseconds()}).Warn("attempt failed")
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -26,6 +26,9 @@
 	// instanceCountHold is how long a higher number of entry instances continues to be used after it was last reported: a
 	// partitioned instance still sends requests to servers.
 	instanceCountHold = 15 * time.Second
+	// loadsMissingAfter is the time without loads of a lock-step group after which that is logged: coordinators send them at
+	// least every 0.8 s, and another one takes over after about 1.5 s.
+	loadsMissingAfter = 3 * time.Second
 	eventQueueLength  = 4096
 )
 
@@ -59,6 +62,7 @@
 	newestIndex         uint64            // highest index that a control instance has reported
 	newestSession       transport.Session // session that reported newestIndex
 	lastAnnouncementsAt time.Time
+	loadsReceivedAt     map[string]time.Time // last loads of each lock-step group, by "service/group"
 }
 
 func newFleetState(config Config) *fleetState {
@@ -69,6 +73,8 @@
 		dispatcher: dispatch.New(config.Dispatch),
 		servers:    registry.New(directory.MaxMissedAnnouncements * config.Dispatch.AnnounceInterval),
 		sessions:   map[transport.Session]*protocol.ControlInstances{},
+
+		loadsReceivedAt: map[string]time.Time{},
 	}
 	f.pool = transport.NewPool(func(address string) transport.ConnectFunc {
 		return config.Dial(address, config.Hello, f)
@@ -125,6 +131,12 @@
 	f.pool.Set(f.controlAddresses())
 	f.updateInstanceCount(now)
 	f.requestState(now)
+	for group, at := range f.loadsReceivedAt {
+		if now.Sub(at) > loadsMissingAfter {
+			log.WithField("group", group).Warn("the loads of a lock-step group are no longer received; they are estimated from responses")
+			delete(f.loadsReceivedAt, group)
+		}
+	}
 }
 
 // controlAddresses returns the inner addresses of the control instances, from the settings and from received rosters.
@@ -237,7 +249,7 @@
 			f.pool.Set(f.controlAddresses())
 		})
 	case *protocol.GroupLoads:
-		f.applyLoads(time.Now(), m)
+		f.post(func(now time.Time) { f.applyLoads(now, m) })
 	case *protocol.State:
 		if m.Report {
 			f.post(func(now time.Time) {
@@ -271,6 +283,11 @@
 			loads[rank] = dispatch.UnknownLoad
 		}
 	}
+	group := m.Service + "/" + m.Group
+	if _, known := f.loadsReceivedAt[group]; !known {
+		log.WithField("group", group).Info("the loads of a lock-step group are received")
+	}
+	f.loadsReceivedAt[group] = now
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.dispatcher.RecordGroupLoads(now, m.Service, m.Group, loads)
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,8 +56,13 @@
 	return &Proxy{fleetState: newFleetState(config), client: backendhttp.NewClient(platform.HeaderRequestID)}
 }
 
-// Run applies the updates of the control instances until the context ends.
-func (p *Proxy) Run(ctx context.Context) { p.run(ctx) }
+// Run applies the updates of the control instances and looks for the return of lost data centres until the context ends.
+func (p *Proxy) Run(ctx context.Context) {
+	var probing sync.WaitGroup
+	probing.Go(func() { p.probeLostDataCentres(ctx) })
+	p.run(ctx)
+	probing.Wait()
+}
 
 // Ready reports whether the proxy accepts new callers.
 func (p *Proxy) Ready() bool { return p.view.Load() != nil && !p.stopping.Load() }
--- a/internal/edge/proxy_test.go
+++ b/internal/edge/proxy_test.go
@@ -22,6 +22,7 @@
 	"github.com/banyanfront/banyanfront/decide/dispatch"
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/decide/routes"
+	"github.com/banyanfront/banyanfront/internal/backendhttp"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/platform"
 )
@@ -426,9 +427,41 @@
 	}
 	proxy.dispatcher.SetServers(time.Now(), known)
 	proxy.MessageReceived(nil, &protocol.GroupLoads{Service: "s", Group: "g", Requests: []byte{20, protocol.UnknownGroupLoad}})
+	(<-proxy.events)(time.Now())
 	for range 6 {
 		_, _, body, err := send(t, url, "/safe/x")
 		is.NoErr(err)
 		is.Equal(body, "free")
 	}
 }
+
+// Guards against callers that wait for servers of a data centre that is cut off, and against an instance that does not notice
+// when it is back: a probe does, before any request is sent there.
+func TestLostDataCentreIsRefusedUntilAProbeSucceeds(t *testing.T) {
+	is := is.New(t)
+	respond := func(w http.ResponseWriter, _ *http.Request, _ int) { respondSealed(w, http.StatusOK, "ok") }
+	backends := []*backend{startBackend(t, respond), startBackend(t, respond), startBackend(t, respond)}
+	proxy, url := startProxy(t, backends...)
+	timeout := &backendhttp.Failure{Err: &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}}
+	is.True(timeout.Unreachable())
+	for range backends {
+		choice, refusal := proxy.pick(dispatch.Request{Service: "s"})
+		is.Equal(refusal, nil)
+		c := &call{proxy: proxy, ctx: t.Context()}
+		c.handleFailure(&attempt{choice: choice, started: time.Now(), cancel: func() {}}, timeout)
+	}
+	status, header, _, err := send(t, url, "/safe/x")
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(header.Get(platform.HeaderRetryAfter) != "")
+	for _, b := range backends {
+		is.Equal(b.count(), 0)
+	}
+	var due []registry.Announcement
+	proxy.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) { due = d.DueProbes(now.Add(dispatch.ProbeInterval)) })
+	is.Equal(len(due), 1)
+	proxy.probe(t.Context(), due[0])
+	status, _, _, err = send(t, url, "/safe/x")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+}
--- a/internal/rank/rank_test.go
+++ b/internal/rank/rank_test.go
@@ -122,6 +122,15 @@
 	is.Equal(reports, 3)
 }
 
+// Guards against entry instances that cannot learn the load of an engine: each report tells the requests that run and wait.
+func TestReportsTellTheLoad(t *testing.T) {
+	is := is.New(t)
+	p, e, sessions := newTestProcess(0, 8)
+	e.report.Running, e.report.Waiting = 6, 3
+	p.report(t.Context())
+	is.Equal(sessions["a"].sent[0].(*protocol.Rank).Requests, 9)
+}
+
 // Guards against a rank process that sends more than 28 KB/s, the target of a process for control, in a group of any size
 // that the platform has: the demand is its largest part.
 func TestRanksTakeTurnsToReportTheDemand(t *testing.T) {
