Take flags on both sides of a stand-in's kind, and name a program that the soak lacks

The soak started from 'go run' panicked with a nil pointer, as banyanagent is not beside the program; it now ends with status 2 and the commands to build both.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -24,3 +24,21 @@
 	is.Equal(Main(Front(), []string{"entry"}), exitInvalid)
 	is.Equal(Main(Agent(), []string{"rank", "--log", "loud"}), exitInvalid)
 }
+
+// Guards against a stand-in that takes flags after its kind for names, as the operators' pages give them.
+func TestStandinTakesFlagsOnBothSidesOfItsKind(t *testing.T) {
+	is := is.New(t)
+	for _, args := range [][]string{{"--listen", "127.0.0.1:1", "engine", "--cold", "1s"}, {"engine", "--listen", "127.0.0.1:1"},
+		{"service", "--listen", "127.0.0.1:1"}} {
+		is.NoErr(standinCommand().Parse(args))
+	}
+	for _, args := range [][]string{nil, {"lathe"}, {"engine", "again"}} {
+		is.Equal(Main(Front(), append([]string{"standin"}, args...)), exitInvalid)
+	}
+}
+
+// Guards against a soak that starts processes before it finds that one of its programs is missing.
+func TestSoakNeedsBothPrograms(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Main(Front(), []string{"soak", "--folder", t.TempDir()}), exitInvalid) // nothing is built beside the test binary
+}
--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -40,11 +40,13 @@
 			if *jobs < 1 || *scale < 1 || *faults <= 0 {
 				return usageErrorf("--jobs, --scale and --faults: give values above 0")
 			}
+			agent := filepath.Join(filepath.Dir(front), "banyanagent")
+			if _, err := os.Stat(agent); err != nil {
+				return usageErrorf("%v: the soak runs both programs from one folder; build them with 'go build -o bin ./cmd/...' and run bin/banyanfront soak", err)
+			}
 			runner := soakRunner{
-				baseConfig: soak.Config{
-					Faults: *faults, Scale: *scale, Front: front, Agent: filepath.Join(filepath.Dir(front), "banyanagent"),
-				},
-				folder: *folder}
+				baseConfig: soak.Config{Faults: *faults, Scale: *scale, Front: front, Agent: agent},
+				folder:     *folder}
 			return runner.run(ctx, *firstSeed, *seeds, *jobs)
 		},
 	}
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -21,30 +21,39 @@
 	prefill := flags.DurationLong("prefill", 100*time.Millisecond, "time of a prefill")
 	interval := flags.DurationLong("interval", 20*time.Millisecond, "time between tokens")
 	cold := flags.DurationLong("cold", 0, "time for which the engine bears only a little load after its start")
+	run := func(kind string, handler func() http.Handler) func(context.Context, []string) error {
+		return func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return usageErrorf("%q is one argument too many", args[0])
+			}
+			ctx, cancel := process.SignalContext(ctx)
+			defer cancel()
+			fmt.Printf("stand-in %s listens on %s\n", kind, *listen)
+			return standin.Run(ctx, *listen, handler())
+		}
+	}
 	return &ff.Command{
 		Name:      "standin",
-		Usage:     "banyanfront standin [FLAGS] engine|service",
+		Usage:     "banyanfront standin [FLAGS] engine|service [FLAGS]",
 		ShortHelp: "run a stand-in model engine or plain service, to try the programs",
 		Flags:     flags,
-		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
+		Subcommands: []*ff.Command{
+			{Name: "engine", Usage: "banyanfront standin engine [FLAGS]", ShortHelp: "run a stand-in model engine",
+				Flags: ff.NewFlagSet("engine").SetParent(flags),
+				Exec: run("engine", func() http.Handler {
+					return standin.NewEngine(standin.EngineConfig{
+						Name: *model, Models: []fleet.Model{{Name: *model}}, Prefill: *prefill, TokenInterval: *interval, Cold: *cold,
+					})
+				})},
+			{Name: "service", Usage: "banyanfront standin service [FLAGS]", ShortHelp: "run a stand-in plain service",
+				Flags: ff.NewFlagSet("service").SetParent(flags),
+				Exec:  run("service", func() http.Handler { return standin.NewService(standin.ServiceConfig{Name: "service"}) })},
+		},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
 				return usageErrorf("name engine or service")
 			}
-			var handler http.Handler
-			switch args[0] {
-			case "engine":
-				handler = standin.NewEngine(standin.EngineConfig{
-					Name: *model, Models: []fleet.Model{{Name: *model}}, Prefill: *prefill, TokenInterval: *interval, Cold: *cold,
-				})
-			case "service":
-				handler = standin.NewService(standin.ServiceConfig{Name: "service"})
-			default:
-				return usageErrorf("%q is no stand-in: name engine or service", args[0])
-			}
-			ctx, cancel := process.SignalContext(ctx)
-			defer cancel()
-			fmt.Printf("stand-in %s listens on %s\n", args[0], *listen)
-			return standin.Run(ctx, *listen, handler)
+			return usageErrorf("%q is no stand-in: name engine or service", args[0])
 		},
 	}
 }
