Report not ready while cut off from most data centres with a service out of reach

Cause: callers of a data centre that is cut off come to its instances, which can serve none of them, for the whole cut: the platform sends them elsewhere only if none of that data centre's instances is ready.

Change: an instance that has lost more than half of the other data centres and has a service without a usable server is not ready until it reaches them again. Refused callers are told to come back when the balancer has taken it out.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -19,6 +19,8 @@
 	Seed uint64
 	// AnnounceInterval is the time between two announcements of a server.
 	AnnounceInterval time.Duration
+	// DeregistrationDelay is the time from an instance's first report that it is not ready until it gets no more callers.
+	DeregistrationDelay time.Duration
 	// RetryRatio, RetrySlack and RetryWindow are the retry budget of a service over all entry instances: retries in a sliding
 	// window are at most RetryRatio x requests + RetrySlack.
 	RetryRatio  float64
@@ -142,6 +144,7 @@
 	instances    int                   // entry instances that share the bounds, this one included
 	tieOffset    int                   // rotates the first server examined, which wins ties
 	paths        map[string]*path      // by data centre; none is kept for those with signs of life only
+	cutOffSince  time.Time             // see UpdateCutOff; zero while the instance is not cut off
 	random       *rand.Rand
 	candidates   candidates // of the current choice; kept to reuse its memory
 }
@@ -325,8 +328,7 @@
 		return Tried, minRetryAfter
 	}
 	if lost := d.lost(now, s.announcement.DataCentre); lost > 0 {
-		// As with a group, the longer the outage has lasted, the longer it is expected to last.
-		return Unreachable, max(lost, ProbeInterval)
+		return Unreachable, d.unreachableFor(now, lost)
 	}
 	if now.Before(s.avoidUntil) {
 		return Unreachable, s.avoidUntil.Sub(now)
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -22,14 +22,26 @@
 			return
 		case <-tick.C:
 		}
-		var due []registry.Announcement
-		p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) { due = d.DueProbes(now) })
-		for _, server := range due {
+		for _, server := range p.updatePaths() {
 			go p.probe(ctx, server)
 		}
 	}
 }
 
+// updatePaths updates whether this instance is cut off, and returns the servers that are to be probed now.
+func (p *Proxy) updatePaths() []registry.Announcement {
+	var due []registry.Announcement
+	cutOff := false
+	p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) { due, cutOff = d.DueProbes(now), d.UpdateCutOff(now) })
+	switch before := p.cutOff.Swap(cutOff); {
+	case cutOff && !before:
+		log.Warn("cut off from most data centres, and a service has no server within reach: this instance is not ready")
+	case !cutOff && before:
+		log.Info("most data centres are within reach again: this instance is ready")
+	}
+	return due
+}
+
 // probe tries a connection to a server of a lost data centre, and keeps it for a request. A refused connection is a sign of
 // life too.
 func (p *Proxy) probe(ctx context.Context, server registry.Announcement) {
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -48,6 +48,7 @@
 	*fleetState
 	client   *backendhttp.Client
 	stopping atomic.Bool
+	cutOff   atomic.Bool // see dispatch.Dispatcher.UpdateCutOff
 	inFlight atomic.Int64
 }
 
@@ -65,7 +66,7 @@
 }
 
 // Ready reports whether the proxy accepts new callers.
-func (p *Proxy) Ready() bool { return p.view.Load() != nil && !p.stopping.Load() }
+func (p *Proxy) Ready() bool { return p.view.Load() != nil && !p.stopping.Load() && !p.cutOff.Load() }
 
 // Stop makes the proxy ask callers to close their connections. Requests that still arrive are served.
 func (p *Proxy) Stop() { p.stopping.Store(true) }
--- a/internal/edge/proxy_test.go
+++ b/internal/edge/proxy_test.go
@@ -442,6 +442,12 @@
 	respond := func(w http.ResponseWriter, _ *http.Request, _ int) { respondSealed(w, http.StatusOK, "ok") }
 	backends := []*backend{startBackend(t, respond), startBackend(t, respond), startBackend(t, respond)}
 	proxy, url := startProxy(t, backends...)
+	var known []*registry.Record
+	for i, b := range backends {
+		known = append(known, &registry.Record{ReceivedAt: time.Now(), Announcement: registry.Announcement{Server: fmt.Sprint("i", i), Service: "s",
+			Address: strings.TrimPrefix(b.URL, "http://"), DataCentre: "elsewhere", Slots: 4}})
+	}
+	proxy.dispatcher.SetServers(time.Now(), known)
 	timeout := &backendhttp.Failure{Err: &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}}
 	is.True(timeout.Unreachable())
 	for range backends {
@@ -457,10 +463,14 @@
 	for _, b := range backends {
 		is.Equal(b.count(), 0)
 	}
-	var due []registry.Announcement
-	proxy.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) { due = d.DueProbes(now.Add(dispatch.ProbeInterval)) })
+	is.True(proxy.Ready())
+	time.Sleep(dispatch.ProbeInterval)
+	due := proxy.updatePaths()
 	is.Equal(len(due), 1)
+	is.True(!proxy.Ready()) // no server is within reach
 	proxy.probe(t.Context(), due[0])
+	is.Equal(len(proxy.updatePaths()), 0)
+	is.True(proxy.Ready())
 	status, _, _, err = send(t, url, "/safe/x")
 	is.NoErr(err)
 	is.Equal(status, http.StatusOK)
