--- a/internal/replica/member_test.go
+++ b/internal/replica/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -205,11 +206,11 @@
 // unencodable is a state machine whose state cannot be encoded while broken is set.
 type unencodable struct {
 	counter
-	broken bool
+	broken atomic.Bool // read by the replica's goroutine
 }
 
 func (u *unencodable) Snapshot() []byte {
-	if u.broken {
+	if u.broken.Load() {
 		return nil
 	}
 	return u.counter.Snapshot()
@@ -221,7 +222,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		folder := inMemory(0)
-		state := &unencodable{broken: true}
+		state := &unencodable{}
+		state.broken.Store(true)
 		options := Options{SnapshotEntries: 4, KeepEntries: 1, StateMachine: state}
 		c, replicas := startGroup(t, 1, func(int) storage.FS { return folder }, options)
 		propose := func(r *Replica, from, to int) {
@@ -240,7 +242,7 @@
 		first := replicas[0].Status().First
 		r := restart(replicas[0])
 		propose(r, 40, 41) // all earlier commands are applied again
-		state.broken = false
+		state.broken.Store(false)
 		propose(r, 41, 60)
 		is.True(r.Status().First > first) // the log is shortened once the state can be encoded
 		r = restart(r)
