--- a/internal/directory/groups_test.go
+++ b/internal/directory/groups_test.go
@@ -286,9 +286,7 @@
 			}
 			defer f.stopAll()
 			addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"}
-			for i, address := range addresses {
-				f.start(address, emptyDisk(uint64(i)), true, addresses...)
-			}
+			f.startFounders(addresses...)
 			ctx, cancel := context.WithCancel(context.Background())
 			var running sync.WaitGroup
 			defer running.Wait()
@@ -338,9 +336,7 @@
 		f := newControlFleet(t, 3)
 		defer f.stopAll()
 		addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
-		for i, address := range addresses {
-			f.start(address, emptyDisk(uint64(i)), true, addresses...)
-		}
+		f.startFounders(addresses...)
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
 		defer running.Wait()
--- a/internal/directory/rejoin_test.go
+++ b/internal/directory/rejoin_test.go
@@ -74,6 +74,14 @@
 	return n
 }
 
+// startFounders starts the first instances of a group, with empty disks.
+func (f *controlFleet) startFounders(addresses ...string) {
+	f.t.Helper()
+	for i, address := range addresses {
+		f.start(address, emptyDisk(uint64(i)), true, addresses...)
+	}
+}
+
 // connect opens a session to the instance at an address.
 func (f *controlFleet) connect(from *controlNode, address string, hello protocol.Hello, h transport.Handler) (transport.Session, error) {
 	f.mu.Lock()
@@ -176,9 +184,7 @@
 		f := newControlFleet(t, 3)
 		defer f.stopAll()
 		seeds := []string{"a", "b", "c"}
-		for i, address := range seeds {
-			f.start(address, emptyDisk(uint64(i)), true, seeds...)
-		}
+		f.startFounders(seeds...)
 		time.Sleep(5 * time.Second)
 		is.NoErr(f.commit(1))
 		f.crash(f.nodes["c"])
@@ -199,9 +205,7 @@
 			f := newControlFleet(t, 3)
 			defer f.stopAll()
 			running := []string{"a", "b", "c"}
-			for i, address := range running {
-				f.start(address, emptyDisk(uint64(i)), true, running...)
-			}
+			f.startFounders(running...)
 			time.Sleep(5 * time.Second)
 			version, machines := uint64(0), 3
 			for loss := range 6 {
