One place for the key of a lock-step group, for a closed group and for opening a connection

Read again, no behaviour changes: - "service/group" was put together in five places, one of them new: controlstate.GroupKey. - UpdateCutOff repeated the check for a closed group of exclusion: closedGroup. - A lost data centre was told by a duration of at least 1 ns: lostSince returns the time. Its return looked at all servers for the few that were silent. Whether an instance is cut off walked all servers four times a second also while none is silent. - Connect repeated the reservation that precedes dialling; two early returns of compact are one. - Tests built the announcements of backends three times; a field that nothing read. The tests keep their assertions; one reads lostSince instead of lost.

--- a/decide/controlstate/controlstate.go
+++ b/decide/controlstate/controlstate.go
@@ -30,9 +30,12 @@
 	Evacuated  bool   `cbor:"2,keyasint,omitempty"`
 }
 
+// GroupKey returns the name of a lock-step group that is unique in the fleet.
+func GroupKey(service, group string) string { return service + "/" + group }
+
 // Coordinator is the assignment of a lock-step group to the control instance that changes its expert maps.
 type Coordinator struct {
-	Group    string `cbor:"1,keyasint"`
+	Group    string `cbor:"1,keyasint"`           // from GroupKey
 	Instance string `cbor:"2,keyasint,omitempty"` // inner address; a command with an empty one removes the assignment
 	// Deputy receives the same reports and completes changes that the coordinator has left behind. Empty if there is none.
 	Deputy string `cbor:"3,keyasint,omitempty"`
--- a/decide/dispatch/cut_off.go
+++ b/decide/dispatch/cut_off.go
@@ -14,7 +14,7 @@
 // it learns nothing of its own servers.
 func (d *Dispatcher) UpdateCutOff(now time.Time) bool {
 	switch {
-	case !d.lostMostDataCentres(now):
+	case !d.lostMostDataCentres():
 		d.cutOffSince = time.Time{}
 	case d.cutOffSince.IsZero() && d.lacksAService(now):
 		d.cutOffSince = now
@@ -23,7 +23,10 @@
 }
 
 // lostMostDataCentres reports whether more than half of the data centres with servers, other than the own one, are lost.
-func (d *Dispatcher) lostMostDataCentres(now time.Time) bool {
+func (d *Dispatcher) lostMostDataCentres() bool {
+	if len(d.paths) == 0 {
+		return false
+	}
 	others, lost := map[string]bool{}, 0
 	for _, s := range d.servers {
 		dataCentre := s.announcement.DataCentre
@@ -31,7 +34,7 @@
 			continue
 		}
 		others[dataCentre] = true
-		if d.lost(now, dataCentre) > 0 {
+		if !d.lostSince(dataCentre).IsZero() {
 			lost++
 		}
 	}
@@ -47,9 +50,7 @@
 				continue
 			}
 			ready = true
-			g := d.groupOf(s)
-			usable = usable || !d.evacuated[s.announcement.DataCentre] && d.lost(now, s.announcement.DataCentre) == 0 &&
-				(g == nil || !now.Before(g.closedUntil))
+			usable = usable || !d.evacuated[s.announcement.DataCentre] && d.lostSince(s.announcement.DataCentre).IsZero() && d.closedGroup(now, s) == nil
 		}
 		if ready && !usable {
 			return true
@@ -61,9 +62,9 @@
 // unreachableFor returns after what time a caller should come back whose request only a lost data centre could serve. Callers of
 // an instance that is cut off reach another one once the balancer has taken this one out. Otherwise, as with a group, the
 // longer the outage has lasted, the longer it is expected to last.
-func (d *Dispatcher) unreachableFor(now time.Time, lost time.Duration) time.Duration {
+func (d *Dispatcher) unreachableFor(now, lostSince time.Time) time.Duration {
 	if !d.cutOffSince.IsZero() {
 		return max(d.cutOffSince.Add(d.config.DeregistrationDelay).Sub(now), ProbeInterval)
 	}
-	return max(lost, ProbeInterval)
+	return max(now.Sub(lostSince), ProbeInterval)
 }
--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -231,6 +231,14 @@
 	return d.groups[groupKey(s.announcement.Service, s.announcement.Group.Name)]
 }
 
+// closedGroup returns the group of a server if it is closed now, otherwise nil.
+func (d *Dispatcher) closedGroup(now time.Time, s *server) *group {
+	if g := d.groupOf(s); g != nil && now.Before(g.closedUntil) {
+		return g
+	}
+	return nil
+}
+
 // isLockStep reports whether the servers of a service are ranks of lock-step groups.
 func (d *Dispatcher) isLockStep(service string) bool {
 	if d.table == nil {
@@ -327,13 +335,13 @@
 	if slices.Contains(request.Tried, s.announcement.Server) {
 		return Tried, minRetryAfter
 	}
-	if lost := d.lost(now, s.announcement.DataCentre); lost > 0 {
-		return Unreachable, d.unreachableFor(now, lost)
+	if since := d.lostSince(s.announcement.DataCentre); !since.IsZero() {
+		return Unreachable, d.unreachableFor(now, since)
 	}
 	if now.Before(s.avoidUntil) {
 		return Unreachable, s.avoidUntil.Sub(now)
 	}
-	if g := d.groupOf(s); g != nil && now.Before(g.closedUntil) {
+	if g := d.closedGroup(now, s); g != nil {
 		// When a lost rank will return is not known. The longer the outage has lasted, the longer it is expected to last.
 		return GroupClosed, max(g.closedUntil.Sub(now), now.Sub(g.closedSince))
 	}
--- a/decide/dispatch/lost_data_centre.go
+++ b/decide/dispatch/lost_data_centre.go
@@ -58,20 +58,20 @@
 		return false
 	}
 	delete(d.paths, dataCentre)
-	for _, s := range d.servers {
-		if s.announcement.DataCentre == dataCentre && slices.Contains(p.silent, s.announcement.Server) {
+	for _, id := range p.silent {
+		if s := d.servers[id]; s != nil && s.announcement.DataCentre == dataCentre {
 			s.consecutiveFailures, s.avoidUntil = 0, time.Time{}
 		}
 	}
 	return !p.lostSince.IsZero()
 }
 
-// lost returns for how long a data centre has been lost, 0 if it is reachable.
-func (d *Dispatcher) lost(now time.Time, dataCentre string) time.Duration {
-	if p := d.paths[dataCentre]; p != nil && !p.lostSince.IsZero() {
-		return max(now.Sub(p.lostSince), time.Nanosecond)
+// lostSince returns since when a data centre has been lost, the zero time if it is reachable.
+func (d *Dispatcher) lostSince(dataCentre string) time.Time {
+	if p := d.paths[dataCentre]; p != nil {
+		return p.lostSince
 	}
-	return 0
+	return time.Time{}
 }
 
 // DueProbes returns a server of each lost data centre to which a connection is to be tried now, each time another one.
--- a/decide/dispatch/lost_data_centre_test.go
+++ b/decide/dispatch/lost_data_centre_test.go
@@ -69,7 +69,7 @@
 	for range 10 {
 		is.True(!d.RecordUnreachable(start, d.choiceOf("i40")))
 	}
-	is.Equal(d.lost(start, "far"), time.Duration(0))
+	is.Equal(d.lostSince("far"), time.Time{})
 }
 
 // Guards against callers that pay for finding out whether a lost data centre is back: connections without a request do, at an
--- a/decide/dispatch/shared_load_test.go
+++ b/decide/dispatch/shared_load_test.go
@@ -28,7 +28,6 @@
 type modelRequest struct {
 	choice  *Choice
 	by      *Dispatcher
-	engine  int
 	remains time.Duration
 	sentAt  time.Time
 	waited  time.Duration
@@ -115,7 +114,7 @@
 	var group int
 	fmt.Sscanf(choice.Server.Group.Name, "g%d", &group)
 	engine := group*fleetRanks + rank
-	f.waiting[engine] = append(f.waiting[engine], &modelRequest{choice: choice, by: d, engine: engine, remains: run, sentAt: f.now})
+	f.waiting[engine] = append(f.waiting[engine], &modelRequest{choice: choice, by: d, remains: run, sentAt: f.now})
 }
 
 // advance runs the requests of an engine for one tick.
--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -353,11 +353,7 @@
 
 // Connect opens a connection to a server for a later request.
 func (c *Client) Connect(ctx context.Context, server, address string, maxConnections int) error {
-	key := address + " " + server
-	if !c.reserve(key, maxConnections) {
-		return ErrTooManyConnections
-	}
-	connection, err := c.dial(ctx, key, address)
+	connection, err := c.dial(ctx, address+" "+server, address, maxConnections)
 	if err != nil {
 		return err
 	}
@@ -366,8 +362,11 @@
 	return nil
 }
 
-// dial opens a connection that was reserved.
-func (c *Client) dial(ctx context.Context, key, address string) (*conn, error) {
+// dial opens a connection and counts it.
+func (c *Client) dial(ctx context.Context, key, address string, maxConnections int) (*conn, error) {
+	if !c.reserve(key, maxConnections) {
+		return nil, ErrTooManyConnections
+	}
 	dialer := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -391,10 +390,7 @@
 		}
 		c.discard(idle)
 	}
-	if !c.reserve(key, maxConnections) {
-		return nil, &Failure{Err: ErrTooManyConnections}
-	}
-	connection, err := c.dial(ctx, key, address)
+	connection, err := c.dial(ctx, key, address, maxConnections)
 	if err != nil {
 		return nil, &Failure{Err: err}
 	}
--- a/internal/directory/groups.go
+++ b/internal/directory/groups.go
@@ -175,7 +175,7 @@
 	if m.Size <= 0 {
 		return
 	}
-	key := m.Service + "/" + m.Group
+	key := controlstate.GroupKey(m.Service, m.Group)
 	g := gs.byName[key]
 	if g == nil || g.size != m.Size {
 		g = newGroup(now, m.Service, m.Group, m.Size)
@@ -456,7 +456,7 @@
 	}
 	log.WithFields(log.Fields{"group": g.name, "rank": o.Rank, "operation": string(o.Operation)}).
 		Info("the rank process does not answer; sending the order directly to the engine")
-	sendDirectly, key := gs.directory.config.Order, g.service+"/"+g.name
+	sendDirectly, key := gs.directory.config.Order, controlstate.GroupKey(g.service, g.name)
 	if sendDirectly == nil {
 		return
 	}
--- a/internal/directory/placement.go
+++ b/internal/directory/placement.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/experts"
 	"github.com/banyanfront/banyanfront/decide/routes"
 )
@@ -143,7 +144,7 @@
 		log.WithError(err).WithField("group", g.name).Warn("change of expert map not started")
 		return
 	}
-	gs.updateRole(now, g.service+"/"+g.name, g) // the group may have another coordinator by now
+	gs.updateRole(now, controlstate.GroupKey(g.service, g.name), g) // the group may have another coordinator by now
 	if plan.Map == nil || g.role != coordinator || now.Sub(gs.confirmedAt) > leaseDuration || g.planner != planner || !g.switchover.Ready(now) {
 		return
 	}
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -62,7 +62,7 @@
 	newestIndex         uint64            // highest index that a control instance has reported
 	newestSession       transport.Session // session that reported newestIndex
 	lastAnnouncementsAt time.Time
-	loadsReceivedAt     map[string]time.Time // last loads of each lock-step group, by "service/group"
+	loadsReceivedAt     map[string]time.Time // last loads of each lock-step group, by controlstate.GroupKey
 }
 
 func newFleetState(config Config) *fleetState {
@@ -283,7 +283,7 @@
 			loads[rank] = dispatch.UnknownLoad
 		}
 	}
-	group := m.Service + "/" + m.Group
+	group := state.GroupKey(m.Service, m.Group)
 	if _, known := f.loadsReceivedAt[group]; !known {
 		log.WithField("group", group).Info("the loads of a lock-step group are received")
 	}
--- a/internal/edge/proxy_test.go
+++ b/internal/edge/proxy_test.go
@@ -97,15 +97,20 @@
 		Organisations: []routes.Organisation{{Name: "o", Keys: []string{"key"}}}})
 	proxy.view.Store(&View{Index: 1, Table: table, InstalledAt: time.Now()})
 	proxy.dispatcher.SetTable(table)
+	proxy.dispatcher.SetServers(time.Now(), announced("z", backends...))
+	front := httptest.NewServer(proxy)
+	t.Cleanup(front.Close)
+	return proxy, front.URL
+}
+
+// announced returns the announcements of the backends, as servers i0, i1 and so on of the service s.
+func announced(dataCentre string, backends ...*backend) []*registry.Record {
 	var known []*registry.Record
 	for i, b := range backends {
 		known = append(known, &registry.Record{ReceivedAt: time.Now(), Announcement: registry.Announcement{Server: fmt.Sprint("i", i), Service: "s",
-			Address: strings.TrimPrefix(b.URL, "http://"), DataCentre: "z", Slots: 4}})
+			Address: strings.TrimPrefix(b.URL, "http://"), DataCentre: dataCentre, Slots: 4}})
 	}
-	proxy.dispatcher.SetServers(time.Now(), known)
-	front := httptest.NewServer(proxy)
-	t.Cleanup(front.Close)
-	return proxy, front.URL
+	return known
 }
 
 // send sends a request and returns status, headers and body. A truncated body is an error.
@@ -420,10 +425,9 @@
 	full := startBackend(t, func(w http.ResponseWriter, _ *http.Request, _ int) { respondSealed(w, http.StatusOK, "full") })
 	free := startBackend(t, func(w http.ResponseWriter, _ *http.Request, _ int) { respondSealed(w, http.StatusOK, "free") })
 	proxy, url := startProxy(t, full, free)
-	var known []*registry.Record
-	for i, b := range []*backend{full, free} {
-		known = append(known, &registry.Record{ReceivedAt: time.Now(), Announcement: registry.Announcement{Server: fmt.Sprint("i", i), Service: "s",
-			Address: strings.TrimPrefix(b.URL, "http://"), DataCentre: "z", Slots: 4, Group: registry.Group{Name: "g", Rank: i, Size: 2}}})
+	known := announced("z", full, free)
+	for i, k := range known {
+		k.Group = registry.Group{Name: "g", Rank: i, Size: len(known)}
 	}
 	proxy.dispatcher.SetServers(time.Now(), known)
 	proxy.MessageReceived(nil, &protocol.GroupLoads{Service: "s", Group: "g", Requests: []byte{20, protocol.UnknownGroupLoad}})
@@ -442,12 +446,7 @@
 	respond := func(w http.ResponseWriter, _ *http.Request, _ int) { respondSealed(w, http.StatusOK, "ok") }
 	backends := []*backend{startBackend(t, respond), startBackend(t, respond), startBackend(t, respond)}
 	proxy, url := startProxy(t, backends...)
-	var known []*registry.Record
-	for i, b := range backends {
-		known = append(known, &registry.Record{ReceivedAt: time.Now(), Announcement: registry.Announcement{Server: fmt.Sprint("i", i), Service: "s",
-			Address: strings.TrimPrefix(b.URL, "http://"), DataCentre: "elsewhere", Slots: 4}})
-	}
-	proxy.dispatcher.SetServers(time.Now(), known)
+	proxy.dispatcher.SetServers(time.Now(), announced("elsewhere", backends...))
 	timeout := &backendhttp.Failure{Err: &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}}
 	is.True(timeout.Unreachable())
 	for range backends {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -31,10 +31,9 @@
 		Instance: s.Instance,
 		Seeds:    s.SeedControlAddresses(),
 		Dispatch: dispatch.Config{
-			DataCentre:       s.DataCentre,
-			Seed:             rand.Uint64(),
-			AnnounceInterval: s.AnnounceInterval,
-
+			DataCentre:          s.DataCentre,
+			Seed:                rand.Uint64(),
+			AnnounceInterval:    s.AnnounceInterval,
 			DeregistrationDelay: deregistrationDelay,
 			RetryRatio:          s.RetryRatio,
 			RetrySlack:          s.RetrySlack,
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -189,7 +189,7 @@
 	if err != nil || r.Group == "" {
 		return
 	}
-	coordinator, others := p.recipients(p.settings.Service+"/"+r.Group, r.Rank)
+	coordinator, others := p.recipients(controlstate.GroupKey(p.settings.Service, r.Group), r.Rank)
 	m := &protocol.Rank{Service: p.settings.Service, Group: r.Group, Size: r.Size, Address: p.settings.BackendServer, StartedAtMS: r.Born,
 		Report: r.RankReport, Requests: r.Running + r.Waiting}
 	for _, session := range others {
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -244,10 +244,8 @@
 // background: writing 32 MiB in the driver blocked proposals and heartbeats for 186 ms.
 func (d *driver) compact() {
 	newest := d.node.NewestSnapshot()
-	if d.compacting || (d.applied < newest.Index+d.options.SnapshotEntries && d.logBytes < d.options.SnapshotBytes) {
-		return
-	}
-	if d.applied < d.retryCompactionAt {
+	if d.compacting || d.applied < d.retryCompactionAt ||
+		(d.applied < newest.Index+d.options.SnapshotEntries && d.logBytes < d.options.SnapshotBytes) {
 		return
 	}
 	s := d.node.SnapshotMetadata()
