--- a/decide/dispatch/shared_load_test.go
+++ b/decide/dispatch/shared_load_test.go
@@ -76,10 +76,8 @@
 func (f *modelFleet) run(duration time.Duration, perSecond float64, meanRun time.Duration) {
 	ticks := 0
 	for end := f.now.Add(duration); f.now.Before(end); f.now = f.now.Add(fleetTick) {
-		for _, d := range f.instances {
-			for _, s := range d.servers {
-				s.announcedAt = f.now
-			}
+		if ticks%int(time.Second/fleetTick) == 0 {
+			f.announce()
 		}
 		if ticks%int(fleetReportInterval/fleetTick) == 0 {
 			f.report()
@@ -94,6 +92,15 @@
 	}
 }
 
+// announce passes an announcement of each engine to all instances.
+func (f *modelFleet) announce() {
+	for _, d := range f.instances {
+		for _, s := range d.servers {
+			s.announcedAt = f.now
+		}
+	}
+}
+
 // arrivals draws the number of requests of one tick.
 func (f *modelFleet) arrivals(mean float64) int {
 	n := 0
