--- a/internal/replica/member_test.go
+++ b/internal/replica/member_test.go
@@ -244,7 +244,7 @@
 		propose(r, 40, 41) // all earlier commands are applied again
 		state.broken.Store(false)
 		propose(r, 41, 60)
-		synctest.Wait() // the snapshot is written in the background
+		synctest.Wait()                   // the snapshot is written in the background
 		is.True(r.Status().First > first) // the log is shortened once the state can be encoded
 		r = restart(r)
 		propose(r, 60, 61)
