--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -70,8 +70,8 @@
 		if c.ctx.Err() == nil {
 			c.recordFailure(a)
 		}
-		log.WithFields(log.Fields{"request": c.id, "server": a.choice.Server.Server, "status": response.Status, "error": c.lastError}).
-			Warn("answer broken off")
+		log.WithFields(log.Fields{"request": c.id, "server": a.choice.Server.Server, "status": response.Status, "error": c.lastError,
+			"parts": c.parts}).Warn("answer broken off")
 		return false
 	}
 	success := response.Status >= 200 && response.Status < 300
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -155,6 +155,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.body = body
+	c.parts = platform.SharedPromptParts(c.r.Header.Get(platform.HeaderPrompt))
 	c.header = backendhttp.EndToEnd(c.r.Header)
 	for _, name := range []string{platform.HeaderKey, platform.HeaderOrganisation, platform.HeaderExpectServer, "Expect"} {
 		delete(c.header, http.CanonicalHeaderKey(name))
