Failing tests: a lock-step group stands still while orders to its ranks are lost

While a step of it is held for a change of map, nothing is served, and the hold lasts until every rank has answered. A hold left behind by killed processes is looked at for two report lags, one after the other.

--- a/decide/experts/switchover_test.go
+++ b/decide/experts/switchover_test.go
@@ -32,6 +32,8 @@
 	step    uint64
 	epoch   uint64
 	changes int // map changes that took effect
+	// heldSteps is the number of steps, in time, for which the group has been held, and longestHold the most at once.
+	heldSteps, holdLength, longestHold int
 }
 
 func newModelGroup(t *testing.T, ranks int, trace string) *modelGroup {
@@ -94,10 +96,14 @@
 func (g *modelGroup) startStep() {
 	for _, r := range g.ranks {
 		if r.holding && r.heldStep == g.step+1 {
+			g.heldSteps++
+			g.holdLength++
+			g.longestHold = max(g.longestHold, g.holdLength)
 			return
 		}
 	}
 	g.step++
+	g.holdLength = 0
 	changed := false
 	for _, r := range g.ranks {
 		if r.armed != 0 && r.armedStep == g.step {
@@ -138,6 +144,7 @@
 	unanswered              // executed, but the answer is lost
 	late                    // executed after modelDelayTicks, without an answer
 	deliveryValues          // number of deliveries
+	veryLate                // like late, after modelLongDelayTicks and more
 )
 
 // Times of the simulation: reports are as old as those of the engines of the platform.
@@ -146,6 +153,7 @@
 	modelTicksPerStep   = 2
 	modelReportLagTicks = 8 // age of reports
 	modelDelayTicks     = 60
+	modelLongDelayTicks = 80 // and up to 400 more: an order may be carried out 2 to 12 s later
 	modelTicks          = 700
 	modelFaultTicks     = 200 // ticks in which changes begin and faults are injected
 )
@@ -216,6 +224,9 @@
 				case late:
 					pending = append(pending, delayed{tick + modelDelayTicks, o})
 					c.HandleResult(now, o, OrderUnanswered)
+				case veryLate:
+					pending = append(pending, delayed{tick + modelLongDelayTicks + orders*37%400, o})
+					c.HandleResult(now, o, OrderUnanswered)
 				case lost:
 					c.HandleResult(now, o, OrderUnanswered)
 				}
@@ -450,3 +461,57 @@
 	is.Equal(c.Phase(), "idle")
 	is.True(c.Ready(now))
 }
+
+// maxHoldSteps is the longest time for which losses of orders may hold a group, 1 s in steps: less than it takes until the loss
+// of a rank is noticed.
+const maxHoldSteps = int(time.Second / (modelTicksPerStep * modelTick))
+
+// Guards against a group that waits at a held step while orders to its ranks are lost, unanswered or carried out seconds later:
+// nothing is served meanwhile. With such losses a map is changed less often, or not at all.
+func TestGroupIsNotHeldLongWhileOrdersAreLost(t *testing.T) {
+	for _, ratio := range []float64{0.1, 0.3, 0.5, 0.7, 0.9, 0.95} {
+		longest, held, changes, tooLong := 0, 0, 0, 0
+		const runs = 200
+		for seed := range uint64(runs) {
+			r := rand.New(rand.NewPCG(seed, 11))
+			g := simulate(t, fmt.Sprint("ratio ", ratio, " seed ", seed), 12, 1, func(int) delivery {
+				if r.Float64() < ratio {
+					return veryLate
+				}
+				return answered
+			}, nil)
+			longest, held, changes = max(longest, g.longestHold), held+g.heldSteps, changes+g.changes
+			if g.longestHold > maxHoldSteps {
+				tooLong++
+			}
+		}
+		t.Logf("%.0f of 100 orders lost: longest hold %d ms, held %.1f %% of the time, %.1f changes, %d of %d runs with a hold of over 1 s", 100*ratio,
+			longest*modelTicksPerStep*int(modelTick/time.Millisecond), 100*float64(held)/float64(runs*modelTicks/modelTicksPerStep),
+			float64(changes)/runs, tooLong, runs)
+		if tooLong > runs/100 {
+			t.Errorf("%.0f of 100 orders lost: %d of %d groups were held for over 1 s, the longest for %d steps", 100*ratio, tooLong, runs, longest)
+		}
+	}
+}
+
+// Guards against a group that stands still for longer than necessary after all processes that could release it were killed
+// while a step was held: the waits of the new coordinator run side by side.
+func TestLeftoverHoldIsReleasedAfterOneReportLag(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(0, 0)
+	c := NewSwitchover(SwitchoverConfig{Ranks: 2}, start)
+	lag := c.config.MaxReportLag
+	for now := start; ; now = now.Add(modelTick) {
+		for rank := range 2 {
+			c.HandleReport(now, RankReport{Rank: rank, Epoch: 1, Open: true, Step: 40, Prepared: 4, ArmedVersion: 4, ArmedStep: 41, Holding: rank == 0, HeldStep: 41})
+		}
+		if orders := c.Tick(now); len(orders) > 0 {
+			is.Equal(orders[0].Operation, OrderRelease)
+			is.True(now.Sub(start) >= lag) // another process may still be at work
+			break
+		}
+		if now.Sub(start) > lag+2*modelTick {
+			t.Fatalf("%v after the reports of a held step, nothing has been done about it", now.Sub(start))
+		}
+	}
+}
