Bound the time for which lost orders hold a lock-step group

Cause: while a step is held for a change of map, each rank's order is repeated every 150 ms until it is answered, so the hold lasts as long as the unluckiest of 12 ranks, without a bound. A coordinator that takes over a held group waited for two report lags in sequence.

Change: while a step is held, orders are repeated every 50 ms. The coordinator keeps the ratio of answered orders; a change is given up after its preparation, for which nothing is held, and none is begun, if 1 hold in 100 would last longer than 1 s. The waits before a left-behind hold is released run side by side. Orders go directly to an engine after 1.2 s without a result, as before, not after a number of orders. banyanfront_control_group_held_seconds shows the holds.

--- a/decide/experts/recovery.go
+++ b/decide/experts/recovery.go
@@ -11,7 +11,7 @@
 
 // recoverChange continues a change left over from an earlier process or from a delayed order.
 func (s *Switchover) recoverChange(now time.Time) []RankOrder {
-	if len(s.ranks) != s.config.Ranks || now.Sub(s.startedAt) < s.config.MaxReportLag || now.Sub(s.phaseSince) < s.config.MaxReportLag {
+	if len(s.ranks) != s.config.Ranks {
 		return nil
 	}
 	holder, armedRank := -1, -1
@@ -34,8 +34,11 @@
 	if step := s.ranks[holder].report.HeldStep; s.leftoverHold.since.IsZero() || step != s.leftoverHold.step {
 		s.leftoverHold.step, s.leftoverHold.since = step, now // another process may still continue the change
 	}
-	if now.Sub(s.leftoverHold.since) < s.config.MaxReportLag {
-		return nil
+	// The waits run side by side: the group stands still meanwhile.
+	for _, since := range []time.Time{s.leftoverHold.since, s.startedAt, s.phaseSince} {
+		if now.Sub(since) < s.config.MaxReportLag {
+			return nil
+		}
 	}
 	s.holder, s.step = holder, s.leftoverHold.step
 	unarmable := armedRank < 0
--- a/decide/experts/switchover.go
+++ b/decide/experts/switchover.go
@@ -72,8 +72,10 @@
 // SwitchoverConfig sets the size of the group and the times of a Switchover. Zero times take the default.
 type SwitchoverConfig struct {
 	Ranks int
-	// ResendInterval is the interval at which an order without effect is sent again, default 150 ms.
-	ResendInterval time.Duration
+	// ResendInterval is the interval at which an order without effect is sent again, default 150 ms. While a step is held, the
+	// whole group may wait for it, and the interval is HeldResendInterval, default 50 ms.
+	ResendInterval     time.Duration
+	HeldResendInterval time.Duration
 	// LeadTime is the time from holding a step to its planned start, in which the ranks are armed, default 120 ms.
 	LeadTime time.Duration
 	// PrepareTimeout is the time for preparing all ranks, after which the change is aborted, default 10 s.
@@ -144,6 +146,7 @@
 
 	phase        switchPhase
 	phaseSince   time.Time
+	heldSince    time.Time // begin of the phases in which a step is held, zero before and after
 	version      uint64
 	lists        RankLists
 	step         uint64
@@ -155,6 +158,7 @@
 	startedStep   uint64
 	stepStartedBy time.Time
 	meanStepTime  time.Duration // moving average according to the reports
+	answers       answerRatio
 }
 
 // NewSwitchover returns a Switchover without any state of the group.
@@ -162,6 +166,9 @@
 	if config.ResendInterval <= 0 {
 		config.ResendInterval = 150 * time.Millisecond
 	}
+	if config.HeldResendInterval <= 0 {
+		config.HeldResendInterval = 50 * time.Millisecond
+	}
 	if config.LeadTime <= 0 {
 		config.LeadTime = 120 * time.Millisecond
 	}
@@ -193,7 +200,7 @@
 		clear(s.ranks)
 		s.extraSteps, s.startedStep = 0, 0
 		s.lastChange.version, s.leftoverHold.since = 0, time.Time{}
-		s.phase, s.lists = switchIdle, nil
+		s.phase, s.lists, s.heldSince = switchIdle, nil, time.Time{}
 	}
 	r := s.ranks[report.Rank]
 	if r == nil {
@@ -219,6 +226,9 @@
 // HandleResult processes the result of an order.
 func (s *Switchover) HandleResult(now time.Time, o RankOrder, result OrderResult) {
 	r := s.ranks[o.Rank]
+	if r != nil && result != OrderUnanswered {
+		s.answers.recordAnswer(now)
+	}
 	if r == nil || o.Epoch != s.epoch || s.phase == switchIdle {
 		return
 	}
@@ -260,6 +270,12 @@
 }
 
 func (s *Switchover) enterPhase(now time.Time, p switchPhase) {
+	switch {
+	case p < switchArming:
+		s.heldSince = time.Time{}
+	case s.heldSince.IsZero():
+		s.heldSince = now
+	}
 	s.phase, s.phaseSince = p, now
 	s.lastChange.version = 0
 	for _, r := range s.ranks {
@@ -270,6 +286,9 @@
 // MayWait reports whether no step is held for a change of this process, so that its next order can wait.
 func (s *Switchover) MayWait() bool { return s.phase <= switchPreparing }
 
+// HeldSince returns since when a step is held for a change, as far as this process knows; the zero time if none is.
+func (s *Switchover) HeldSince() time.Time { return s.heldSince }
+
 // AbortPreparing aborts a change in the preparing phase, in which no rank can have been armed yet.
 func (s *Switchover) AbortPreparing(now time.Time) {
 	if s.phase == switchPreparing {
@@ -290,6 +309,8 @@
 		return "not all ranks have reported"
 	case now.Sub(s.startedAt) < s.config.MaxReportLag:
 		return "this process took over the group too recently"
+	case s.expectedHold(now) > maxExpectedHold:
+		return "too many orders to its ranks are unanswered"
 	}
 	// Reports from before the step of the last change show the state before it.
 	outdated := func(r *switchRank) bool {
@@ -420,6 +441,10 @@
 		for _, r := range s.ranks {
 			prepared = prepared && (r.prepareDone || r.report.Prepared == s.version) && now.Sub(r.reportedAt) < maxReportAge
 		}
+		if prepared && s.expectedHold(now) > maxExpectedHold {
+			s.enterPhase(now, switchIdle)
+			return nil
+		}
 		if prepared {
 			s.chooseStep(now)
 			return s.Tick(now)
@@ -493,16 +518,21 @@
 	return len(s.ranks) == s.config.Ranks
 }
 
-// ordersFor returns the orders for the ranks that need one and have been sent none within ResendInterval.
+// ordersFor returns the orders for the ranks that need one and have been sent none within the resend interval.
 func (s *Switchover) ordersFor(now time.Time, order func(*switchRank) (RankOrder, bool)) []RankOrder {
 	var orders []RankOrder
+	interval := s.config.ResendInterval
+	if s.phase >= switchArming {
+		interval = s.config.HeldResendInterval
+	}
 	for _, rank := range slices.Sorted(maps.Keys(s.ranks)) {
 		r := s.ranks[rank]
 		o, needed := order(r)
-		if !needed || now.Sub(r.sentAt) < s.config.ResendInterval {
+		if !needed || now.Sub(r.sentAt) < interval {
 			continue
 		}
 		r.sentAt = now
+		s.answers.recordOrder(now)
 		o.Rank, o.Epoch = rank, s.epoch
 		orders = append(orders, o)
 	}
--- a/internal/directory/groups.go
+++ b/internal/directory/groups.go
@@ -39,10 +39,9 @@
 	assignInterval = 250 * time.Millisecond
 	// groupQueueLength limits the reports that wait for the loop: about two seconds of those of 256 ranks.
 	groupQueueLength = 4096
-	// maxRankProcessAttempts is the number of consecutive orders sent to a rank's process without a result, after which the
-	// coordinator sends orders directly to the engine. The process reports after 400 ms that the engine does not answer; orders
-	// are repeated every 150 ms.
-	maxRankProcessAttempts = 8
+	// rankProcessTimeout is the time without a result after which the coordinator sends orders directly to the engine instead of
+	// through the rank's process, which reports after 400 ms that the engine does not answer.
+	rankProcessTimeout = 1200 * time.Millisecond
 )
 
 // role is the part of this control instance in the coordination of a group.
@@ -80,6 +79,8 @@
 	encodedMap     []byte      // lists of the map version encodedVersion, as sent to rank processes
 	encodedVersion uint64
 
+	heldSince time.Time // Switchover.HeldSince when it was last looked at
+
 	loadsSent   []byte // last loads sent to the entry instances
 	loadsSentAt time.Time
 }
@@ -93,9 +94,11 @@
 	held          [][]int
 	heldVersion   uint64 // map version of held
 	heldEpoch     uint64 // epoch in which held was reported
-	unanswered    int    // consecutive orders without a result from the rank process or the engine
-	requests      int    // running and waiting at the engine
-	reportedAt    time.Time
+	// waitingSince is the time of the first order in a row without a result from the rank process or the engine, zero if there is
+	// none, and orderedAt that of the last order.
+	waitingSince, orderedAt time.Time
+	requests                int // running and waiting at the engine
+	reportedAt              time.Time
 }
 
 // groups manages the expert maps of the lock-step groups that report to this control instance. Its loop is separate from
@@ -105,7 +108,8 @@
 	events    chan func(now time.Time)
 	done      chan struct{}
 	dropped   *metrics.Counter
-	postponed *metrics.Counter // ticks at which a change waited because the loop was late
+	postponed *metrics.Counter   // ticks at which a change waited because the loop was late
+	held      *metrics.Histogram // time for which a step was held, by change
 
 	// Owned by the loop.
 	byName      map[string]*group // by "service/group"
@@ -130,7 +134,8 @@
 	return &groups{directory: d, byName: map[string]*group{}, engines: map[string]*routes.Engine{},
 		numbers: map[string]*experts.ChangeNumbers{}, done: make(chan struct{}),
 		events: make(chan func(time.Time), groupQueueLength), dropped: metrics.GetOrCreateCounter(`banyanfront_control_group_reports_dropped_total`),
-		postponed: metrics.GetOrCreateCounter(`banyanfront_control_map_changes_postponed_total`)}
+		postponed: metrics.GetOrCreateCounter(`banyanfront_control_map_changes_postponed_total`),
+		held:      metrics.GetOrCreateHistogram(`banyanfront_control_group_held_seconds`)}
 }
 
 // run processes reports and sends orders until the context ends.
@@ -413,11 +418,17 @@
 	}
 	before := g.switchover.Phase()
 	for _, o := range g.switchover.Tick(now) {
-		gs.sendOrder(g, o)
+		gs.sendOrder(now, g, o)
 	}
 	if after := g.switchover.Phase(); after != before {
 		log.WithFields(log.Fields{"group": g.name, "version": g.switchover.ChangeVersion(), "before": before, "now": after}).Info("change of expert map goes on")
 	}
+	if since := g.switchover.HeldSince(); since != g.heldSince {
+		if !g.heldSince.IsZero() {
+			gs.held.Update(now.Sub(g.heldSince).Seconds())
+		}
+		g.heldSince = since
+	}
 	if g.role == coordinator {
 		gs.planChange(now, g)
 	}
@@ -442,12 +453,16 @@
 }
 
 // sendOrder sends an order to a rank through its rank process, or directly to the engine if that process does not answer.
-func (gs *groups) sendOrder(g *group, o experts.RankOrder) {
+func (gs *groups) sendOrder(now time.Time, g *group, o experts.RankOrder) {
 	r := g.ranks[o.Rank]
 	if r == nil {
 		return
 	}
-	if r.unanswered++; r.unanswered <= maxRankProcessAttempts {
+	if r.waitingSince.IsZero() || now.Sub(r.orderedAt) > rankProcessTimeout {
+		r.waitingSince = now
+	}
+	r.orderedAt = now
+	if now.Sub(r.waitingSince) < rankProcessTimeout {
 		message := &protocol.RankOrder{Group: g.name, Order: o, Map: g.encodeMap(o)}
 		message.Order.Map = nil
 		if r.session != nil && r.session.Send(message) == nil {
@@ -487,7 +502,7 @@
 		return
 	}
 	if r := g.ranks[o.Rank]; r != nil && result != experts.OrderUnanswered {
-		r.unanswered = 0
+		r.waitingSince = time.Time{}
 	}
 	g.switchover.HandleResult(now, o, result)
 	gs.advance(now, g) // the next order does not wait for a tick
@@ -498,7 +513,7 @@
 	for key, g := range gs.byName {
 		if g.name == m.Group {
 			if r := g.ranks[m.Order.Rank]; r != nil {
-				r.unanswered = 0 // also if the engine does not answer: the rank process does
+				r.waitingSince = time.Time{} // also if the engine does not answer: the rank process does
 			}
 			gs.handleResult(now, key, m.Order, m.Result)
 		}
