Quarantine parts of prompts that end engines

The request that had ended one engine was sent to the next within 1 ms, and an entry instance learned nothing of ends that others saw.

Change: when an attempt breaks before an answer begins, and the engine's machine refuses connections, the shared parts of its prompt are suspected. The instances tell each other through the control instances, which also tell instances that start. A part is quarantined after two separate ends without an answer on it in between (four if an answer began on it before); ends within 1 s, or without any answer of the service between them, count once; ends explained by a quarantined part do not count against others; parts that cannot be told apart yet are refused only together. An answer on a part lifts the suspicion everywhere. Requests with a quarantined part are refused at once as not run, with the rest of the quarantine as Retry-After; those that wait at an engine are withdrawn; a request that may have ended an engine is not sent on. A quarantine lasts 5 min, each further one twice as long, up to 2 h.

Why it works: the part at fault is open at each end and no answer on it ever begins; both facts are seen at the entry instances without knowing anything of the engines.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -74,6 +74,7 @@
 	GroupClosed Reason = "group_closed" // the lock-step group has lost a rank
 	Tried       Reason = "tried"        // the remaining servers were already tried for this request
 	NoBudget    Reason = "no_budget"    // the retry budget of the service is exhausted
+	Quarantined Reason = "quarantined"  // a part of the prompt crashes engines, see package quarantine
 )
 
 // Refusal says why no server was chosen and when the caller should retry.
--- /dev/null
+++ b/decide/quarantine/quarantine.go
@@ -0,0 +1,350 @@
+// Package quarantine finds the parts of prompts that crash engines, and keeps requests with such a part from them.
+//
+// An engine that crashes ends all requests that are open there, so a single end says little: the part at fault is one of
+// those in a request on which no answer had begun. Two facts tell it from the others. It was open at each end, while
+// others meet an engine's end by chance; and no answer ever begins on it, while an answer on any other part lifts the
+// suspicion from it. So a part is quarantined once engines have ended twice with it, without an answer on it in between.
+// The ends that it explains then no longer count against other parts.
+//
+// A Tracker is merged with those of other processes: reports may arrive late, repeatedly and in any order.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// endsToQuarantine is the number of separate ends after which a part is quarantined on which no answer is known to have
+	// begun, and endsIfAnswered that for other parts. Those share prompts with the part at fault more often than they have
+	// turned harmful themselves.
+	endsToQuarantine = 2
+	endsIfAnswered   = 4
+	// minEndsApart is the minimum time between two ends that are counted separately. Engines that end together, such as those
+	// of a data centre that loses power, have a common cause.
+	minEndsApart = time.Second
+	// firstQuarantine is the duration of a part's first quarantine. Each further one takes twice as long, up to maxQuarantine.
+	// After it, requests with the part are sent to engines again, and one more end suffices for the next quarantine: the
+	// price of a trial is an engine, and for some seconds its lock-step group.
+	firstQuarantine = 5 * time.Minute
+	maxQuarantine   = 2 * time.Hour
+	// forgetAfter is the time without a report after which a suspicion is dropped.
+	forgetAfter = 10 * time.Minute
+	// soundFor is how long an answer on a part vouches for it.
+	soundFor = 10 * time.Minute
+	// maxParts limits the suspected parts, and maxSound twice the sound ones, of all services together.
+	maxParts = 4096
+	maxSound = 8192
+	// maxEngines limits the engines that are recorded for one part, and maxExplained those whose end is explained.
+	maxEngines   = 16
+	maxExplained = 4096
+)
+
+// Engine identifies one incarnation of an engine.
+type Engine struct {
+	Server          string `cbor:"1,keyasint"`
+	StartedAtMillis int64  `cbor:"2,keyasint"`
+}
+
+// Key identifies a part of prompts at the engines of one service.
+type Key struct {
+	Service string
+	Part    string
+}
+
+// Suspicion is what is known of a suspected part.
+type Suspicion struct {
+	Key
+	Ends             int       // counted separate ends
+	LastEndAt        time.Time // of the last one counted
+	QuarantinedUntil time.Time // zero if never quarantined
+	Quarantines      int
+	AnsweredBefore   bool // an answer began on the part before the first of these ends
+	// With holds other parts of the same requests that are suspected to the same degree. While there are any, only requests with
+	// all of them are in quarantine: one with fewer shows which part it is.
+	With    []string
+	Engines []Engine // that ended with the part, the last maxEngines
+}
+
+// clone returns a copy that shares no memory with the tracker.
+func (s *Suspicion) clone() Suspicion {
+	c := *s
+	c.Engines, c.With = slices.Clone(s.Engines), slices.Clone(s.With)
+	return c
+}
+
+// endsNeeded returns the number of separate ends that puts the part into quarantine.
+func (s *Suspicion) endsNeeded() int {
+	if s.AnsweredBefore {
+		return endsIfAnswered
+	}
+	return endsToQuarantine
+}
+
+// InForce reports whether the part is quarantined at a time.
+func (s *Suspicion) InForce(now time.Time) bool { return now.Before(s.QuarantinedUntil) }
+
+// Tracker holds the suspected and the sound parts. It is not safe for concurrent use.
+type Tracker struct {
+	suspicions map[Key]*Suspicion
+	beganAt    map[string]time.Time // newest answer begun on any part, by service
+	// sound holds when an answer has last begun on a part; soundBefore is the generation before it, dropped as a whole.
+	sound, soundBefore map[Key]time.Time
+	explained          map[Engine]bool // engines that ended with a part that is quarantined by now
+}
+
+// New returns a tracker without suspicions.
+func New() *Tracker {
+	return &Tracker{suspicions: map[Key]*Suspicion{}, beganAt: map[string]time.Time{}, sound: map[Key]time.Time{},
+		soundBefore: map[Key]time.Time{}, explained: map[Engine]bool{}}
+}
+
+// RecordEnd records that an engine ended at a time with requests open whose answers had not begun. It returns those of
+// their parts for which this is news, and those that it puts into quarantine.
+func (t *Tracker) RecordEnd(at time.Time, service string, engine Engine, parts []string) (news, quarantined []string) {
+	for _, part := range parts {
+		key := Key{service, part}
+		s := t.suspicions[key]
+		if s != nil && s.InForce(at) && containsAll(parts, s.With) {
+			t.explain(s, engine)
+		}
+		if s != nil && slices.Contains(s.Engines, engine) || at.Before(t.soundAt(key)) || t.explained[engine] {
+			continue
+		}
+		s = t.suspicion(key)
+		news = append(news, part)
+		s.addEngine(engine)
+		if s.InForce(at) { // without those of With: this part alone is at fault
+			t.clearPartners(s)
+			quarantined = append(quarantined, part)
+			continue
+		}
+		if !t.isSeparate(at, s) {
+			continue
+		}
+		s.Ends++
+		s.LastEndAt = at
+		if s.Ends >= s.endsNeeded() {
+			s.QuarantinedUntil = at.Add(min(firstQuarantine<<min(s.Quarantines, 16), maxQuarantine))
+			s.Quarantines++
+			quarantined = append(quarantined, part)
+		}
+	}
+	for _, part := range quarantined {
+		s := t.suspicions[Key{service, part}]
+		if len(quarantined) > 1 {
+			s.With = slices.DeleteFunc(slices.Clone(quarantined), func(other string) bool { return other == part })
+		}
+		t.explain(s, s.Engines...)
+	}
+	return news, quarantined
+}
+
+// containsAll reports whether parts contains all of others.
+func containsAll(parts, others []string) bool {
+	return !slices.ContainsFunc(others, func(other string) bool { return !slices.Contains(parts, other) })
+}
+
+// clearPartners lifts the suspicion from the parts that were suspected together with one that is now known to be at fault.
+func (t *Tracker) clearPartners(s *Suspicion) {
+	for _, partner := range s.With {
+		delete(t.suspicions, Key{s.Service, partner})
+	}
+	s.With = nil
+}
+
+// suspicion returns the suspicion of a part, a new one if there is none.
+func (t *Tracker) suspicion(key Key) *Suspicion {
+	s := t.suspicions[key]
+	if s == nil {
+		if len(t.suspicions) >= maxParts {
+			t.dropOldest()
+		}
+		s = &Suspicion{Key: key, AnsweredBefore: !t.soundAt(key).IsZero()}
+		t.suspicions[key] = s
+	}
+	return s
+}
+
+func (s *Suspicion) addEngine(engine Engine) {
+	s.Engines = append(s.Engines, engine)
+	s.Engines = s.Engines[max(0, len(s.Engines)-maxEngines):]
+}
+
+// explain records that engines ended because of a quarantined part, and clears the other parts of these ends.
+func (t *Tracker) explain(cause *Suspicion, engines ...Engine) {
+	if len(t.explained) >= maxExplained {
+		clear(t.explained)
+	}
+	for _, engine := range engines {
+		t.explained[engine] = true
+	}
+	for key, s := range t.suspicions {
+		if s == cause || s.Service != cause.Service || s.Quarantines > 0 {
+			continue
+		}
+		s.Engines = slices.DeleteFunc(s.Engines, func(e Engine) bool { return t.explained[e] })
+		s.Ends = min(s.Ends, len(s.Engines))
+		if len(s.Engines) == 0 {
+			delete(t.suspicions, key)
+		}
+	}
+}
+
+// isSeparate reports whether an end counts as another one than those recorded for a part. While no answer of the service
+// begins, nothing distinguishes a part from the others: engines that crash as they start, or a group that is broken
+// again and again, would put all parts into quarantine.
+func (t *Tracker) isSeparate(at time.Time, s *Suspicion) bool {
+	return s.Ends == 0 || at.Sub(s.LastEndAt) >= minEndsApart && t.beganAt[s.Service].After(s.LastEndAt)
+}
+
+// RecordBegun records that an answer has begun on all of the parts. It returns the suspicions that this lifts.
+func (t *Tracker) RecordBegun(at time.Time, service string, parts []string) (lifted []Suspicion) {
+	if at.After(t.beganAt[service]) {
+		t.beganAt[service] = at
+	}
+	for _, part := range parts {
+		if s := t.lift(at, Key{service, part}); s != nil {
+			lifted = append(lifted, *s)
+		}
+	}
+	return lifted
+}
+
+// lift records that a part is sound. It returns the suspicion that there was, nil if there was none.
+func (t *Tracker) lift(at time.Time, key Key) *Suspicion {
+	if len(t.sound) >= maxSound {
+		t.sound, t.soundBefore = make(map[Key]time.Time, maxSound), t.sound
+	}
+	t.sound[key] = at
+	s := t.suspicions[key]
+	if s == nil {
+		return nil
+	}
+	delete(t.suspicions, key)
+	for _, partner := range s.With {
+		if other := t.suspicions[Key{key.Service, partner}]; other != nil {
+			other.With = slices.DeleteFunc(slices.Clone(other.With), func(part string) bool { return part == key.Part })
+		}
+	}
+	return s
+}
+
+// soundAt returns when an answer has last begun on a part, the zero time if none is recorded.
+func (t *Tracker) soundAt(key Key) time.Time {
+	if at, ok := t.sound[key]; ok {
+		return at
+	}
+	return t.soundBefore[key]
+}
+
+// IsSound reports whether answers have begun on all of the parts lately and none of them is suspected.
+func (t *Tracker) IsSound(now time.Time, service string, parts []string) bool {
+	for _, part := range parts {
+		key := Key{service, part}
+		if at := t.soundAt(key); at.IsZero() || now.Sub(at) > soundFor || t.suspicions[key] != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Quarantined returns the first of the parts that is in quarantine, and the time until it ends. The part is empty if there is
+// none.
+func (t *Tracker) Quarantined(now time.Time, service string, parts []string) (part string, remaining time.Duration) {
+	if len(t.suspicions) == 0 {
+		return "", 0
+	}
+	for _, part := range parts {
+		if s := t.suspicions[Key{service, part}]; s != nil && s.InForce(now) && containsAll(parts, s.With) {
+			return part, s.QuarantinedUntil.Sub(now)
+		}
+	}
+	return "", 0
+}
+
+// Merge adds a suspicion of another process. It reports whether that is news, and whether it puts the part into quarantine.
+func (t *Tracker) Merge(now time.Time, other Suspicion) (news, quarantined bool) {
+	explained := !other.InForce(now) && !slices.ContainsFunc(other.Engines, func(e Engine) bool { return !t.explained[e] })
+	if explained || other.LastEndAt.Before(t.soundAt(other.Key)) {
+		return false, false
+	}
+	s := t.suspicion(other.Key)
+	news = s.Ends < other.Ends || other.AnsweredBefore && !s.AnsweredBefore
+	inForce := s.InForce(now)
+	s.Ends, s.Quarantines = max(s.Ends, other.Ends), max(s.Quarantines, other.Quarantines)
+	s.AnsweredBefore = s.AnsweredBefore || other.AnsweredBefore
+	for _, engine := range other.Engines {
+		if !slices.Contains(s.Engines, engine) {
+			news = true
+			s.addEngine(engine)
+		}
+	}
+	if other.LastEndAt.After(s.LastEndAt) {
+		s.LastEndAt = other.LastEndAt
+	}
+	if inForce && other.InForce(now) && len(other.With) < len(s.With) {
+		t.clearPartners(s)
+		news = true
+	}
+	if !inForce {
+		s.With = slices.Clone(other.With)
+	}
+	if other.QuarantinedUntil.After(s.QuarantinedUntil) {
+		s.QuarantinedUntil = other.QuarantinedUntil
+	}
+	if !inForce && s.InForce(now) {
+		t.explain(s, s.Engines...)
+		return true, true
+	}
+	return news, false
+}
+
+// Suspicions returns a copy of all suspicions, for a process that has none yet.
+func (t *Tracker) Suspicions() []Suspicion {
+	all := make([]Suspicion, 0, len(t.suspicions))
+	for _, s := range t.suspicions {
+		all = append(all, s.clone())
+	}
+	return all
+}
+
+// Get returns a copy of the suspicion of a part.
+func (t *Tracker) Get(service, part string) (Suspicion, bool) {
+	s := t.suspicions[Key{service, part}]
+	if s == nil {
+		return Suspicion{}, false
+	}
+	return s.clone(), true
+}
+
+// Expire drops suspicions without a report for too long, and makes one more end suffice for parts whose quarantine is over.
+// It returns the parts of the latter.
+func (t *Tracker) Expire(now time.Time) (released []Key) {
+	for key, s := range t.suspicions {
+		switch {
+		case s.InForce(now):
+		case s.Quarantines > 0 && s.Ends >= s.endsNeeded():
+			s.Ends = s.endsNeeded() - 1
+			released = append(released, key)
+		case now.Sub(s.LastEndAt) > forgetAfter && now.Sub(s.QuarantinedUntil) > maxQuarantine:
+			delete(t.suspicions, key)
+		}
+	}
+	return released
+}
+
+// dropOldest drops the suspicion whose last end is the oldest, if possible of a part that was never quarantined: one prompt of
+// many parts must not end the quarantine of another.
+func (t *Tracker) dropOldest() {
+	var oldest *Suspicion
+	for _, s := range t.suspicions {
+		if oldest == nil || cmp.Or(cmp.Compare(min(s.Quarantines, 1), min(oldest.Quarantines, 1)), s.LastEndAt.Compare(oldest.LastEndAt)) < 0 {
+			oldest = s
+		}
+	}
+	if oldest != nil {
+		delete(t.suspicions, oldest.Key)
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -19,6 +19,7 @@
 	"github.com/banyanfront/banyanfront/decide/consensus"
 	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/experts"
+	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/decide/routes"
 	"github.com/banyanfront/banyanfront/internal/groupmember"
@@ -78,8 +79,9 @@
 
 	// Owned by the loop.
 	servers             *registry.Registry
-	unsent              map[string]bool // servers with an announcement not yet sent to the entry instances
-	unsentChange        bool            // one of those changes the server's recorded state
+	promptParts         *quarantine.Tracker // kept for entry instances that start, and to relay each report once
+	unsent              map[string]bool     // servers with an announcement not yet sent to the entry instances
+	unsentChange        bool                // one of those changes the server's recorded state
 	entrySessions       map[transport.Session]bool
 	rankSessions        map[transport.Session]bool     // sessions from rank processes, which run beside the ranks of a group
 	controlSessions     map[transport.Session]string   // sessions with control instances, with their inner addresses
@@ -99,6 +101,7 @@
 		events:          make(chan func(time.Time), eventQueueLength),
 		done:            make(chan struct{}),
 		servers:         registry.New(MaxMissedAnnouncements * config.AnnounceInterval),
+		promptParts:     quarantine.New(),
 		unsent:          map[string]bool{},
 		entrySessions:   map[transport.Session]bool{},
 		rankSessions:    map[transport.Session]bool{},
@@ -191,6 +194,7 @@
 	for _, id := range d.servers.Expire(now) {
 		log.WithField("server", id).Info("backend server dropped: too many announcements missed")
 	}
+	ExpirePromptParts(now, d.promptParts)
 	d.maintainVoters(now)
 	d.reportRedundancy(now)
 	dataCentres := map[string]string{d.config.Address: string(d.config.Hello().DataCentre)}
@@ -225,6 +229,9 @@
 		d.sendAnnouncements(now, all, []transport.Session{s})
 		d.send(s, d.roster())
 		d.send(s, d.stateIndex())
+		for _, m := range EncodePromptParts(now, d.promptParts.Suspicions()) {
+			d.send(s, m)
+		}
 	})
 }
 
@@ -262,6 +269,8 @@
 		d.groups.postReport(func(now time.Time) { d.groups.handleReport(now, s, m) })
 	case *protocol.RankDone:
 		d.groups.postReport(func(now time.Time) { d.groups.handleRankDone(now, m) })
+	case *protocol.PromptParts:
+		d.post(func(now time.Time) { d.relayPromptParts(now, s, m) })
 	case *protocol.State:
 		if m.Request {
 			go d.sendState(s, m.Index)
--- /dev/null
+++ b/internal/directory/prompt_parts.go
@@ -0,0 +1,131 @@
+package directory
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/banyanfront/banyanfront/decide/quarantine"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+// ApplyPromptParts records what another process has learned about parts of prompts. It returns what is news, nil if nothing is,
+// and the parts that this puts into quarantine.
+func ApplyPromptParts(now time.Time, t *quarantine.Tracker, m *protocol.PromptParts) (news *protocol.PromptParts, quarantined []string) {
+	news = &protocol.PromptParts{Service: m.Service}
+	if e := m.Ended; e != nil {
+		engine := quarantine.Engine{Server: e.Server, StartedAtMillis: e.StartedAtMillis}
+		var parts []string
+		parts, quarantined = t.RecordEnd(now.Add(-time.Duration(e.AgeMS)*time.Millisecond), m.Service, engine, e.Parts)
+		if len(parts) > 0 {
+			ended := *e
+			ended.Parts = parts
+			news.Ended = &ended
+		}
+	}
+	for _, s := range m.Suspected {
+		isNew, inForce := t.Merge(now, decodeSuspicion(now, m.Service, s))
+		if isNew {
+			news.Suspected = append(news.Suspected, s)
+		}
+		if inForce {
+			quarantined = append(quarantined, s.Part)
+		}
+	}
+	if len(m.Answered) > 0 {
+		news.Answered = LiftedParts(now, t.RecordBegun(now, m.Service, m.Answered))
+	}
+	LogQuarantined(now, t, m.Service, quarantined)
+	if news.Ended == nil && len(news.Suspected) == 0 && len(news.Answered) == 0 {
+		return nil, quarantined
+	}
+	return news, quarantined
+}
+
+// LogQuarantined logs parts that were put into quarantine.
+func LogQuarantined(now time.Time, t *quarantine.Tracker, service string, parts []string) {
+	for _, part := range parts {
+		if s, ok := t.Get(service, part); ok {
+			engines := make([]string, 0, len(s.Engines))
+			for _, e := range s.Engines {
+				engines = append(engines, e.Server)
+			}
+			log.WithFields(log.Fields{"service": service, "part": part, "ends": s.Ends, "engines": engines, "quarantines": s.Quarantines, "with": s.With,
+				"forMs": s.QuarantinedUntil.Sub(now).Milliseconds()}).
+				Warn("part of prompts quarantined: engines end before an answer on it begins; requests with it are refused")
+		}
+	}
+}
+
+// LiftedParts returns the parts of suspicions that an answer has lifted, and logs them.
+func LiftedParts(now time.Time, lifted []quarantine.Suspicion) []string {
+	parts := make([]string, 0, len(lifted))
+	for _, s := range lifted {
+		parts = append(parts, s.Part)
+		if s.InForce(now) { // others are suspected for a moment at each end of an engine
+			log.WithFields(log.Fields{"service": s.Service, "part": s.Part, "ends": s.Ends}).
+				Warn("quarantine of a part of prompts is lifted: an answer on it has begun")
+		}
+	}
+	return parts
+}
+
+// ExpirePromptParts ends quarantines and suspicions that are due, and updates their metrics.
+func ExpirePromptParts(now time.Time, t *quarantine.Tracker) {
+	for _, key := range t.Expire(now) {
+		log.WithFields(log.Fields{"service": key.Service, "part": key.Part}).
+			Warn("quarantine of a part of prompts has ended: requests with it are sent to engines again")
+	}
+	suspected, quarantined := 0, 0
+	for _, s := range t.Suspicions() {
+		suspected++
+		if s.InForce(now) {
+			quarantined++
+		}
+	}
+	metrics.GetOrCreateGauge(`banyanfront_prompt_parts{state="suspected"}`, nil).Set(float64(suspected))
+	metrics.GetOrCreateGauge(`banyanfront_prompt_parts{state="quarantined"}`, nil).Set(float64(quarantined))
+}
+
+// EncodePromptParts returns messages with suspicions, one for each service.
+func EncodePromptParts(now time.Time, suspicions []quarantine.Suspicion) []*protocol.PromptParts {
+	byService := map[string]*protocol.PromptParts{}
+	var messages []*protocol.PromptParts
+	for _, s := range suspicions {
+		m := byService[s.Service]
+		if m == nil {
+			m = &protocol.PromptParts{Service: s.Service}
+			byService[s.Service] = m
+			messages = append(messages, m)
+		}
+		m.Suspected = append(m.Suspected, protocol.PartSuspicion{Part: s.Part, Ends: s.Ends, LastEndAgeMS: now.Sub(s.LastEndAt).Milliseconds(),
+			RemainingMS: max(0, s.QuarantinedUntil.Sub(now).Milliseconds()), Quarantines: s.Quarantines, AnsweredBefore: s.AnsweredBefore,
+			Engines: s.Engines, With: s.With})
+	}
+	return messages
+}
+
+// decodeSuspicion is the inverse of EncodePromptParts for one part.
+func decodeSuspicion(now time.Time, service string, s protocol.PartSuspicion) quarantine.Suspicion {
+	out := quarantine.Suspicion{Key: quarantine.Key{Service: service, Part: s.Part}, Ends: s.Ends, Quarantines: s.Quarantines,
+		LastEndAt: now.Add(-time.Duration(s.LastEndAgeMS) * time.Millisecond), AnsweredBefore: s.AnsweredBefore, Engines: s.Engines, With: s.With}
+	if s.RemainingMS > 0 {
+		out.QuarantinedUntil = now.Add(time.Duration(s.RemainingMS) * time.Millisecond)
+	}
+	return out
+}
+
+// relayPromptParts records what an entry instance has learned about parts of prompts, and sends the news to the others.
+func (d *Directory) relayPromptParts(now time.Time, from transport.Session, m *protocol.PromptParts) {
+	news, _ := ApplyPromptParts(now, d.promptParts, m)
+	if news == nil {
+		return
+	}
+	for session := range d.entrySessions {
+		if session != from {
+			d.send(session, news)
+		}
+	}
+}
--- /dev/null
+++ b/internal/directory/prompt_parts_test.go
@@ -0,0 +1,107 @@
+package directory
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/decide/quarantine"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+// partsReceiver is the entry instance's side of its sessions; it counts the messages received, and keeps what they tell.
+type partsReceiver struct {
+	transport.Handler
+	mu       sync.Mutex
+	tracker  *quarantine.Tracker
+	messages int
+}
+
+func (r *partsReceiver) MessageReceived(_ transport.Session, m protocol.Message) {
+	if parts, ok := m.(*protocol.PromptParts); ok {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.messages++
+		ApplyPromptParts(time.Now(), r.tracker, parts)
+	}
+}
+
+func (r *partsReceiver) SessionOpened(transport.Session)                 {}
+func (r *partsReceiver) StateChanged(transport.Session, transport.State) {}
+
+func (r *partsReceiver) get(part string) (quarantine.Suspicion, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.Get("s", part)
+}
+
+// Guards against entry instances that learn nothing of the engines that ended at others: through any control instance that is
+// left, and also those that start later; and against reports that are relayed again and again.
+func TestEntryInstancesLearnOfPartsThatEndEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newControlFleet(t, 3)
+		defer f.stopAll()
+		addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+		f.startFounders(addresses...)
+		time.Sleep(3 * time.Second)
+		connect := func(instance string, to ...string) (*partsReceiver, []transport.Session) {
+			r := &partsReceiver{tracker: quarantine.New()}
+			var sessions []transport.Session
+			for _, address := range to {
+				s, err := f.connect(&controlNode{}, address, protocol.Hello{Version: protocol.Version, Instance: "entry"}, r)
+				is.NoErr(err)
+				sessions = append(sessions, s)
+			}
+			return r, sessions
+		}
+		sender, sessions := connect("a", addresses...)
+		var others []*partsReceiver
+		for range 3 {
+			r, _ := connect("b", addresses...)
+			others = append(others, r)
+		}
+		send := func(sessions []transport.Session, m *protocol.PromptParts) {
+			for range 2 {
+				for _, s := range sessions {
+					is.NoErr(s.Send(m))
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		ended := func(server string) *protocol.PromptParts {
+			return &protocol.PromptParts{Service: "s", Ended: &protocol.EndedEngine{Server: server, StartedAtMillis: 1, Parts: []string{"p", "q"}}}
+		}
+		send(sessions, ended("i-1"))
+		for _, r := range others {
+			s, suspected := r.get("p")
+			is.True(suspected)
+			is.Equal(s.Ends, 1)
+			is.Equal(r.messages, len(addresses)) // once from each
+		}
+		is.Equal(sender.messages, 0)
+		f.crash(f.nodes[addresses[0]])
+		f.crash(f.nodes[addresses[1]])
+		send(sessions[2:], ended("i-2"))
+		for _, r := range others {
+			s, _ := r.get("q")
+			is.Equal(len(s.Engines), 2)
+		}
+		send(sessions[2:], &protocol.PromptParts{Service: "s", Answered: []string{"q"}})
+		send(sessions[2:], &protocol.PromptParts{Service: "s", Suspected: []protocol.PartSuspicion{{Part: "p", Ends: 2, RemainingMS: 60_000,
+			Quarantines: 1, Engines: []quarantine.Engine{{Server: "i-1", StartedAtMillis: 1}, {Server: "i-2", StartedAtMillis: 1}}}}})
+		late, _ := connect("c", addresses[2])
+		time.Sleep(time.Second)
+		for _, r := range append(others, late) {
+			_, suspected := r.get("q")
+			is.True(!suspected)
+			s, _ := r.get("p")
+			is.True(s.InForce(time.Now()))
+			is.True(!s.InForce(time.Now().Add(time.Minute)))
+		}
+	})
+}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -38,6 +39,8 @@
 	tried           []string // servers that the request was sent to, whole or in part
 	countedAttempts int      // attempts that count towards the route's MaxAttempts
 	mayHaveRun      bool     // an attempt may have run on its server
+	answerBegun     bool     // an answer to this prompt has begun, here or where the caller resumes it from
+	endedEngine     bool     // an engine ended before an answer began, perhaps because of this call
 	lastError       string
 	refusalReason   string   // why no further server was chosen, empty if not refused
 	attemptResults  []string // one entry an attempt, for the log
@@ -50,8 +53,12 @@
 	choice   *dispatch.Choice
 	response *backendhttp.Response
 	started  time.Time
+	ctx      context.Context
 	cancel   context.CancelFunc
 	watchdog *watchdog // nil if the attempt is not monitored
+	// withdrawn is set if the attempt was cancelled because a part of the prompt has been quarantined.
+	withdrawn atomic.Bool
+	cancelled bool // before its release: by the caller, a timeout, the watchdog, or as withdrawn
 }
 
 // refuse responds to a call that has not run on any server.
@@ -102,7 +109,7 @@
 
 // mayRetry reports whether the route and the attempts so far allow another attempt.
 func (c *call) mayRetry() bool {
-	if c.ctx.Err() != nil || c.countedAttempts >= c.route.MaxAttempts {
+	if c.ctx.Err() != nil || c.countedAttempts >= c.route.MaxAttempts || c.endedEngine {
 		return false
 	}
 	return !c.mayHaveRun || c.route.Repeatable()
@@ -112,6 +119,9 @@
 // means no limit. It returns a refusal if no server was chosen, and neither an attempt nor a refusal if the attempt
 // failed.
 func (c *call) startAttempt(header http.Header, headTimeout time.Duration) (*attempt, *dispatch.Refusal) {
+	if refusal := c.proxy.quarantineRefusal(c); refusal != nil {
+		return nil, refusal
+	}
 	request := dispatch.Request{Service: c.service, Tried: c.tried, Retry: len(c.tried) > 0, Objective: c.route.Objective,
 		MaxEventGap: c.route.LongestPause, ObjectiveMissed: c.objectiveMissed}
 	choice, refusal := c.proxy.pick(request)
@@ -124,7 +134,8 @@
 	header.Set(platform.HeaderExpectServer, choice.Server.Server)
 	header.Set(platform.HeaderDeadline, strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
 	ctx, cancel := context.WithCancel(c.ctx)
-	a := &attempt{choice: choice, started: time.Now(), cancel: cancel}
+	a := &attempt{choice: choice, started: time.Now(), ctx: ctx, cancel: cancel}
+	c.proxy.parts.await(a, c)
 	if headTimeout > 0 {
 		defer time.AfterFunc(headTimeout, cancel).Stop()
 	}
@@ -154,6 +165,8 @@
 		a.response.Close(complete)
 	}
 	a.watchdog.stop()
+	c.proxy.parts.forget(a)
+	a.cancelled = a.ctx.Err() != nil
 	a.cancel()
 	c.proxy.withDispatcher(func(time.Time, *dispatch.Dispatcher) { a.choice.Release() })
 }
@@ -185,13 +198,16 @@
 		c.mayHaveRun = true
 		c.tried = append(c.tried, server)
 	}
-	if c.ctx.Err() != nil {
-		return // the caller disconnected or the deadline passed, so the server is not at fault
+	if c.ctx.Err() != nil || a.withdrawn.Load() {
+		return // the caller disconnected, the deadline passed or a part was quarantined, so the server is not at fault
 	}
 	if failure.Unreachable() {
 		c.recordUnreachable(a)
 	} else {
 		c.recordFailure(a)
+		if failure.Sent {
+			c.checkEngineEnd(a)
+		}
 	}
 	log.WithFields(log.Fields{"request": c.id, "server": server, "sent": failure.Sent, "error": c.lastError,
 		"heardMs": a.started.Sub(a.choice.AnnouncedAt).Milliseconds(), "load": a.choice.Load, "parts": c.parts,
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -11,6 +11,7 @@
 
 	state "github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/dispatch"
+	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/decide/routes"
 	"github.com/banyanfront/banyanfront/internal/directory"
@@ -51,6 +52,7 @@
 
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
+	parts      promptParts
 
 	// Accessed only by the goroutine of run.
 	servers             *registry.Registry
@@ -71,6 +73,7 @@
 		events:     make(chan func(time.Time), eventQueueLength),
 		done:       make(chan struct{}),
 		dispatcher: dispatch.New(config.Dispatch),
+		parts:      promptParts{tracker: quarantine.New(), waiting: map[*attempt]*call{}},
 		servers:    registry.New(directory.MaxMissedAnnouncements * config.Dispatch.AnnounceInterval),
 		sessions:   map[transport.Session]*protocol.ControlInstances{},
 
@@ -131,6 +134,9 @@
 	f.pool.Set(f.controlAddresses())
 	f.updateInstanceCount(now)
 	f.requestState(now)
+	f.parts.mu.Lock()
+	directory.ExpirePromptParts(now, f.parts.tracker)
+	f.parts.mu.Unlock()
 	for group, at := range f.loadsReceivedAt {
 		if now.Sub(at) > loadsMissingAfter {
 			log.WithField("group", group).Warn("the loads of a lock-step group are no longer received; they are estimated from responses")
@@ -193,8 +199,12 @@
 		return
 	}
 	f.stateRequestedAt = now
-	if err := session.Send(&protocol.State{Index: currentIndex, Request: true}); err != nil {
-		log.WithError(err).WithField("peer", session.Peer().Instance).Debug("could not request the agreed state")
+	f.sendTo(session, &protocol.State{Index: currentIndex, Request: true})
+}
+
+func (f *fleetState) sendTo(s transport.Session, m protocol.Message) {
+	if err := s.Send(m); err != nil {
+		log.WithError(err).WithField("peer", s.Peer().Instance).Debug("message not sent; the session is closed or its send queue is full")
 	}
 }
 
@@ -216,6 +226,12 @@
 		log.WithField("peer", s.Peer().Instance).Info("session with a control instance opened")
 		f.sessions[s] = &protocol.ControlInstances{}
 		f.requestState(now)
+		f.parts.mu.Lock()
+		suspicions := f.parts.tracker.Suspicions()
+		f.parts.mu.Unlock()
+		for _, m := range directory.EncodePromptParts(now, suspicions) {
+			f.sendTo(s, m) // the control instance may have started without them
+		}
 	})
 }
 
@@ -250,6 +266,8 @@
 		})
 	case *protocol.GroupLoads:
 		f.post(func(now time.Time) { f.applyLoads(now, m) })
+	case *protocol.PromptParts:
+		f.post(func(now time.Time) { f.broadcast(f.applyPromptParts(now, m, false)) })
 	case *protocol.State:
 		if m.Report {
 			f.post(func(now time.Time) {
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -67,8 +67,9 @@
 	if err != nil {
 		c.lastError = err.Error()
 		c.recordResult(a, "broken off")
-		if c.ctx.Err() == nil {
+		if c.ctx.Err() == nil && !a.withdrawn.Load() {
 			c.recordFailure(a)
+			c.checkEngineEnd(a)
 		}
 		log.WithFields(log.Fields{"request": c.id, "server": a.choice.Server.Server, "status": response.Status, "error": c.lastError,
 			"parts": c.parts}).Warn("answer broken off")
@@ -82,6 +83,9 @@
 		return false
 	}
 	c.recordStatus(a)
+	if success {
+		c.recordAnswerBegun(a)
+	}
 	c.recordResult(a, strconv.Itoa(response.Status))
 	if response.Status >= 500 && c.route.Repeatable() && c.mayRetry() && c.budgetAllows() {
 		log.WithFields(log.Fields{"request": c.id, "server": a.choice.Server.Server, "status": response.Status}).
--- /dev/null
+++ b/internal/edge/prompt_parts.go
@@ -0,0 +1,176 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/banyanfront/banyanfront/decide/dispatch"
+	"github.com/banyanfront/banyanfront/decide/quarantine"
+	"github.com/banyanfront/banyanfront/decide/registry"
+	"github.com/banyanfront/banyanfront/internal/directory"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+)
+
+// This file keeps requests with a part of a prompt that crashes engines from them; package quarantine says how such a part is
+// found. The entry instances tell each other through the control instances what they have seen.
+
+// endCheckTimeout limits the check whether an engine has ended. The machine of a process that has ended refuses connections at
+// once; one that is out of reach is no sign of a crash.
+const endCheckTimeout = 250 * time.Millisecond
+
+// promptParts holds what is known of the parts of prompts, and the attempts whose answer has not begun.
+type promptParts struct {
+	mu      sync.Mutex
+	tracker *quarantine.Tracker
+	waiting map[*attempt]*call
+	checks  singleflight.Group // of engines that may have ended, by server
+}
+
+// quarantineRefusal returns the refusal of a call with a quarantined part, nil if it has none.
+func (p *Proxy) quarantineRefusal(c *call) *dispatch.Refusal {
+	p.parts.mu.Lock()
+	defer p.parts.mu.Unlock()
+	part, remaining := p.parts.tracker.Quarantined(time.Now(), c.service, c.parts)
+	if part == "" {
+		return nil
+	}
+	c.lastError = "part " + part + " of the prompt crashes engines"
+	return &dispatch.Refusal{Reason: dispatch.Quarantined, RetryAfter: remaining}
+}
+
+// await adds an attempt to those whose answer has not begun, until forget.
+func (p *promptParts) await(a *attempt, c *call) {
+	if len(c.parts) == 0 || c.answerBegun {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting[a] = c
+}
+
+func (p *promptParts) forget(a *attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiting, a)
+}
+
+// recordAnswerBegun records that an answer to the call has begun, which lifts the suspicion from all parts of its prompt.
+func (c *call) recordAnswerBegun(a *attempt) {
+	if c.answerBegun || len(c.parts) == 0 {
+		return
+	}
+	c.answerBegun = true
+	p := c.proxy
+	p.parts.mu.Lock()
+	delete(p.parts.waiting, a)
+	now := time.Now()
+	lifted := directory.LiftedParts(now, p.parts.tracker.RecordBegun(now, c.service, c.parts))
+	p.parts.mu.Unlock()
+	if len(lifted) > 0 {
+		p.sendPromptParts(&protocol.PromptParts{Service: c.service, Answered: lifted})
+	}
+}
+
+// checkEngineEnd finds out whether the engine of a broken attempt has ended before an answer began, and records it for the
+// parts of the prompt. A call is not sent on to the next engine then, unless answers have begun on all of its parts: it may be
+// the reason.
+func (c *call) checkEngineEnd(a *attempt) {
+	if c.answerBegun || len(c.parts) == 0 || a.cancelled {
+		return
+	}
+	p, engine, parts, service := c.proxy, a.choice.Server, c.parts, c.service
+	p.parts.mu.Lock()
+	sound := p.parts.tracker.IsSound(time.Now(), service, parts)
+	p.parts.mu.Unlock()
+	limit := p.connectionLimit(c.view, service)
+	check := func() bool {
+		ended, _, _ := p.parts.checks.Do(engine.Server, func() (any, error) { return p.hasEnded(engine, limit), nil })
+		if ended == true {
+			p.recordEngineEnd(engine, service, parts, c.id)
+		}
+		return ended == true
+	}
+	if sound {
+		go check()
+		return
+	}
+	c.endedEngine = check()
+}
+
+// hasEnded reports whether the process of an engine has ended: its machine refuses connections. An accepted connection is kept
+// for a request.
+func (p *Proxy) hasEnded(engine registry.Announcement, maxConnections int) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	return errors.Is(p.client.Connect(ctx, engine.Server, engine.Address, maxConnections), syscall.ECONNREFUSED)
+}
+
+// recordEngineEnd records that an engine ended while a request with the parts was open there, whose answer had not begun.
+func (p *Proxy) recordEngineEnd(engine registry.Announcement, service string, parts []string, request string) {
+	ended := &protocol.PromptParts{Service: service, Ended: &protocol.EndedEngine{Server: engine.Server,
+		StartedAtMillis: engine.StartedAtMillis, Parts: parts}}
+	metrics.GetOrCreateCounter(`banyanfront_edge_engine_ends_total`).Inc()
+	log.WithFields(log.Fields{"request": request, "server": engine.Server, "parts": parts}).
+		Warn("engine ended before an answer to the request began; the parts of its prompt are suspected")
+	p.sendPromptParts(p.applyPromptParts(time.Now(), ended, true)...)
+}
+
+// applyPromptParts records what this instance, or another one, has learned about parts of prompts. It returns the messages that
+// tell the others what they do not know: what this one has seen itself, the parts that it puts into quarantine, and those that
+// it knows to have been answered before.
+func (f *fleetState) applyPromptParts(now time.Time, m *protocol.PromptParts, own bool) (messages []*protocol.PromptParts) {
+	f.parts.mu.Lock()
+	defer f.parts.mu.Unlock()
+	news, quarantined := directory.ApplyPromptParts(now, f.parts.tracker, m)
+	f.parts.withdraw(m.Service, quarantined)
+	if news == nil || news.Ended == nil {
+		return nil
+	}
+	if own {
+		messages = append(messages, news)
+	}
+	var tell []quarantine.Suspicion
+	for _, part := range news.Ended.Parts {
+		s, ok := f.parts.tracker.Get(m.Service, part)
+		if ok && (s.AnsweredBefore || slices.Contains(quarantined, part)) {
+			tell = append(tell, s)
+		}
+	}
+	return append(messages, directory.EncodePromptParts(now, tell)...)
+}
+
+// withdraw cancels the attempts with a quarantined part whose answer has not begun: each would end another engine. The lock
+// is held.
+func (p *promptParts) withdraw(service string, quarantined []string) {
+	if len(quarantined) == 0 {
+		return
+	}
+	for a, c := range p.waiting {
+		if c.service == service && slices.ContainsFunc(c.parts, func(part string) bool { return slices.Contains(quarantined, part) }) {
+			a.withdrawn.Store(true)
+			a.cancel()
+		}
+	}
+}
+
+// sendPromptParts sends messages to all control instances.
+func (f *fleetState) sendPromptParts(messages ...*protocol.PromptParts) {
+	f.post(func(time.Time) { f.broadcast(messages) })
+}
+
+// broadcast sends messages to all control instances. Only the goroutine of run calls it.
+func (f *fleetState) broadcast(messages []*protocol.PromptParts) {
+	for session := range f.sessions {
+		for _, m := range messages {
+			f.sendTo(session, m)
+		}
+	}
+}
--- a/internal/edge/proxy_test.go
+++ b/internal/edge/proxy_test.go
@@ -453,7 +453,7 @@
 		choice, refusal := proxy.pick(dispatch.Request{Service: "s"})
 		is.Equal(refusal, nil)
 		c := &call{proxy: proxy, ctx: t.Context()}
-		c.handleFailure(&attempt{choice: choice, started: time.Now(), cancel: func() {}}, timeout)
+		c.handleFailure(&attempt{choice: choice, started: time.Now(), ctx: t.Context(), cancel: func() {}}, timeout)
 	}
 	status, header, _, err := send(t, url, "/safe/x")
 	is.NoErr(err)
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,7 +14,10 @@
 	"github.com/matryer/is"
 
 	"github.com/banyanfront/banyanfront/decide/dispatch"
+	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/decide/registry"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/transport"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
@@ -147,3 +151,100 @@
 	is.True(f.endCount() <= 4) // those within a second of each other count once
 	is.True(refused >= 8)
 }
+
+// relaySession is a session with a control instance that passes what it gets on to the other entry instances.
+type relaySession struct {
+	transport.Session
+	from *Proxy
+	all  *[]*Proxy
+}
+
+func (s *relaySession) Peer() protocol.Hello { return protocol.Hello{Instance: "control"} }
+
+func (s *relaySession) Send(m protocol.Message) error {
+	if _, ok := m.(*protocol.PromptParts); !ok {
+		return nil
+	}
+	for _, p := range *s.all {
+		if p != s.from {
+			p.MessageReceived(nil, m)
+		}
+	}
+	return nil
+}
+
+// startRelayedProxies starts entry instances that tell each other of parts of prompts.
+func startRelayedProxies(t *testing.T, n int) (proxies []*Proxy, urls []string) {
+	for range n {
+		p, url := startProxy(t)
+		proxies, urls = append(proxies, p), append(urls, url)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, p := range proxies {
+		running.Go(func() { p.run(ctx) })
+		p.SessionOpened(&relaySession{from: p, all: &proxies})
+	}
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return proxies, urls
+}
+
+// Guards against entry instances that each have to see the engines end themselves: requests with the part come at any of them.
+func TestEntryInstancesTellEachOtherOfPartsThatEndEngines(t *testing.T) {
+	is := is.New(t)
+	proxies, urls := startRelayedProxies(t, 4)
+	f := startEngineFleet(t, 8, proxies...)
+	for n := range 12 {
+		_, _, _, _ = send(t, urls[n%4], "/stream/x", prompt(100+n, "a0", harmfulPart)...)
+		time.Sleep(500 * time.Millisecond)
+		for i := range urls {
+			_, _, body, err := send(t, urls[i], "/stream/x", prompt(10*n+i, "a0", "c0")...)
+			is.NoErr(err)
+			is.Equal(body, eventsText(1, 3))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.True(f.endCount() <= 4)
+	for _, p := range proxies {
+		is.True(p.quarantineRefusal(&call{service: "s", parts: []string{"a0", harmfulPart}}) != nil)
+		is.True(p.quarantineRefusal(&call{service: "s", parts: []string{"a0", "c0"}}) == nil)
+	}
+}
+
+// Guards against a request that is sent to the next engine although its own prompt may have ended the first one, and against
+// one that waits for an engine when a part of its prompt is quarantined: it would end that engine too.
+func TestSuspectedRequestIsNotSentOn(t *testing.T) {
+	is := is.New(t)
+	proxies, urls := startRelayedProxies(t, 1)
+	f := startEngineFleet(t, 4, proxies...)
+	status, header, _, err := send(t, urls[0], "/stream/x", prompt(1, harmfulPart)...)
+	is.NoErr(err)
+	is.Equal(status, http.StatusBadGateway) // it may have run
+	is.Equal(header.Get(platform.HeaderRetryAfter), "")
+	is.Equal(f.endCount(), 1)
+	statuses := make(chan int)
+	go func() {
+		status, _, _, _ := send(t, urls[0], "/stream/x", prompt(2, "slow", harmfulPart[:3])...)
+		statuses <- status
+	}()
+	for proxies[0].InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	proxies[0].MessageReceived(nil, &protocol.PromptParts{Service: "s", Suspected: []protocol.PartSuspicion{{Part: harmfulPart[:3], Ends: 2,
+		RemainingMS: 60_000, Quarantines: 1, Engines: []quarantine.Engine{{Server: "x"}, {Server: "y"}}}}})
+	is.Equal(<-statuses, http.StatusBadGateway)
+	is.Equal(f.endCount(), 1)
+}
+
+// Guards against a connection that breaks, or an engine that is out of reach, being taken for an engine that has ended.
+func TestBrokenConnectionSuspectsNoPart(t *testing.T) {
+	is := is.New(t)
+	respond := func(w http.ResponseWriter, _ *http.Request, _ int) { abort(w) }
+	proxy, url := startProxy(t, startBackend(t, respond), startBackend(t, respond))
+	for n := range 4 {
+		_, _, _, _ = send(t, url, "/stream/x", prompt(n, "p")...)
+		time.Sleep(300 * time.Millisecond)
+	}
+	is.Equal(len(proxy.parts.tracker.Suspicions()), 0)
+	is.Equal(len(proxy.parts.waiting), 0)
+}
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -27,6 +27,7 @@
 // serveStream forwards events as they arrive. A resumable stream that is truncated is resumed on another server.
 func (c *call) serveStream() {
 	s := &relay{call: c, lastEventID: c.r.Header.Get(platform.HeaderLastEvent)}
+	c.answerBegun = s.lastEventID != ""
 	var refusal *dispatch.Refusal
 	for {
 		header := c.header.Clone()
@@ -129,6 +130,7 @@
 		s.writeHead(a.response, -1)
 		s.proxy.withDispatcher(func(_ time.Time, d *dispatch.Dispatcher) { d.RecordSuccess(a.choice) })
 	}
+	s.recordAnswerBegun(a)
 	if _, err := s.w.Write(e.raw); err != nil {
 		return err
 	}
@@ -167,8 +169,9 @@
 	}
 	s.lastError = err.Error()
 	s.finish(a, false, "broken off at "+s.lastEventID)
-	if s.ctx.Err() == nil {
+	if s.ctx.Err() == nil && !a.withdrawn.Load() {
 		s.recordFailure(a)
+		s.checkEngineEnd(a)
 		log.WithFields(log.Fields{"request": s.id, "server": a.choice.Server.Server, "last": s.lastEventID, "events": s.events,
 			"error": s.lastError, "resumable": s.route.Resumable, "parts": s.parts}).Warn("stream broken off")
 	}
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -319,6 +319,8 @@
 		return new(RankDone)
 	case TypeGroupLoads:
 		return new(GroupLoads)
+	case TypePromptParts:
+		return new(PromptParts)
 	}
 	return nil
 }
--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -11,6 +11,7 @@
 	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/experts"
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/decide/registry"
 )
 
@@ -50,13 +51,16 @@
 		&RankOrder{Group: "g", Order: experts.RankOrder{Rank: 1, Operation: experts.OrderPrepare, Version: 2}, Map: experts.RankLists{{{0}, {1}}}.Encode()},
 		&RankDone{Group: "g", Order: experts.RankOrder{Rank: 1, Operation: experts.OrderArm, Step: 3}, Result: experts.OrderDone},
 		&GroupLoads{Service: "s", Group: "g", Requests: []byte{0, 3, UnknownGroupLoad}},
+		&PromptParts{Service: "s", Ended: &EndedEngine{Server: "i", StartedAtMillis: 5, AgeMS: 2, Parts: []string{"a"}}, Answered: []string{"b"},
+			Suspected: []PartSuspicion{{Part: "c", Ends: 2, LastEndAgeMS: 3, RemainingMS: 4, Quarantines: 1, AnsweredBefore: true,
+				Engines: []quarantine.Engine{{Server: "i", StartedAtMillis: 5}}, With: []string{"d"}}}},
 	}
 }
 
 // Guards against a message type that cannot be encoded, or that loses a field.
 func TestRoundTrip(t *testing.T) {
 	is := is.New(t)
-	is.Equal(len(samples()), int(TypeGroupLoads)) // every type has a sample
+	is.Equal(len(samples()), int(TypePromptParts)) // every type has a sample
 	for i, m := range samples() {
 		stream := uint64(i) << (2 * i)
 		frame, err := Encode(stream, m)
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -6,6 +6,7 @@
 	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/experts"
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/decide/registry"
 )
 
@@ -57,6 +58,7 @@
 	TypeRankOrder            Type = 30
 	TypeRankDone             Type = 31
 	TypeGroupLoads           Type = 32
+	TypePromptParts          Type = 33
 )
 
 // Hello is the first message in both directions of a session.
@@ -345,6 +347,38 @@
 	UnknownGroupLoad = 255
 )
 
+// PromptParts tells what an entry instance has learned about parts of prompts that may crash the engines of a service. An
+// entry instance sends it to all control instances, and these send to the other entry instances what is news to them.
+type PromptParts struct {
+	Service string `cbor:"1,keyasint"`
+	// Ended is an engine that ended while requests with the parts were open whose answers had not begun.
+	Ended *EndedEngine `cbor:"2,keyasint,omitempty"`
+	// Suspected holds what is known of suspected and quarantined parts. It is sent to an instance that may not know it.
+	Suspected []PartSuspicion `cbor:"3,keyasint,omitempty"`
+	// Answered holds parts that were suspected, and on which an answer has begun.
+	Answered []string `cbor:"4,keyasint,omitempty"`
+}
+
+// EndedEngine is an engine that has ended.
+type EndedEngine struct {
+	Server          string   `cbor:"1,keyasint"`
+	StartedAtMillis int64    `cbor:"2,keyasint"`
+	AgeMS           int64    `cbor:"3,keyasint"` // time since the end
+	Parts           []string `cbor:"4,keyasint"`
+}
+
+// PartSuspicion is a quarantine.Suspicion, with times relative to the sending of the message.
+type PartSuspicion struct {
+	Part           string              `cbor:"1,keyasint"`
+	Ends           int                 `cbor:"2,keyasint"`
+	LastEndAgeMS   int64               `cbor:"3,keyasint"`
+	RemainingMS    int64               `cbor:"4,keyasint,omitempty"` // of the quarantine
+	Quarantines    int                 `cbor:"5,keyasint,omitempty"`
+	AnsweredBefore bool                `cbor:"6,keyasint,omitempty"`
+	Engines        []quarantine.Engine `cbor:"7,keyasint"`
+	With           []string            `cbor:"8,keyasint,omitempty"`
+}
+
 // RankOrder asks a rank process to send an order to its engine.
 type RankOrder struct {
 	Group string            `cbor:"1,keyasint"`
--- a/internal/protocol/types.go
+++ b/internal/protocol/types.go
@@ -95,3 +95,6 @@
 
 // Type implements Message.
 func (*GroupLoads) Type() Type { return TypeGroupLoads }
+
+// Type implements Message.
+func (*PromptParts) Type() Type { return TypePromptParts }
