Do not pass a stream without a length on as complete that ended before its first event

What callers saw: an empty answer with status 200 and the engine's seal, where the engine had ended as it began to write.

Cause: answers may come with neither a length nor chunks and end with their connection; the end of the connection between two events was taken for the end of the stream, also where no event had come yet.

Change: such an end before the first event counts as broken off; the stream is resumed elsewhere or ends as unknown. TestUnframedStream failed for 'before the first event' and passes; its other cases and TestUnframedAnswer passed before.

--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -19,8 +19,13 @@
 	lastEventID string // identifier of the last event that was forwarded; initially that sent by the caller
 	events      int
 	lastEventAt time.Time // when the last event of this attempt was forwarded
+	received    bool      // an event of this attempt was received
 }
 
+// errNoEvent reports a stream that ended with its connection before the first event. Where events have come, such an end
+// between two of them is the end of the stream; without any, nothing tells it from an engine that ended as it began to write.
+var errNoEvent = errors.New("the connection ended before the first event")
+
 // errRepeatedEvents reports a server that repeats events without end. A resumed stream repeats a few at most.
 var errRepeatedEvents = errors.New("more than 1 MiB of events that were received before")
 
@@ -84,13 +89,17 @@
 		return false
 	}
 	reader := newEventReader(response.Body)
-	s.lastEventAt = time.Time{}
+	s.lastEventAt, s.received = time.Time{}, false
 	repeatedBytes := 0
 	for {
 		event, err := reader.next()
+		if errors.Is(err, errStreamEnd) && !response.Framed && !s.received {
+			err = errNoEvent
+		}
 		if err != nil {
 			return s.handleEnd(a, err)
 		}
+		s.received = true
 		if !s.isNew(event) {
 			if repeatedBytes += len(event.raw); repeatedBytes > maxEventBytes {
 				return s.handleEnd(a, errRepeatedEvents)
