Soak: parts of prompts that end engines, answers without a length, refused connections

In each run, from some moment of the fault phase on, one stream in 25 has a part in its prompt that ends each engine that begins to answer on it. BUDGET is broken if more than three such requests reach engines in the phases without faults, later than 3 s after the fifth end; they are owed no answer. One answer in four comes without a length and ends with its connection. The address of a stand-in that is down refuses connections, as a machine does; before, the proxy accepted and reset them.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -31,6 +31,10 @@
 	maxRetryAfter = requestTimeout / 3
 	// abandonOneIn makes a caller abandon one in this many streams before their end.
 	abandonOneIn = 20
+	// harmfulOneIn makes one in this many streams have the harmful part in its prompt, and subjects is the number of different
+	// parts that others share.
+	harmfulOneIn = 25
+	subjects     = 40
 	// readinessInterval is the interval of the balancer's readiness checks. After readinessFailures failed checks in a row it
 	// sends an entry instance no new connections.
 	readinessInterval = 500 * time.Millisecond
@@ -152,6 +156,11 @@
 		return meanRequestPause
 	}
 	httpRequest.Header.Set(platform.HeaderDeadline, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+	if route.Kind == routes.Stream {
+		part := c.ledger.harmfulPart()
+		r.harmful = part != "" && c.random.IntN(harmfulOneIn) == 0
+		httpRequest.Header.Set(platform.HeaderPrompt, c.prompt(r, part))
+	}
 	c.ledger.recordSent(r)
 	response, err := client.Do(httpRequest)
 	if err != nil {
@@ -182,6 +191,15 @@
 	return 0
 }
 
+// prompt returns the parts of a stream's prompt: one that all share, one of some subjects, and one of its own.
+func (c *caller) prompt(r *request, harmfulPart string) string {
+	harmful := ""
+	if r.harmful {
+		harmful = harmfulPart + ":50,"
+	}
+	return fmt.Sprintf("a0:40,%ssubject%d:100,%s:30", harmful, c.random.IntN(subjects), r.id)
+}
+
 // outcomeWithoutAnswer returns the outcome of a request without a complete answer: abandoned if the soak itself has
 // cancelled it, otherwise cutOff.
 func (c *caller) outcomeWithoutAnswer(ctx context.Context) outcome {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -56,6 +56,10 @@
 				r.lastWork = r.ended.Add(maxWorkAfterAbandon + time.Millisecond)
 			}
 		}, "GONE"},
+		{"requests with a harmful part at engines, as many as allowed", func(l *ledger) { recordHarmful(l, maxLateArrivals, 2*stableWindow, faultFree) }, ""},
+		{"more requests with a harmful part at engines", func(l *ledger) { recordHarmful(l, maxLateArrivals+1, 2*stableWindow, faultFree) }, "BUDGET"},
+		{"requests with a harmful part soon after the ends", func(l *ledger) { recordHarmful(l, maxLateArrivals+1, stableWindow/2, rollingRestart) }, ""},
+		{"requests with a harmful part under faults", func(l *ledger) { recordHarmful(l, maxLateArrivals+1, 2*stableWindow, underFaults) }, ""},
 		{"as many repeats as the budget allows", func(l *ledger) { recordRepeats(l, 14) }, ""},
 		{"more repeats than the budget allows", func(l *ledger) { recordRepeats(l, 15) }, "BUDGET"},
 	} {
@@ -79,6 +83,22 @@
 	return r
 }
 
+// recordHarmful records as many ends of engines as suffice, a time ago, and arrivals of requests with the part in a phase.
+func recordHarmful(l *ledger, arrivals int, ago time.Duration, p phase) {
+	l.addHarmfulPart()
+	part := l.harmfulPartIn("a0:40," + l.harmfulPart() + ":50,own:30")
+	for range maxHarmfulEnds {
+		l.recordHarmfulEnd(part)
+	}
+	for i := range l.parts[0].ends {
+		l.parts[0].ends[i] = l.parts[0].ends[i].Add(-ago)
+	}
+	l.enterPhase(p)
+	for range arrivals {
+		l.recordHarmfulArrival(part)
+	}
+}
+
 // recordRepeats records 20 requests, of which the first repeats reach a server twice.
 func recordRepeats(l *ledger, repeats int) {
 	safe := newRoute("safe", "/safe/", plainService, routes.Safe)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -177,6 +177,7 @@
 
 // shutdown ends all processes, backend servers and proxies.
 func (f *fleet) shutdown() {
+	f.ledger.enterPhase(over)
 	var group sync.WaitGroup
 	for _, p := range f.byName {
 		if p.stopped != nil {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -108,6 +108,8 @@
 	case Drain:
 		target.drain()
 		f.restartServer(ctx, target)
+	case HarmfulPart:
+		f.ledger.addHarmfulPart()
 	case Freeze:
 		forDuration(target.setFrozen)
 	case DamageAnswers:
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 	ended      time.Time
 	outcome    outcome
 	status     int
+	harmful    bool // its prompt has a part that ends engines; it is not owed an answer
 	sentPhase  phase
 	endedPhase phase
 	arrivals   []arrival
@@ -56,6 +58,7 @@
 	faultFree             // no fault, after the system has recovered
 	rollingRestart        // entry instances are restarted one by one, without other faults
 	afterFinalFault       // from the final fault on
+	over                  // the deployment has been shut down
 )
 
 // Violation is a violation of one of the system's guarantees.
@@ -79,6 +82,14 @@
 	violations []Violation
 	phase      phase
 	counts     map[string]int // events, for the report
+	parts      []*harmfulPart
+}
+
+// harmfulPart is a part of prompts that ends each engine that begins an answer on it.
+type harmfulPart struct {
+	name         string
+	ends         []time.Time
+	lateArrivals int // at engines, without a fault, later than stableWindow after the end number maxHarmfulEnds
 }
 
 func newLedger() *ledger {
@@ -163,12 +174,70 @@
 	}
 }
 
+// addHarmfulPart adds a part of prompts that ends engines from now on.
+func (l *ledger) addHarmfulPart() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.parts = append(l.parts, &harmfulPart{name: fmt.Sprintf("bad%d", len(l.parts)+1)})
+}
+
+// harmfulPart returns the newest harmful part, empty if there is none.
+func (l *ledger) harmfulPart() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.parts) == 0 {
+		return ""
+	}
+	return l.parts[len(l.parts)-1].name
+}
+
+// harmfulPartIn returns the harmful part of a prompt, empty if it has none.
+func (l *ledger) harmfulPartIn(prompt string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.parts {
+		if strings.Contains(prompt, p.name+":") {
+			return p.name
+		}
+	}
+	return ""
+}
+
+func (l *ledger) recordHarmfulArrival(part string) {
+	l.updatePart(part, func(p *harmfulPart) {
+		known := len(p.ends) >= maxHarmfulEnds && time.Since(p.ends[maxHarmfulEnds-1]) > stableWindow
+		if known && (l.phase == faultFree || l.phase == rollingRestart) {
+			p.lateArrivals++
+		}
+	})
+}
+
+func (l *ledger) recordHarmfulEnd(part string) {
+	l.updatePart(part, func(p *harmfulPart) {
+		p.ends = append(p.ends, time.Now())
+		l.counts["engines ended by a part of a prompt"]++
+	})
+}
+
+func (l *ledger) updatePart(name string, update func(p *harmfulPart)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.parts {
+		if p.name == name {
+			update(p)
+		}
+	}
+}
+
+// isOver reports whether the deployment has been shut down.
+func (l *ledger) isOver() bool { return l.inPhase(over) }
+
 // endedSince returns the number of requests that ended after a time, without abandoned ones, and how many were answered.
 func (l *ledger) endedSince(since time.Time) (ended, served int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.requests {
-		if r.outcome != pending && r.outcome != abandoned && r.ended.After(since) {
+		if r.outcome != pending && r.outcome != abandoned && !r.harmful && r.ended.After(since) {
 			ended++
 			if r.outcome == answered {
 				served++
@@ -185,6 +254,11 @@
 	// A cold backend server may get coldRequestsPerSecond times coldMultiplier, plus coldSlackRequests, in one second.
 	coldMultiplier    = 1.5
 	coldSlackRequests = 5
+	// After maxHarmfulEnds ends of engines on one part of a prompt, and stableWindow more, maxLateArrivals requests with it may
+	// reach engines at most.
+	maxHarmfulEnds  = 5
+	maxLateArrivals = 3
+	stableWindow    = 3 * time.Second
 	// maxOverAttempted is the number of requests that may reach more servers than their route allows.
 	maxOverAttempted = 3
 )
@@ -223,6 +297,12 @@
 			}
 		}
 	}
+	for _, p := range l.parts {
+		if p.lateArrivals > maxLateArrivals {
+			l.recordViolationLocked("BUDGET", "%d requests with a part under which %d engines had ended reached engines; %d ended in all",
+				p.lateArrivals, maxHarmfulEnds, len(p.ends))
+		}
+	}
 	if overAttempted > maxOverAttempted {
 		l.recordViolationLocked("BUDGET", "%d requests reached more backend servers than their route allows", overAttempted)
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -10,10 +10,11 @@
 
 // proxy forwards connections to a listener and can delay, withhold or reset them.
 type proxy struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
 	mu        sync.Mutex
+	listener  net.Listener
 	changed   chan struct{} // closed when link changes
 	link      link
 	pairs     map[*pair]bool
@@ -40,14 +41,35 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: to, changed: make(chan struct{}), pairs: map[*pair]bool{}}
-	go p.accept()
+	p := &proxy{address: listener.Addr().String(), target: to, listener: listener, changed: make(chan struct{}), pairs: map[*pair]bool{}}
+	go p.accept(listener)
 	return p, nil
 }
 
-func (p *proxy) accept() {
+// refuse refuses connections, as the machine of a process that has ended does.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+}
+
+// listen accepts connections again after refuse.
+func (p *proxy) listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close() // it may still listen
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.listener = listener
+	go p.accept(listener)
+	return nil
+}
+
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		caller, err := p.listener.Accept()
+		caller, err := listener.Accept()
 		if err != nil {
 			return // closed
 		}
@@ -146,7 +168,7 @@
 
 // close closes the listener and resets all connections.
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.refuse()
 	p.set(func(l *link) { *l = link{} })
 	p.reset()
 }
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -41,6 +41,8 @@
 	freezePollInterval = 20 * time.Millisecond
 	// intactOneIn makes a server that damages answers leave one in this many intact.
 	intactOneIn = 3
+	// unframedOneIn makes a server send one in this many answers without a length.
+	unframedOneIn = 4
 )
 
 // server is a stand-in backend server: a fixed address at which one incarnation follows another.
@@ -83,6 +85,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.proxy.listen(); err != nil {
+		return errors.Join(err, listener.Close())
+	}
 	s.mu.Lock()
 	ctx, cancel := context.WithCancel(context.Background())
 	inc := &incarnation{server: s, id: fmt.Sprintf("%s-%d", s.name, len(s.incarnations)+1), started: time.Now(), ctx: ctx, cancel: cancel,
@@ -114,6 +119,7 @@
 	if s.group != nil {
 		s.group.setRank(s.rank, func(r *rankState) { r.alive = false })
 	}
+	s.proxy.refuse()
 	inc.cancel()
 	_ = inc.http.Close()
 }
@@ -170,7 +176,7 @@
 // sendAnnouncement sends one announcement and reports whether it was acknowledged.
 func (inc *incarnation) sendAnnouncement() bool {
 	s := inc.server
-	a := registry.Announcement{Server: inc.id, Service: s.service, Address: s.proxy.listener.Addr().String(), DataCentre: s.dataCentre,
+	a := registry.Announcement{Server: inc.id, Service: s.service, Address: s.proxy.address, DataCentre: s.dataCentre,
 		Slots: serverSlots, ColdRemaining: inc.coldRemaining(), Sequence: inc.sequence.Add(1), StartedAtMillis: inc.started.UnixMilli()}
 	if inc.draining.Load() {
 		a.State = registry.Draining
@@ -316,6 +322,11 @@
 func (inc *incarnation) writeAnswer(w http.ResponseWriter, id, body string) {
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if !inc.server.damaging.Load() || rand.IntN(intactOneIn) == 0 {
+		if rand.IntN(unframedOneIn) == 0 {
+			unframed := newUnframedWriter(w)
+			defer unframed.end()
+			w = unframed
+		}
 		_, _ = io.WriteString(w, body) // the caller records failures
 		return
 	}
@@ -363,6 +374,10 @@
 		last-- // a resumed stream may repeat the last event
 	}
 	s := inc.server
+	part := s.ledger.harmfulPartIn(r.Header.Get(platform.HeaderPrompt))
+	if part != "" {
+		s.ledger.recordHarmfulArrival(part)
+	}
 	started := false
 	work := func() error {
 		if !inc.workFor(r.Context(), id, eventGap) {
@@ -380,6 +395,11 @@
 		}
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	if rand.IntN(unframedOneIn) == 0 {
+		unframed := newUnframedWriter(w)
+		defer unframed.end()
+		w = unframed
+	}
 	for n := last + 1; n <= streamEvents; n++ {
 		if err := work(); err != nil || inc.ctx.Err() != nil {
 			if errors.Is(err, errGroupBroken) && !started {
@@ -388,6 +408,9 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
+		if part != "" {
+			inc.endFor(part, w)
+		}
 		event := streamEvent(id, n)
 		if s.damaging.Load() && rand.IntN(streamEvents) == 0 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
@@ -404,6 +427,71 @@
 	}
 }
 
+// endFor ends the incarnation as it begins to write an answer on a harmful part of a prompt, and starts the next one later.
+func (inc *incarnation) endFor(part string, w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush()
+	if s := inc.server; s.currentIncarnation() == inc {
+		s.ledger.recordHarmfulEnd(part)
+		s.crash()
+		go func() {
+			time.Sleep(downTime)
+			if s.currentIncarnation() == nil && !s.ledger.isOver() {
+				_ = s.start(true) // another fault may have started it
+			}
+		}()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// unframedWriter writes an answer with neither a length nor chunks, which ends with its connection. A panic of the handler
+// resets the connection.
+type unframedWriter struct {
+	net.Conn
+	header      http.Header
+	wroteHeader bool
+}
+
+func newUnframedWriter(w http.ResponseWriter) *unframedWriter {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return &unframedWriter{Conn: connection, header: w.Header().Clone()}
+}
+
+// end ends the answer. It is deferred.
+func (u *unframedWriter) end() {
+	if recover() != nil {
+		resetConnection(u.Conn)
+		return
+	}
+	_ = u.Close()
+}
+
+// Header implements http.ResponseWriter.
+func (u *unframedWriter) Header() http.Header { return u.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (u *unframedWriter) WriteHeader(status int) {
+	if u.wroteHeader {
+		return
+	}
+	u.wroteHeader = true
+	u.header.Del("Content-Length")
+	_, _ = fmt.Fprintf(u.Conn, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status)) // the caller records failures
+	_ = u.header.Write(u.Conn)
+	_, _ = io.WriteString(u.Conn, "\r\n")
+}
+
+// Write implements http.ResponseWriter.
+func (u *unframedWriter) Write(p []byte) (int, error) {
+	u.WriteHeader(http.StatusOK)
+	return u.Conn.Write(p)
+}
+
+// Flush implements http.Flusher.
+func (u *unframedWriter) Flush() { u.WriteHeader(http.StatusOK) }
+
 // serveEngine answers requests to the engine API.
 func (inc *incarnation) serveEngine(w http.ResponseWriter, r *http.Request) {
 	g, rank := inc.server.group, inc.server.rank
