--- a/decide/experts/switchover.go
+++ b/decide/experts/switchover.go
@@ -403,7 +403,7 @@
 	for _, r := range s.ranks {
 		highest = max(highest, r.report.Step+uint64(now.Sub(r.reportedAt)/duration))
 	}
-	if s.startedStep > 0 {
+	if s.startedStep > 0 && now.Sub(s.stepStartedBy) <= s.config.MaxReportLag { // later on, the reports are newer
 		highest = max(highest, s.startedStep+uint64(now.Sub(s.stepStartedBy)/duration))
 	}
 	return highest
--- a/decide/experts/switchover_test.go
+++ b/decide/experts/switchover_test.go
@@ -515,3 +515,38 @@
 		}
 	}
 }
+
+// Guards against maps that take effect seconds late: a step that a refused hold has shown to have started was extrapolated for
+// good, so that slow steps or pauses in between moved the steps of all later changes further and further ahead.
+func TestRefusedHoldDoesNotDelayLaterChanges(t *testing.T) {
+	is := is.New(t)
+	c := NewSwitchover(SwitchoverConfig{Ranks: 1}, time.Unix(0, 0))
+	now, step := time.Unix(1, 0), uint64(100)
+	report := func(after time.Duration) {
+		now = now.Add(after)
+		step++
+		c.HandleReport(now, RankReport{Epoch: 1, Open: true, Step: step})
+	}
+	begin := func(number uint64) RankOrder {
+		c.Begin(now, number, RankLists{{{0}}})
+		for _, o := range c.Tick(now) {
+			c.HandleResult(now, o, OrderDone)
+		}
+		orders := c.Tick(now)
+		is.Equal(len(orders), 1)
+		is.Equal(orders[0].Operation, OrderHold)
+		return orders[0]
+	}
+	report(0)
+	c.HandleResult(now, begin(1), OrderRefused)
+	c.enterPhase(now, switchIdle)
+	for range 40 {
+		report(400 * time.Millisecond)
+	}
+	for range 40 {
+		report(60 * time.Millisecond)
+	}
+	ahead := time.Duration(begin(2).Step-step) * 60 * time.Millisecond
+	t.Logf("the map takes effect %v ahead", ahead)
+	is.True(ahead <= c.config.LeadTime+c.config.MaxReportLag)
+}
