--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -103,6 +103,7 @@
 // RecordEnd records that an engine ended at a time with requests open whose answers had not begun. It returns those of
 // their parts for which this is news, and those that it puts into quarantine.
 func (t *Tracker) RecordEnd(at time.Time, service string, engine Engine, parts []string) (news, quarantined []string) {
+	var together []string // put into quarantine by the same end
 	for _, part := range parts {
 		key := Key{service, part}
 		s := t.suspicions[key]
@@ -126,21 +127,27 @@
 		s.Ends++
 		s.LastEndAt = at
 		if s.Ends >= s.endsNeeded() {
-			s.QuarantinedUntil = at.Add(min(firstQuarantine<<min(s.Quarantines, 16), maxQuarantine))
-			s.Quarantines++
-			quarantined = append(quarantined, part)
+			s.quarantine(at)
+			together = append(together, part)
 		}
 	}
+	for _, part := range together {
+		t.suspicions[Key{service, part}].With = slices.DeleteFunc(slices.Clone(together), func(other string) bool { return other == part })
+	}
+	quarantined = append(quarantined, together...)
 	for _, part := range quarantined {
 		s := t.suspicions[Key{service, part}]
-		if len(quarantined) > 1 {
-			s.With = slices.DeleteFunc(slices.Clone(quarantined), func(other string) bool { return other == part })
-		}
 		t.explain(s, s.Engines...)
 	}
 	return news, quarantined
 }
 
+// quarantine begins the next quarantine of the part.
+func (s *Suspicion) quarantine(at time.Time) {
+	s.QuarantinedUntil = at.Add(min(firstQuarantine<<min(s.Quarantines, 16), maxQuarantine))
+	s.Quarantines++
+}
+
 // containsAll reports whether parts contains all of others.
 func containsAll(parts, others []string) bool {
 	return !slices.ContainsFunc(others, func(other string) bool { return !slices.Contains(parts, other) })
@@ -271,9 +278,15 @@
 		return false, false
 	}
 	s := t.suspicion(other.Key)
-	news = s.Ends < other.Ends || other.AnsweredBefore && !s.AnsweredBefore
-	inForce := s.InForce(now)
-	s.Ends, s.Quarantines = max(s.Ends, other.Ends), max(s.Quarantines, other.Quarantines)
+	before, inForce := s.Ends, s.InForce(now)
+	news = other.AnsweredBefore && !s.AnsweredBefore
+	if t.isDistinct(s, &other) {
+		s.Ends += other.Ends
+	} else {
+		s.Ends = max(s.Ends, other.Ends)
+	}
+	news = news || s.Ends > before
+	s.Quarantines = max(s.Quarantines, other.Quarantines)
 	s.AnsweredBefore = s.AnsweredBefore || other.AnsweredBefore
 	for _, engine := range other.Engines {
 		if !slices.Contains(s.Engines, engine) {
@@ -294,6 +307,9 @@
 	if other.QuarantinedUntil.After(s.QuarantinedUntil) {
 		s.QuarantinedUntil = other.QuarantinedUntil
 	}
+	if !s.InForce(now) && s.Ends > before && s.Ends >= s.endsNeeded() {
+		s.quarantine(now)
+	}
 	if !inForce && s.InForce(now) {
 		t.explain(s, s.Engines...)
 		return true, true
@@ -301,6 +317,29 @@
 	return news, false
 }
 
+// isDistinct reports whether another process has counted ends of which none is known here, as after a cut between the two, and
+// which are separate from those known here.
+func (t *Tracker) isDistinct(s, other *Suspicion) bool {
+	if s.Ends == 0 || slices.ContainsFunc(other.Engines, func(e Engine) bool { return slices.Contains(s.Engines, e) }) {
+		return false
+	}
+	apart, earlier := other.LastEndAt.Sub(s.LastEndAt).Abs(), s.LastEndAt
+	if other.LastEndAt.Before(earlier) {
+		earlier = other.LastEndAt
+	}
+	return apart >= minEndsApart && t.beganAt[s.Service].After(earlier)
+}
+
+// Counts returns the number of parts under suspicion, and of those in quarantine.
+func (t *Tracker) Counts(now time.Time) (suspected, quarantined int) {
+	for _, s := range t.suspicions {
+		if s.InForce(now) {
+			quarantined++
+		}
+	}
+	return len(t.suspicions), quarantined
+}
+
 // Suspicions returns a copy of all suspicions, for a process that has none yet.
 func (t *Tracker) Suspicions() []Suspicion {
 	all := make([]Suspicion, 0, len(t.suspicions))
--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -212,6 +212,30 @@
 	is.True(!news && !inForce) // older than the answer
 }
 
+// Guards against ends that do not add up where the instances that saw them were cut off from each other meanwhile, and against
+// ends that both know being added up.
+func TestEndsSeenOnBothSidesOfACutAddUp(t *testing.T) {
+	is := is.New(t)
+	left, right := New(), New()
+	end(left, 0, 1, "bad")
+	begun(left, 1, "elsewhere")
+	begun(right, 1, "elsewhere")
+	end(right, 4, 2, "bad")
+	s, _ := left.Get("s", "bad")
+	_, inForce := right.Merge(at(5), s)
+	is.True(inForce)
+	is.Equal(quarantined(right, 6, "bad"), "bad")
+
+	left, right = New(), New()
+	for _, tracker := range []*Tracker{left, right} {
+		end(tracker, 0, 1, "bad")
+		begun(tracker, 1, "elsewhere")
+	}
+	s, _ = left.Get("s", "bad")
+	_, inForce = right.Merge(at(5), s)
+	is.True(!inForce)
+}
+
 // fleet is a model of entry instances whose requests share the engines of a service. Reports reach the other instances late,
 // in any order, and some twice.
 type fleet struct {
--- a/internal/directory/prompt_parts.go
+++ b/internal/directory/prompt_parts.go
@@ -78,24 +78,21 @@
 		log.WithFields(log.Fields{"service": key.Service, "part": key.Part}).
 			Warn("quarantine of a part of prompts has ended: requests with it are sent to engines again")
 	}
-	suspected, quarantined := 0, 0
-	for _, s := range t.Suspicions() {
-		suspected++
-		if s.InForce(now) {
-			quarantined++
-		}
-	}
+	suspected, quarantined := t.Counts(now)
 	metrics.GetOrCreateGauge(`banyanfront_prompt_parts{state="suspected"}`, nil).Set(float64(suspected))
 	metrics.GetOrCreateGauge(`banyanfront_prompt_parts{state="quarantined"}`, nil).Set(float64(quarantined))
 }
 
-// EncodePromptParts returns messages with suspicions, one for each service.
+// maxSuspicionsPerMessage keeps a message far below the size limit: a suspicion names up to 16 engines.
+const maxSuspicionsPerMessage = 500
+
+// EncodePromptParts returns messages with suspicions, each of one service.
 func EncodePromptParts(now time.Time, suspicions []quarantine.Suspicion) []*protocol.PromptParts {
 	byService := map[string]*protocol.PromptParts{}
 	var messages []*protocol.PromptParts
 	for _, s := range suspicions {
 		m := byService[s.Service]
-		if m == nil {
+		if m == nil || len(m.Suspected) == maxSuspicionsPerMessage {
 			m = &protocol.PromptParts{Service: s.Service}
 			byService[s.Service] = m
 			messages = append(messages, m)
--- a/internal/directory/prompt_parts_test.go
+++ b/internal/directory/prompt_parts_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -105,3 +106,24 @@
 		}
 	})
 }
+
+// Guards against suspicions that do not fit into one message: the session would be lost with it.
+func TestManySuspicionsFitIntoMessages(t *testing.T) {
+	is := is.New(t)
+	tracker, now := quarantine.New(), time.Now()
+	for n := range 3000 {
+		for e := range 16 {
+			tracker.RecordEnd(now, "s", quarantine.Engine{Server: fmt.Sprint("i-0123456789abcdef", e), StartedAtMillis: now.UnixMilli()}, []string{fmt.Sprint("part", n)})
+		}
+	}
+	other, known := quarantine.New(), 0
+	for _, m := range EncodePromptParts(now, tracker.Suspicions()) {
+		frame, err := protocol.Encode(0, m)
+		is.NoErr(err)
+		is.True(len(frame) < protocol.MaxMessageBytes/2)
+		ApplyPromptParts(now, other, m)
+		known += len(m.Suspected)
+	}
+	is.Equal(known, 3000)
+	is.Equal(len(other.Suspicions()), 3000)
+}
--- a/internal/edge/prompt_parts.go
+++ b/internal/edge/prompt_parts.go
@@ -130,17 +130,23 @@
 	f.parts.mu.Lock()
 	defer f.parts.mu.Unlock()
 	news, quarantined := directory.ApplyPromptParts(now, f.parts.tracker, m)
-	f.parts.withdraw(m.Service, quarantined)
-	if news == nil || news.Ended == nil {
+	if len(quarantined) > 0 {
+		f.parts.withdraw(now)
+	}
+	if news == nil {
 		return nil
 	}
 	if own {
 		messages = append(messages, news)
 	}
+	parts := quarantined
+	if news.Ended != nil {
+		parts = slices.Concat(parts, news.Ended.Parts)
+	}
+	slices.Sort(parts)
 	var tell []quarantine.Suspicion
-	for _, part := range news.Ended.Parts {
-		s, ok := f.parts.tracker.Get(m.Service, part)
-		if ok && (s.AnsweredBefore || slices.Contains(quarantined, part)) {
+	for _, part := range slices.Compact(parts) {
+		if s, ok := f.parts.tracker.Get(m.Service, part); ok && (s.AnsweredBefore || s.InForce(now)) {
 			tell = append(tell, s)
 		}
 	}
@@ -149,12 +155,9 @@
 
 // withdraw cancels the attempts with a quarantined part whose answer has not begun: each would end another engine. The lock
 // is held.
-func (p *promptParts) withdraw(service string, quarantined []string) {
-	if len(quarantined) == 0 {
-		return
-	}
+func (p *promptParts) withdraw(now time.Time) {
 	for a, c := range p.waiting {
-		if c.service == service && slices.ContainsFunc(c.parts, func(part string) bool { return slices.Contains(quarantined, part) }) {
+		if part, _ := p.tracker.Quarantined(now, c.service, c.parts); part != "" {
 			a.withdrawn.Store(true)
 			a.cancel()
 		}
