--- a/decide/experts/switchover.go
+++ b/decide/experts/switchover.go
@@ -198,7 +198,7 @@
 	if report.Epoch > s.epoch {
 		s.epoch = report.Epoch
 		clear(s.ranks)
-		s.extraSteps, s.startedStep = 0, 0
+		s.extraSteps, s.startedStep, s.answers = 0, 0, answerRatio{}
 		s.lastChange.version, s.leftoverHold.since = 0, time.Time{}
 		s.phase, s.lists, s.heldSince = switchIdle, nil, time.Time{}
 	}
--- a/decide/experts/switchover_test.go
+++ b/decide/experts/switchover_test.go
@@ -550,3 +550,34 @@
 	t.Logf("the map takes effect %v ahead", ahead)
 	is.True(ahead <= c.config.LeadTime+c.config.MaxReportLag)
 }
+
+// Guards against a group that keeps the map it was formed with after the return of a rank whose engine answered no orders.
+func TestNewEpochForgetsUnansweredOrders(t *testing.T) {
+	is := is.New(t)
+	c := NewSwitchover(SwitchoverConfig{Ranks: 2}, time.Unix(0, 0))
+	now := time.Unix(1, 0)
+	report := func(epoch uint64) {
+		for rank := range 2 {
+			c.HandleReport(now, RankReport{Rank: rank, Epoch: epoch, Open: true, Step: 100})
+		}
+	}
+	report(1)
+	c.Begin(now, 1, RankLists{{{0}, {1}}})
+	for range 30 { // rank 1 does not answer
+		for _, o := range c.Tick(now) {
+			result := OrderUnanswered
+			if o.Rank == 0 {
+				result = OrderDone
+			}
+			c.HandleResult(now, o, result)
+		}
+		now = now.Add(c.config.ResendInterval)
+		report(1)
+	}
+	c.AbortPreparing(now)
+	now = now.Add(c.config.MaxReportLag)
+	report(1)
+	is.Equal(c.NotReadyReason(now), "too many orders to its ranks are unanswered")
+	report(2)
+	is.Equal(c.NotReadyReason(now), "")
+}
