--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -6,6 +6,9 @@
 // suspicion from it. So a part is quarantined once engines have ended twice with it, without an answer on it in between.
 // The ends that it explains then no longer count against other parts.
 //
+// Where no answer of the service begins between two ends, as nothing does while a lock-step group is closed, the second fact
+// says nothing. A part that few requests have is then quarantined by the first fact alone, after one end more.
+//
 // A Tracker is merged with those of other processes: reports may arrive late, repeatedly and in any order.
 package quarantine
 
@@ -21,6 +24,14 @@
 	// turned harmful themselves.
 	endsToQuarantine = 2
 	endsIfAnswered   = 4
+	// moreEndsUnanswered is the number of ends more if no answer of the service began in between, and maxRareRatio the part of
+	// the service's recent requests that have a part which is then quarantined at all: of one that many have, it is no surprise
+	// that it was open at each end. minRequests is the number of requests below which that is not known.
+	moreEndsUnanswered = 1
+	maxRareRatio       = 0.05
+	minRequests        = 40
+	// requestWindow is the time over which requests are counted, twice at most.
+	requestWindow = 30 * time.Second
 	// minEndsApart is the minimum time between two ends that are counted separately. Engines that end together, such as those
 	// of a data centre that loses power, have a common cause.
 	minEndsApart = time.Second
@@ -58,6 +69,8 @@
 	Key
 	Ends             int       // counted separate ends
 	LastEndAt        time.Time // of the last one counted
+	UnansweredEnds   int       // counted without regard to answers of the service in between
+	LastUnansweredAt time.Time // of the last one of these
 	QuarantinedUntil time.Time // zero if never quarantined
 	Quarantines      int
 	AnsweredBefore   bool // an answer began on the part before the first of these ends
@@ -92,12 +105,46 @@
 	// sound holds when an answer has last begun on a part; soundBefore is the generation before it, dropped as a whole.
 	sound, soundBefore map[Key]time.Time
 	explained          map[Engine]bool // engines that ended with a part that is quarantined by now
+	requests           map[string]*requestCounts
+}
+
+// requestCounts counts the recent requests of a service by part, in this and the previous window.
+type requestCounts struct {
+	since                time.Time
+	total, totalBefore   int
+	byPart, byPartBefore map[string]int
 }
 
 // New returns a tracker without suspicions.
 func New() *Tracker {
 	return &Tracker{suspicions: map[Key]*Suspicion{}, beganAt: map[string]time.Time{}, sound: map[Key]time.Time{},
-		soundBefore: map[Key]time.Time{}, explained: map[Engine]bool{}}
+		soundBefore: map[Key]time.Time{}, explained: map[Engine]bool{}, requests: map[string]*requestCounts{}}
+}
+
+// RecordRequest counts a request, also one that is refused.
+func (t *Tracker) RecordRequest(now time.Time, service string, parts []string) {
+	c := t.requests[service]
+	if c == nil || now.Sub(c.since) >= requestWindow || len(c.byPart) >= maxSound {
+		next := &requestCounts{since: now, byPart: map[string]int{}}
+		if c != nil && now.Sub(c.since) < 2*requestWindow {
+			next.totalBefore, next.byPartBefore = c.total, c.byPart
+		}
+		c = next
+		t.requests[service] = c
+	}
+	c.total++
+	for _, part := range parts {
+		c.byPart[part]++
+	}
+}
+
+// isRare reports whether few of the service's recent requests have a part.
+func (t *Tracker) isRare(key Key) bool {
+	c := t.requests[key.Service]
+	if c == nil || c.total+c.totalBefore < minRequests {
+		return false
+	}
+	return float64(c.byPart[key.Part]+c.byPartBefore[key.Part]) <= maxRareRatio*float64(c.total+c.totalBefore)
 }
 
 // RecordEnd records that an engine ended at a time with requests open whose answers had not begun. It returns those of
@@ -121,12 +168,7 @@
 			quarantined = append(quarantined, part)
 			continue
 		}
-		if !t.isSeparate(at, s) {
-			continue
-		}
-		s.Ends++
-		s.LastEndAt = at
-		if s.Ends >= s.endsNeeded() {
+		if t.countEnd(at, s) {
 			s.quarantine(at)
 			together = append(together, part)
 		}
@@ -142,6 +184,21 @@
 	return news, quarantined
 }
 
+// countEnd counts an end if it is separate from those before, and reports whether that suffices for a quarantine.
+func (t *Tracker) countEnd(at time.Time, s *Suspicion) bool {
+	separate := t.isSeparate(at, s)
+	if separate {
+		s.Ends++
+		s.LastEndAt = at
+	}
+	if s.UnansweredEnds > 0 && at.Sub(s.LastUnansweredAt) < minEndsApart {
+		return separate && s.Ends >= s.endsNeeded()
+	}
+	s.UnansweredEnds++
+	s.LastUnansweredAt = at
+	return separate && s.Ends >= s.endsNeeded() || s.UnansweredEnds >= s.endsNeeded()+moreEndsUnanswered && t.isRare(s.Key)
+}
+
 // quarantine begins the next quarantine of the part.
 func (s *Suspicion) quarantine(at time.Time) {
 	s.QuarantinedUntil = at.Add(min(firstQuarantine<<min(s.Quarantines, 16), maxQuarantine))
@@ -192,7 +249,7 @@
 			continue
 		}
 		s.Engines = slices.DeleteFunc(s.Engines, func(e Engine) bool { return t.explained[e] })
-		s.Ends = min(s.Ends, len(s.Engines))
+		s.Ends, s.UnansweredEnds = min(s.Ends, len(s.Engines)), min(s.UnansweredEnds, len(s.Engines))
 		if len(s.Engines) == 0 {
 			delete(t.suspicions, key)
 		}
@@ -286,7 +343,7 @@
 		s.Ends = max(s.Ends, other.Ends)
 	}
 	news = news || s.Ends > before
-	s.Quarantines = max(s.Quarantines, other.Quarantines)
+	s.Quarantines, s.UnansweredEnds = max(s.Quarantines, other.Quarantines), max(s.UnansweredEnds, s.Ends)
 	s.AnsweredBefore = s.AnsweredBefore || other.AnsweredBefore
 	for _, engine := range other.Engines {
 		if !slices.Contains(s.Engines, engine) {
@@ -364,8 +421,8 @@
 	for key, s := range t.suspicions {
 		switch {
 		case s.InForce(now):
-		case s.Quarantines > 0 && s.Ends >= s.endsNeeded():
-			s.Ends = s.endsNeeded() - 1
+		case s.Quarantines > 0 && (s.Ends >= s.endsNeeded() || s.UnansweredEnds > s.endsNeeded()):
+			s.Ends, s.UnansweredEnds = s.endsNeeded()-1, s.endsNeeded()
 			released = append(released, key)
 		case now.Sub(s.LastEndAt) > forgetAfter && now.Sub(s.QuarantinedUntil) > maxQuarantine:
 			delete(t.suspicions, key)
--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -63,6 +63,24 @@
 	}
 }
 
+// Guards against engines that go on ending under one part while no answer of the service begins in between, as in a lock-step group
+// that ends as soon as it has opened; and against the quarantine of parts that many requests have, which are open at each end
+// anyway.
+func TestRarePartIsQuarantinedThoughNothingIsAnswered(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for n := range 400 {
+		tracker.RecordRequest(at(float64(n)*0.05), "s", []string{"system", fmt.Sprint("subject", n%40)})
+	}
+	tracker.RecordRequest(at(20), "s", []string{"system", "bad"})
+	for n := range 8 {
+		quarantined := end(tracker, 20+5*float64(n), n, "system", "bad", fmt.Sprint("subject", n))
+		is.Equal(len(quarantined) > 0, n == endsToQuarantine+moreEndsUnanswered-1)
+	}
+	is.Equal(quarantined(tracker, 60, "system", "bad"), "bad")
+	is.Equal(quarantined(tracker, 60, "system", "subject1", "subject2"), "")
+}
+
 // Guards against a report that counts twice: several entry instances see the same end, and each control instance relays it.
 func TestRepeatedReportsOfAnEndCountOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/prompt_parts.go
+++ b/internal/edge/prompt_parts.go
@@ -34,6 +34,16 @@
 	checks  singleflight.Group // of engines that may have ended, by server
 }
 
+// recordRequest counts a request by the parts of its prompt.
+func (p *promptParts) recordRequest(c *call) {
+	if len(c.parts) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tracker.RecordRequest(c.arrived, c.service, c.parts)
+}
+
 // quarantineRefusal returns the refusal of a call with a quarantined part, nil if it has none.
 func (p *Proxy) quarantineRefusal(c *call) *dispatch.Refusal {
 	p.parts.mu.Lock()
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -96,6 +96,7 @@
 	defer cancel()
 	c.ctx = ctx
 	p.withDispatcher(func(_ time.Time, d *dispatch.Dispatcher) { d.RecordRequest(c.arrived, c.service) })
+	p.parts.recordRequest(c)
 	if c.route.Kind == routes.Stream {
 		c.serveStream()
 		return
