--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 	engines []*fleetEngine
 	started int
 	ends    int
+	reading atomic.Int32 // requests whose prompt is being read for good
 }
 
 type fleetEngine struct {
@@ -85,6 +87,7 @@
 	w.Header().Set(platform.HeaderSeal, "seal")
 	if !strings.Contains(r.Header.Get("X-Prompt-Prefix"), harmfulPart) {
 		if strings.Contains(r.Header.Get("X-Prompt-Prefix"), "slow") {
+			f.reading.Add(1)
 			<-r.Context().Done() // still reads its prompt when the engine ends
 			return
 		}
@@ -227,7 +230,7 @@
 		status, _, _, _ := send(t, urls[0], "/stream/x", prompt(2, "slow", harmfulPart[:3])...)
 		statuses <- status
 	}()
-	for proxies[0].InFlight() == 0 {
+	for f.reading.Load() == 0 { // before an engine has it, it would be refused as not run
 		time.Sleep(time.Millisecond)
 	}
 	proxies[0].MessageReceived(nil, &protocol.PromptParts{Service: "s", Suspected: []protocol.PartSuspicion{{Part: harmfulPart[:3], Ends: 2,
