--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -329,3 +332,23 @@
 	p.set(at(10), false)
 	is.Equal(p.total(at(20)), 4*time.Second)
 }
+
+// Guards against a proxy that closes its listener to open it again: the address may still be in use.
+func TestProxyRefusesAndListensAgain(t *testing.T) {
+	is := is.New(t)
+	p, err := newProxy("127.0.0.1:0", "127.0.0.1:1")
+	is.NoErr(err)
+	defer p.close()
+	for range 200 {
+		is.NoErr(p.listen())
+	}
+	for range 3 {
+		p.refuse()
+		_, err = net.Dial("tcp", p.address)
+		is.True(errors.Is(err, syscall.ECONNREFUSED))
+		is.NoErr(p.listen())
+		c, err := net.Dial("tcp", p.address)
+		is.NoErr(err)
+		is.NoErr(c.Close())
+	}
+}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -14,7 +15,7 @@
 	target  string
 
 	mu        sync.Mutex
-	listener  net.Listener
+	listener  net.Listener  // nil while connections are refused
 	changed   chan struct{} // closed when link changes
 	link      link
 	pairs     map[*pair]bool
@@ -33,6 +34,7 @@
 const (
 	// dialTimeout is the maximum time to connect to the listener, which is on the same machine.
 	dialTimeout     = time.Second
+	reopenInterval  = 5 * time.Millisecond
 	copyBufferBytes = 16 << 10
 )
 
@@ -50,15 +52,24 @@
 func (p *proxy) refuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.listener.Close()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
 }
 
-// listen accepts connections again after refuse.
+// listen accepts connections, also after refuse.
 func (p *proxy) listen() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.listener.Close() // it may still listen
+	if p.listener != nil {
+		return nil
+	}
 	listener, err := net.Listen("tcp", p.address)
+	for start := time.Now(); errors.Is(err, syscall.EADDRINUSE) && time.Since(start) < dialTimeout; {
+		time.Sleep(reopenInterval) // the goroutine that accepted has not let go of the socket yet
+		listener, err = net.Listen("tcp", p.address)
+	}
 	if err != nil {
 		return err
 	}
