--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -34,7 +34,7 @@
 	engines []*fleetEngine
 	started int
 	ends    int
-	reading atomic.Int32 // requests whose prompt is being read for good
+	reading atomic.Int32 // requests that have arrived and are never answered
 }
 
 type fleetEngine struct {
