--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -336,7 +336,10 @@
 // Guards against a proxy that closes its listener to open it again: the address may still be in use.
 func TestProxyRefusesAndListensAgain(t *testing.T) {
 	is := is.New(t)
-	p, err := newProxy("127.0.0.1:0", "127.0.0.1:1")
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = target.Close() }()
+	p, err := newProxy("127.0.0.1:0", target.Addr().String())
 	is.NoErr(err)
 	defer p.close()
 	for range 200 {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -16,6 +15,7 @@
 
 	mu        sync.Mutex
 	listener  net.Listener  // nil while connections are refused
+	accepted  chan struct{} // closed once the listener accepts no more
 	changed   chan struct{} // closed when link changes
 	link      link
 	pairs     map[*pair]bool
@@ -34,7 +34,6 @@
 const (
 	// dialTimeout is the maximum time to connect to the listener, which is on the same machine.
 	dialTimeout     = time.Second
-	reopenInterval  = 5 * time.Millisecond
 	copyBufferBytes = 16 << 10
 )
 
@@ -43,8 +42,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{address: listener.Addr().String(), target: to, listener: listener, changed: make(chan struct{}), pairs: map[*pair]bool{}}
-	go p.accept(listener)
+	p := &proxy{address: listener.Addr().String(), target: to, changed: make(chan struct{}), pairs: map[*pair]bool{}}
+	p.serve(listener)
 	return p, nil
 }
 
@@ -54,6 +53,7 @@
 	defer p.mu.Unlock()
 	if p.listener != nil {
 		_ = p.listener.Close()
+		<-p.accepted // the socket stays open as long as it is accepted from
 		p.listener = nil
 	}
 }
@@ -66,19 +66,21 @@
 		return nil
 	}
 	listener, err := net.Listen("tcp", p.address)
-	for start := time.Now(); errors.Is(err, syscall.EADDRINUSE) && time.Since(start) < dialTimeout; {
-		time.Sleep(reopenInterval) // the goroutine that accepted has not let go of the socket yet
-		listener, err = net.Listen("tcp", p.address)
-	}
 	if err != nil {
 		return err
 	}
-	p.listener = listener
-	go p.accept(listener)
+	p.serve(listener)
 	return nil
 }
 
-func (p *proxy) accept(listener net.Listener) {
+// serve accepts connections from a listener in the background.
+func (p *proxy) serve(listener net.Listener) {
+	p.listener, p.accepted = listener, make(chan struct{})
+	go p.accept(listener, p.accepted)
+}
+
+func (p *proxy) accept(listener net.Listener, accepted chan struct{}) {
+	defer close(accepted)
 	for {
 		caller, err := listener.Accept()
 		if err != nil {
