Soak: one way to restart a stand-in

endFor repeated restartServer, ignored its error and needed a phase of its own to know that the soak had ended. A server restarts itself now, under a lock and until the context of the soak ends; the phase is gone. An error is recorded in both cases.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -160,9 +161,10 @@
 	return nil
 }
 
-// start starts the backend servers and all processes.
-func (f *fleet) start() error {
+// start starts the backend servers, which are restarted until the context ends, and all processes.
+func (f *fleet) start(running context.Context) error {
 	for _, s := range f.servers {
+		s.running = running
 		if err := s.start(false); err != nil {
 			return eris.Wrapf(err, "stand-in %s", s.name)
 		}
@@ -177,7 +179,6 @@
 
 // shutdown ends all processes, backend servers and proxies.
 func (f *fleet) shutdown() {
-	f.ledger.enterPhase(over)
 	var group sync.WaitGroup
 	for _, p := range f.byName {
 		if p.stopped != nil {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -95,19 +95,19 @@
 		})
 	case Crash:
 		target.crash()
-		f.restartServer(ctx, target)
+		target.restart()
 	case CrashAll:
 		var all sync.WaitGroup
 		for _, s := range f.servers {
 			if s.group == nil {
 				s.crash()
-				all.Go(func() { f.restartServer(ctx, s) })
+				all.Go(func() { s.restart() })
 			}
 		}
 		all.Wait()
 	case Drain:
 		target.drain()
-		f.restartServer(ctx, target)
+		target.restart()
 	case HarmfulPart:
 		f.ledger.addHarmfulPart()
 	case Freeze:
@@ -120,14 +120,3 @@
 		forDuration(func(on bool) { target.group.setRank(target.rank, func(r *rankState) { r.loseOrders = on }) })
 	}
 }
-
-// restartServer starts a stopped server after downTime.
-func (f *fleet) restartServer(ctx context.Context, s *server) {
-	process.Sleep(ctx, downTime)
-	if s.currentIncarnation() != nil || ctx.Err() != nil {
-		return // already started for another fault
-	}
-	if err := s.start(true); err != nil {
-		f.ledger.recordViolation("SOAK", "stand-in %s was not started again: %v", s.name, err)
-	}
-}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -58,7 +58,6 @@
 	faultFree             // no fault, after the system has recovered
 	rollingRestart        // entry instances are restarted one by one, without other faults
 	afterFinalFault       // from the final fault on
-	over                  // the deployment has been shut down
 )
 
 // Violation is a violation of one of the system's guarantees.
@@ -229,9 +228,6 @@
 	}
 }
 
-// isOver reports whether the deployment has been shut down.
-func (l *ledger) isOver() bool { return l.inPhase(over) }
-
 // endedSince returns the number of requests that ended after a time, without abandoned ones, and how many were answered.
 func (l *ledger) endedSince(since time.Time) (ended, served int) {
 	l.mu.Lock()
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/banyanfront/banyanfront/decide/experts"
 	"github.com/banyanfront/banyanfront/decide/registry"
+	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
@@ -59,6 +60,9 @@
 
 	frozen, damaging, announcementsHeld atomic.Bool
 
+	running  context.Context // ends with the soak
+	starting sync.Mutex      // held by restart
+
 	mu           sync.Mutex
 	incarnations []*incarnation
 	current      *incarnation // nil while the server is down
@@ -124,6 +128,19 @@
 	_ = inc.http.Close()
 }
 
+// restart starts the server after downTime, unless the soak ends or another fault has started it.
+func (s *server) restart() {
+	process.Sleep(s.running, downTime)
+	s.starting.Lock()
+	defer s.starting.Unlock()
+	if s.currentIncarnation() != nil || s.running.Err() != nil {
+		return
+	}
+	if err := s.start(true); err != nil {
+		s.ledger.recordViolation("SOAK", "stand-in %s was not started again: %v", s.name, err)
+	}
+}
+
 // currentIncarnation returns the current incarnation, nil if the server is down.
 func (s *server) currentIncarnation() *incarnation {
 	s.mu.Lock()
@@ -433,12 +450,7 @@
 	if s := inc.server; s.currentIncarnation() == inc {
 		s.ledger.recordHarmfulEnd(part)
 		s.crash()
-		go func() {
-			time.Sleep(downTime)
-			if s.currentIncarnation() == nil && !s.ledger.isOver() {
-				_ = s.start(true) // another fault may have started it
-			}
-		}()
+		go s.restart()
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -95,7 +95,7 @@
 		f.shutdown()
 		background.Wait()
 	}()
-	if err := f.start(); err != nil {
+	if err := f.start(running); err != nil {
 		return nil, err
 	}
 	for _, g := range f.groups {
