One way to send a droppable message, and one place that decides whether a broken attempt counts against its server

Read again, no behaviour changes: - Directory.send had a copy in internal/edge: transport.TrySend serves both. - The conditions under which a broken attempt is not the server's fault stood in three places, with the same two steps behind two of them. - Requests without shared parts took the lock of the parts twice for nothing. - The age of an engine's end was never set by a sender; logQuarantined has one caller. - Tests name the header by platform.HeaderPrompt.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -213,12 +213,12 @@
 		log.WithFields(log.Fields{"peer": hello.Instance, "address": hello.Address}).Info("session opened")
 		if hello.Address != "" {
 			d.controlSessions[s] = hello.Address
-			d.send(s, d.roster())
+			transport.TrySend(s, d.roster())
 			return
 		}
 		if hello.Rank {
 			d.rankSessions[s] = true
-			d.send(s, d.roster())
+			transport.TrySend(s, d.roster())
 			return
 		}
 		d.entrySessions[s] = true
@@ -227,10 +227,10 @@
 			all = append(all, known.Server)
 		}
 		d.sendAnnouncements(now, all, []transport.Session{s})
-		d.send(s, d.roster())
-		d.send(s, d.stateIndex())
+		transport.TrySend(s, d.roster())
+		transport.TrySend(s, d.stateIndex())
 		for _, m := range EncodePromptParts(now, d.promptParts.Suspicions()) {
-			d.send(s, m)
+			transport.TrySend(s, m)
 		}
 	})
 }
@@ -301,7 +301,7 @@
 		log.WithError(err).Error("the agreed state could not be encoded")
 		return
 	}
-	d.send(s, &protocol.State{Index: state.Index, Snapshot: data})
+	transport.TrySend(s, &protocol.State{Index: state.Index, Snapshot: data})
 }
 
 // readBarrierTimeout limits the wait for a majority: callers try another control instance after a second.
@@ -322,12 +322,6 @@
 	return nil
 }
 
-func (d *Directory) send(s transport.Session, m protocol.Message) {
-	if err := s.Send(m); err != nil {
-		log.WithError(err).WithField("peer", s.Peer().Instance).Debug("message not sent; the session is closed or its send queue is full")
-	}
-}
-
 // stateChanged schedules a message about the new state. The replica's goroutine calls it.
 func (d *Directory) stateChanged(s controlstate.State) {
 	log.WithFields(log.Fields{"index": s.Index, "version": s.Version, "evacuated": s.Evacuated, "coordinators": s.Coordinators}).
@@ -360,7 +354,7 @@
 
 func (d *Directory) broadcast(m protocol.Message) {
 	for session := range d.entrySessions {
-		d.send(session, m)
+		transport.TrySend(session, m)
 	}
 }
 
@@ -374,7 +368,7 @@
 			}
 		}
 		for _, session := range to {
-			d.send(session, message)
+			transport.TrySend(session, message)
 		}
 	}
 }
--- a/internal/directory/members.go
+++ b/internal/directory/members.go
@@ -15,6 +15,7 @@
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/internal/groupmember"
 	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/transport"
 )
 
 const (
@@ -222,10 +223,10 @@
 		d.sentRoster = roster
 		d.broadcast(roster)
 		for session := range d.controlSessions {
-			d.send(session, roster)
+			transport.TrySend(session, roster)
 		}
 		for session := range d.rankSessions {
-			d.send(session, roster)
+			transport.TrySend(session, roster)
 		}
 	}
 }
--- a/internal/directory/prompt_parts.go
+++ b/internal/directory/prompt_parts.go
@@ -18,7 +18,7 @@
 	if e := m.Ended; e != nil {
 		engine := quarantine.Engine{Server: e.Server, StartedAtMillis: e.StartedAtMillis}
 		var parts []string
-		parts, quarantined = t.RecordEnd(now.Add(-time.Duration(e.AgeMS)*time.Millisecond), m.Service, engine, e.Parts)
+		parts, quarantined = t.RecordEnd(now, m.Service, engine, e.Parts)
 		if len(parts) > 0 {
 			ended := *e
 			ended.Parts = parts
@@ -37,15 +37,15 @@
 	if len(m.Answered) > 0 {
 		news.Answered = LiftedParts(now, t.RecordBegun(now, m.Service, m.Answered))
 	}
-	LogQuarantined(now, t, m.Service, quarantined)
+	logQuarantined(now, t, m.Service, quarantined)
 	if news.Ended == nil && len(news.Suspected) == 0 && len(news.Answered) == 0 {
 		return nil, quarantined
 	}
 	return news, quarantined
 }
 
-// LogQuarantined logs parts that were put into quarantine.
-func LogQuarantined(now time.Time, t *quarantine.Tracker, service string, parts []string) {
+// logQuarantined logs parts that were put into quarantine.
+func logQuarantined(now time.Time, t *quarantine.Tracker, service string, parts []string) {
 	for _, part := range parts {
 		if s, ok := t.Get(service, part); ok {
 			engines := make([]string, 0, len(s.Engines))
@@ -122,7 +122,7 @@
 	}
 	for session := range d.entrySessions {
 		if session != from {
-			d.send(session, news)
+			transport.TrySend(session, news)
 		}
 	}
 }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -165,7 +165,7 @@
 		a.response.Close(complete)
 	}
 	a.watchdog.stop()
-	c.proxy.parts.forget(a)
+	c.proxy.parts.forget(a, c)
 	a.cancelled = a.ctx.Err() != nil
 	a.cancel()
 	c.proxy.withDispatcher(func(time.Time, *dispatch.Dispatcher) { a.choice.Release() })
@@ -176,6 +176,20 @@
 	c.proxy.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) { d.RecordFailure(now, a.choice) })
 }
 
+// serverAtFault reports whether a broken attempt counts against its server: not if the caller disconnected, the deadline passed
+// or a part of the prompt was quarantined.
+func (c *call) serverAtFault(a *attempt) bool { return c.ctx.Err() == nil && !a.withdrawn.Load() }
+
+// recordBrokenOff records that a server broke off its response, and reports whether it is at fault.
+func (c *call) recordBrokenOff(a *attempt) bool {
+	if !c.serverAtFault(a) {
+		return false
+	}
+	c.recordFailure(a)
+	c.checkEngineEnd(a)
+	return true
+}
+
 // recordUnreachable records that the server's machine gave no answer.
 func (c *call) recordUnreachable(a *attempt) {
 	lost := false
@@ -198,8 +212,8 @@
 		c.mayHaveRun = true
 		c.tried = append(c.tried, server)
 	}
-	if c.ctx.Err() != nil || a.withdrawn.Load() {
-		return // the caller disconnected, the deadline passed or a part was quarantined, so the server is not at fault
+	if !c.serverAtFault(a) {
+		return
 	}
 	if failure.Unreachable() {
 		c.recordUnreachable(a)
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -199,13 +199,7 @@
 		return
 	}
 	f.stateRequestedAt = now
-	f.sendTo(session, &protocol.State{Index: currentIndex, Request: true})
-}
-
-func (f *fleetState) sendTo(s transport.Session, m protocol.Message) {
-	if err := s.Send(m); err != nil {
-		log.WithError(err).WithField("peer", s.Peer().Instance).Debug("message not sent; the session is closed or its send queue is full")
-	}
+	transport.TrySend(session, &protocol.State{Index: currentIndex, Request: true})
 }
 
 // publishServers passes the servers to the dispatcher if they have changed.
@@ -230,7 +224,7 @@
 		suspicions := f.parts.tracker.Suspicions()
 		f.parts.mu.Unlock()
 		for _, m := range directory.EncodePromptParts(now, suspicions) {
-			f.sendTo(s, m) // the control instance may have started without them
+			transport.TrySend(s, m) // the control instance may have started without them
 		}
 	})
 }
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -67,10 +67,7 @@
 	if err != nil {
 		c.lastError = err.Error()
 		c.recordResult(a, "broken off")
-		if c.ctx.Err() == nil && !a.withdrawn.Load() {
-			c.recordFailure(a)
-			c.checkEngineEnd(a)
-		}
+		c.recordBrokenOff(a)
 		log.WithFields(log.Fields{"request": c.id, "server": a.choice.Server.Server, "status": response.Status, "error": c.lastError,
 			"parts": c.parts}).Warn("answer broken off")
 		return false
--- a/internal/edge/prompt_parts.go
+++ b/internal/edge/prompt_parts.go
@@ -17,6 +17,7 @@
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/internal/directory"
 	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/transport"
 )
 
 // This file keeps requests with a part of a prompt that crashes engines from them; package quarantine says how such a part is
@@ -46,6 +47,9 @@
 
 // quarantineRefusal returns the refusal of a call with a quarantined part, nil if it has none.
 func (p *Proxy) quarantineRefusal(c *call) *dispatch.Refusal {
+	if len(c.parts) == 0 {
+		return nil
+	}
 	p.parts.mu.Lock()
 	defer p.parts.mu.Unlock()
 	part, remaining := p.parts.tracker.Quarantined(time.Now(), c.service, c.parts)
@@ -66,7 +70,11 @@
 	p.waiting[a] = c
 }
 
-func (p *promptParts) forget(a *attempt) {
+// forget ends await.
+func (p *promptParts) forget(a *attempt, c *call) {
+	if len(c.parts) == 0 {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.waiting, a)
@@ -183,7 +191,7 @@
 func (f *fleetState) broadcast(messages []*protocol.PromptParts) {
 	for session := range f.sessions {
 		for _, m := range messages {
-			f.sendTo(session, m)
+			transport.TrySend(session, m)
 		}
 	}
 }
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -85,8 +85,8 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
 	w.Header().Set(platform.HeaderSeal, "seal")
-	if !strings.Contains(r.Header.Get("X-Prompt-Prefix"), harmfulPart) {
-		if strings.Contains(r.Header.Get("X-Prompt-Prefix"), "slow") {
+	if !strings.Contains(r.Header.Get(platform.HeaderPrompt), harmfulPart) {
+		if strings.Contains(r.Header.Get(platform.HeaderPrompt), "slow") {
 			f.reading.Add(1)
 			<-r.Context().Done() // still reads its prompt when the engine ends
 			return
@@ -128,7 +128,7 @@
 	for _, part := range parts {
 		text += part + ":100,"
 	}
-	return []string{"X-Prompt-Prefix", fmt.Sprintf("%sffff%d:30", text, n), platform.HeaderRequestID, fmt.Sprint("r", n)}
+	return []string{platform.HeaderPrompt, fmt.Sprintf("%sffff%d:30", text, n), platform.HeaderRequestID, fmt.Sprint("r", n)}
 }
 
 // Guards against requests with one part of a prompt, under which engine after engine has ended, being sent on: engines end
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -178,9 +178,7 @@
 	}
 	s.lastError = err.Error()
 	s.finish(a, false, "broken off at "+s.lastEventID)
-	if s.ctx.Err() == nil && !a.withdrawn.Load() {
-		s.recordFailure(a)
-		s.checkEngineEnd(a)
+	if s.recordBrokenOff(a) {
 		log.WithFields(log.Fields{"request": s.id, "server": a.choice.Server.Server, "last": s.lastEventID, "events": s.events,
 			"error": s.lastError, "resumable": s.route.Resumable, "parts": s.parts}).Warn("stream broken off")
 	}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -363,8 +363,7 @@
 type EndedEngine struct {
 	Server          string   `cbor:"1,keyasint"`
 	StartedAtMillis int64    `cbor:"2,keyasint"`
-	AgeMS           int64    `cbor:"3,keyasint"` // time since the end
-	Parts           []string `cbor:"4,keyasint"`
+	Parts           []string `cbor:"3,keyasint"`
 }
 
 // PartSuspicion is a quarantine.Suspicion, with times relative to the sending of the message.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 
+	"github.com/apex/log"
+
 	"github.com/banyanfront/banyanfront/internal/protocol"
 )
 
@@ -37,6 +39,13 @@
 	Done() <-chan struct{}
 }
 
+// TrySend queues a session-level message that a later one makes up for. It logs an error and drops the message.
+func TrySend(s Session, m protocol.Message) {
+	if err := s.Send(m); err != nil {
+		log.WithError(err).WithField("peer", s.Peer().Instance).Debug("message not sent; the session is closed or its send queue is full")
+	}
+}
+
 // Stream carries one attempt in both directions.
 type Stream interface {
 	// Send queues a message. Data blocks until the receiver has granted enough credit, other messages while the stream's
