Keep the limit that a server names: each entry instance sends its part of it

Cause: nothing read Server-Limit. The class: a bound on a sum over instances that cannot see each other. The limit of a server and the rate of a cold one are one rate with one limiter: each instance has its part, permissions begin at a random time and lapse while few requests come, so that the parts of many instances do not add up to a burst. An instance that is told a limit tells the others through the control instances; these tell those that start. The first answer without the limit ends it.

--- a/decide/dispatch/budget.go
+++ b/decide/dispatch/budget.go
@@ -44,28 +44,3 @@
 	}
 	return float64(retries+1) <= ratio*float64(requests)+slack
 }
-
-// rateLimiter spaces requests to a cold server evenly. The first request passes at once, even if the rate is below one per
-// second.
-type rateLimiter struct {
-	nextAt time.Time
-}
-
-// wait returns how long the next request must wait, 0 if it may be sent now. rate is in requests per second.
-func (l *rateLimiter) wait(now time.Time, rate float64) time.Duration {
-	if rate <= 0 || !now.Before(l.nextAt) {
-		return 0
-	}
-	return l.nextAt.Sub(now)
-}
-
-// reserve records that a request is sent, which delays the next one.
-func (l *rateLimiter) reserve(now time.Time, rate float64) {
-	if rate <= 0 {
-		return
-	}
-	if l.nextAt.Before(now) {
-		l.nextAt = now
-	}
-	l.nextAt = l.nextAt.Add(time.Duration(float64(time.Second) / rate))
-}
--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -48,9 +48,6 @@
 	// serverQueueRatio is the number of requests that may wait at a server, as a part of its slots, so that a freed slot is
 	// taken at once.
 	serverQueueRatio = 0.5
-	// coldRateRatio is the part of a cold server's rate that is used. Instances that do not know of each other may exceed it
-	// together, within the tolerance of the servers.
-	coldRateRatio = 0.9
 	// defaultSlots is assumed for a server that reports no slots.
 	defaultSlots = 8
 	// retrySlackRatio is the part of RetrySlack that is divided among the known entry instances; the rest covers instances
@@ -71,6 +68,7 @@
 	Unreachable Reason = "unreachable"  // the last attempts at all servers failed
 	Full        Reason = "full"         // all servers are at their concurrency limit
 	Cold        Reason = "cold"         // the remaining servers have just started
+	Limited     Reason = "limited"      // the remaining servers have named a limit of their requests, which is used up
 	GroupClosed Reason = "group_closed" // the lock-step group has lost a rank
 	Tried       Reason = "tried"        // the remaining servers were already tried for this request
 	NoBudget    Reason = "no_budget"    // the retry budget of the service is exhausted
@@ -102,7 +100,8 @@
 type Choice struct {
 	Server      registry.Announcement
 	AnnouncedAt time.Time // when the newest announcement was received
-	Load        float64   // estimated requests at the server before this one
+	PickedAt    time.Time
+	Load        float64 // estimated requests at the server before this one
 	state       *server
 }
 
@@ -121,9 +120,10 @@
 	consecutiveErrors   int // responses with an error of the server's own
 	lastErrorAt         time.Time
 	coldUntil           time.Time
-	coldLimiter         rateLimiter
-	lastActivityAt      time.Time  // when data was last received from it, for any request
-	gaps                *eventGaps // of its group, or its own if it is in none
+	limit               namedLimit
+	rate                rateLimiter // of the requests while it is cold or names a limit
+	lastActivityAt      time.Time   // when data was last received from it, for any request
+	gaps                *eventGaps  // of its group, or its own if it is in none
 }
 
 // group is the state of a lock-step group, whose ranks are available only together.
@@ -265,7 +265,7 @@
 
 // MayRetry reports whether the retry budget of a service allows one more retry now. It does not count one.
 func (d *Dispatcher) MayRetry(now time.Time, service string) bool {
-	slack := d.config.RetrySlack * retrySlackRatio / float64(d.instances)
+	slack := d.part(d.config.RetrySlack * retrySlackRatio)
 	return d.retryBudgetFor(service).allowsRetry(now, d.config.RetryRatio, slack)
 }
 
@@ -301,10 +301,10 @@
 	if request.Retry {
 		d.retryBudgetFor(request.Service).addRetry(now)
 	}
-	if d.isCold(now, best) {
-		best.coldLimiter.reserve(now, d.coldRate(best))
+	if rate, _ := d.allowedRate(now, best); rate > 0 {
+		best.rate.take(now)
 	}
-	choice := &Choice{Server: best.announcement, AnnouncedAt: best.announcedAt, Load: d.load(now, best), state: best}
+	choice := &Choice{Server: best.announcement, AnnouncedAt: best.announcedAt, PickedAt: now, Load: d.load(now, best), state: best}
 	best.inFlight++
 	return choice, nil
 }
@@ -320,7 +320,7 @@
 		return 2
 	case GroupClosed:
 		return 3
-	case Cold:
+	case Cold, Limited:
 		return 4
 	default:
 		return 5
@@ -346,9 +346,9 @@
 		// When a lost rank will return is not known. The longer the outage has lasted, the longer it is expected to last.
 		return GroupClosed, max(g.closedUntil.Sub(now), now.Sub(g.closedSince))
 	}
-	if d.isCold(now, s) {
-		if wait := s.coldLimiter.wait(now, d.coldRate(s)); wait > 0 {
-			return Cold, wait
+	if rate, reason := d.allowedRate(now, s); rate > 0 {
+		if wait := s.rate.wait(now, rate, d.instances, d.random); wait > 0 {
+			return reason, wait
 		}
 	}
 	if d.load(now, s) >= d.concurrencyLimit(now, s, request) {
@@ -421,22 +421,6 @@
 	return cost + float64(s.consecutiveFailures)
 }
 
-func (d *Dispatcher) isCold(now time.Time, s *server) bool {
-	return now.Before(s.coldUntil) && d.coldRate(s) > 0
-}
-
-// coldRate returns this instance's part of the rate that a cold server accepts, in requests per second.
-func (d *Dispatcher) coldRate(s *server) float64 {
-	if d.table == nil {
-		return 0
-	}
-	service := d.table.Service(s.announcement.Service)
-	if service == nil {
-		return 0
-	}
-	return service.ColdRate * coldRateRatio / float64(d.instances)
-}
-
 // Release ends an attempt: it is no longer in flight at its server.
 func (c *Choice) Release() { c.state.inFlight-- }
 
@@ -531,12 +515,8 @@
 	s.loadReportedAt = now
 }
 
-// RecordCold records that a server reported to be cold for the remaining time.
-func (d *Dispatcher) RecordCold(now time.Time, c *Choice, remaining time.Duration) {
-	if remaining > 0 {
-		c.state.coldUntil = now.Add(remaining)
-	}
-}
-
 // Instances returns how many entry instances share the bounds.
 func (d *Dispatcher) Instances() int { return d.instances }
+
+// part returns this instance's part of a bound on the sum over all entry instances.
+func (d *Dispatcher) part(bound float64) float64 { return bound / float64(d.instances) }
--- a/decide/dispatch/dispatch_test.go
+++ b/decide/dispatch/dispatch_test.go
@@ -91,7 +91,7 @@
 			most = max(most, n)
 		}
 		is.True(float64(most) <= rate*tolerated)                   // all instances together
-		is.True(len(arrivals) >= int(5*rate*coldRateRatio*0.9)-10) // the rate is used
+		is.True(len(arrivals) >= int(5*rate*usedRateRatio*0.9)-10) // the rate is used
 	}
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -79,9 +79,10 @@
 
 	// Owned by the loop.
 	servers             *registry.Registry
-	promptParts         *quarantine.Tracker // kept for entry instances that start, and to relay each report once
-	unsent              map[string]bool     // servers with an announcement not yet sent to the entry instances
-	unsentChange        bool                // one of those changes the server's recorded state
+	promptParts         *quarantine.Tracker             // kept for entry instances that start, and to relay each report once
+	serverLimits        map[string]protocol.ServerLimit // by server; kept like promptParts
+	unsent              map[string]bool                 // servers with an announcement not yet sent to the entry instances
+	unsentChange        bool                            // one of those changes the server's recorded state
 	entrySessions       map[transport.Session]bool
 	rankSessions        map[transport.Session]bool     // sessions from rank processes, which run beside the ranks of a group
 	controlSessions     map[transport.Session]string   // sessions with control instances, with their inner addresses
@@ -102,6 +103,7 @@
 		done:            make(chan struct{}),
 		servers:         registry.New(MaxMissedAnnouncements * config.AnnounceInterval),
 		promptParts:     quarantine.New(),
+		serverLimits:    map[string]protocol.ServerLimit{},
 		unsent:          map[string]bool{},
 		entrySessions:   map[transport.Session]bool{},
 		rankSessions:    map[transport.Session]bool{},
@@ -195,6 +197,7 @@
 		log.WithField("server", id).Info("backend server dropped: too many announcements missed")
 	}
 	ExpirePromptParts(now, d.promptParts)
+	d.expireServerLimits()
 	d.maintainVoters(now)
 	d.reportRedundancy(now)
 	dataCentres := map[string]string{d.config.Address: string(d.config.Hello().DataCentre)}
@@ -232,6 +235,7 @@
 		for _, m := range EncodePromptParts(now, d.promptParts.Suspicions()) {
 			transport.TrySend(s, m)
 		}
+		d.sendServerLimits(s)
 	})
 }
 
@@ -271,6 +275,8 @@
 		d.groups.postReport(func(now time.Time) { d.groups.handleRankDone(now, m) })
 	case *protocol.PromptParts:
 		d.post(func(now time.Time) { d.relayPromptParts(now, s, m) })
+	case *protocol.ServerLimits:
+		d.post(func(time.Time) { d.relayServerLimits(s, m) })
 	case *protocol.State:
 		if m.Request {
 			go d.sendState(s, m.Index)
--- a/internal/directory/prompt_parts.go
+++ b/internal/directory/prompt_parts.go
@@ -117,12 +117,16 @@
 // relayPromptParts records what an entry instance has learned about parts of prompts, and sends the news to the others.
 func (d *Directory) relayPromptParts(now time.Time, from transport.Session, m *protocol.PromptParts) {
 	news, _ := ApplyPromptParts(now, d.promptParts, m)
-	if news == nil {
-		return
+	if news != nil {
+		d.relay(from, news)
 	}
+}
+
+// relay sends what one entry instance has told to the others.
+func (d *Directory) relay(from transport.Session, m protocol.Message) {
 	for session := range d.entrySessions {
 		if session != from {
-			transport.TrySend(session, news)
+			transport.TrySend(session, m)
 		}
 	}
 }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -150,7 +150,7 @@
 		return nil, nil
 	}
 	a.response = response
-	c.proxy.recordReport(choice, response.Header)
+	c.proxy.recordReport(choice, response)
 	return a, nil
 }
 
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -137,6 +137,7 @@
 	f.parts.mu.Lock()
 	directory.ExpirePromptParts(now, f.parts.tracker)
 	f.parts.mu.Unlock()
+	f.countServerLimits()
 	for group, at := range f.loadsReceivedAt {
 		if now.Sub(at) > loadsMissingAfter {
 			log.WithField("group", group).Warn("the loads of a lock-step group are no longer received; they are estimated from responses")
@@ -214,6 +215,15 @@
 	f.dispatcher.SetServers(now, current)
 }
 
+// broadcast sends messages to all control instances. Only the goroutine of run calls it.
+func broadcast[M protocol.Message](f *fleetState, messages ...M) {
+	for session := range f.sessions {
+		for _, m := range messages {
+			transport.TrySend(session, m)
+		}
+	}
+}
+
 // SessionOpened implements transport.Handler.
 func (f *fleetState) SessionOpened(s transport.Session) {
 	f.post(func(now time.Time) {
@@ -226,6 +236,7 @@
 		for _, m := range directory.EncodePromptParts(now, suspicions) {
 			transport.TrySend(s, m) // the control instance may have started without them
 		}
+		f.sendServerLimits(s)
 	})
 }
 
@@ -261,7 +272,9 @@
 	case *protocol.GroupLoads:
 		f.post(func(now time.Time) { f.applyLoads(now, m) })
 	case *protocol.PromptParts:
-		f.post(func(now time.Time) { f.broadcast(f.applyPromptParts(now, m, false)) })
+		f.post(func(now time.Time) { broadcast(f, f.applyPromptParts(now, m, false)...) })
+	case *protocol.ServerLimits:
+		f.post(func(now time.Time) { f.applyServerLimits(now, m) })
 	case *protocol.State:
 		if m.Report {
 			f.post(func(now time.Time) {
--- a/internal/edge/prompt_parts.go
+++ b/internal/edge/prompt_parts.go
@@ -17,7 +17,6 @@
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/internal/directory"
 	"github.com/banyanfront/banyanfront/internal/protocol"
-	"github.com/banyanfront/banyanfront/internal/transport"
 )
 
 // This file keeps requests with a part of a prompt that crashes engines from them; package quarantine says how such a part is
@@ -184,14 +183,5 @@
 
 // sendPromptParts sends messages to all control instances.
 func (f *fleetState) sendPromptParts(messages ...*protocol.PromptParts) {
-	f.post(func(time.Time) { f.broadcast(messages) })
-}
-
-// broadcast sends messages to all control instances. Only the goroutine of run calls it.
-func (f *fleetState) broadcast(messages []*protocol.PromptParts) {
-	for session := range f.sessions {
-		for _, m := range messages {
-			transport.TrySend(session, m)
-		}
-	}
+	f.post(func(time.Time) { broadcast(f, messages...) })
 }
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -190,10 +190,12 @@
 	return choice, refusal
 }
 
-// recordReport records a response as activity of its server, with the load and cold time reported in its headers.
-func (p *Proxy) recordReport(choice *dispatch.Choice, header http.Header) {
+// recordReport records a response as activity of its server, with the load, cold time and limit reported in its headers.
+func (p *Proxy) recordReport(choice *dispatch.Choice, response *backendhttp.Response) {
+	header := response.Header
 	load := strings.Split(header.Get(platform.HeaderLoad), ",")
 	cold, coldErr := strconv.ParseFloat(header.Get(platform.HeaderColdRemaining), 64)
+	p.recordServerLimit(choice, response)
 	p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) {
 		d.RecordActivity(now, choice)
 		if len(load) == 3 {
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -165,7 +165,9 @@
 func (s *relaySession) Peer() protocol.Hello { return protocol.Hello{Instance: "control"} }
 
 func (s *relaySession) Send(m protocol.Message) error {
-	if _, ok := m.(*protocol.PromptParts); !ok {
+	switch m.(type) {
+	case *protocol.PromptParts, *protocol.ServerLimits:
+	default:
 		return nil
 	}
 	for _, p := range *s.all {
@@ -176,7 +178,7 @@
 	return nil
 }
 
-// startRelayedProxies starts entry instances that tell each other of parts of prompts.
+// startRelayedProxies starts entry instances that tell each other of parts of prompts and of limits of servers.
 func startRelayedProxies(t *testing.T, n int) (proxies []*Proxy, urls []string) {
 	for range n {
 		p, url := startProxy(t)
@@ -186,7 +188,9 @@
 	var running sync.WaitGroup
 	for _, p := range proxies {
 		running.Go(func() { p.run(ctx) })
-		p.SessionOpened(&relaySession{from: p, all: &proxies})
+		session := &relaySession{from: p, all: &proxies}
+		p.SessionOpened(session)
+		p.MessageReceived(session, &protocol.ControlInstances{EntryInstances: n})
 	}
 	t.Cleanup(func() { cancel(); running.Wait() })
 	return proxies, urls
--- a/internal/edge/rate_limit_test.go
+++ b/internal/edge/rate_limit_test.go
@@ -43,7 +43,6 @@
 func (s *limitedService) announceTo(proxies ...*Proxy) {
 	for _, p := range proxies {
 		p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) {
-			d.SetInstances(len(proxies))
 			d.SetServers(now, announced("z", s.backends...))
 		})
 	}
--- /dev/null
+++ b/internal/edge/server_limits.go
@@ -0,0 +1,76 @@
+package edge
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/banyanfront/banyanfront/decide/dispatch"
+	"github.com/banyanfront/banyanfront/internal/backendhttp"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/transport"
+	"github.com/banyanfront/banyanfront/platform"
+)
+
+// recordServerLimit records the limit that a server has named in a response, or that it no longer names one, and tells the
+// other entry instances if that is news.
+func (p *Proxy) recordServerLimit(choice *dispatch.Choice, response *backendhttp.Response) {
+	requestsPerSecond := 0.0
+	if text := response.Header.Get(platform.HeaderRateLimit); text != "" {
+		parsed, err := strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(parsed) || math.IsInf(parsed, 0) || parsed < 0 {
+			log.WithFields(log.Fields{"server": choice.Server.Server, "value": text}).Warn("the server names a limit that is no number")
+			return
+		}
+		requestsPerSecond = max(parsed, math.SmallestNonzeroFloat64) // 0 is a limit too
+	} else if response.Status == http.StatusMisdirectedRequest || response.Header.Get(platform.HeaderNotRun) != "" {
+		return // a rejection need not name the limit
+	}
+	var limit dispatch.Limit
+	news := false
+	p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) {
+		limit, news = d.RecordLimit(now, choice, requestsPerSecond)
+	})
+	if !news {
+		return
+	}
+	log.WithFields(log.Fields{"server": limit.Server, "requestsPerSecond": limit.RequestsPerSecond}).
+		Info("the server has changed its limit of requests from all entry instances; 0 is none")
+	message := &protocol.ServerLimits{Limits: []protocol.ServerLimit{protocol.ServerLimit(limit)}}
+	p.post(func(time.Time) { broadcast(p.fleetState, message) })
+}
+
+// applyServerLimits applies limits that servers have named to other entry instances.
+func (f *fleetState) applyServerLimits(now time.Time, m *protocol.ServerLimits) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range m.Limits {
+		f.dispatcher.SetLimit(now, dispatch.Limit(l))
+	}
+}
+
+// countServerLimits updates the number of servers that name a limit.
+func (f *fleetState) countServerLimits() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	metrics.GetOrCreateGauge("banyanfront_limited_servers", nil).Set(float64(len(f.dispatcher.Limits())))
+}
+
+// sendServerLimits sends all limits to a control instance, which may have started without them.
+func (f *fleetState) sendServerLimits(s transport.Session) {
+	f.mu.Lock()
+	limits := f.dispatcher.Limits()
+	f.mu.Unlock()
+	if len(limits) == 0 {
+		return
+	}
+	message := &protocol.ServerLimits{}
+	for _, l := range limits {
+		message.Limits = append(message.Limits, protocol.ServerLimit(l))
+	}
+	transport.TrySend(s, message)
+}
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -321,6 +321,8 @@
 		return new(GroupLoads)
 	case TypePromptParts:
 		return new(PromptParts)
+	case TypeServerLimits:
+		return new(ServerLimits)
 	}
 	return nil
 }
--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -54,13 +54,14 @@
 		&PromptParts{Service: "s", Ended: &EndedEngine{Server: "i", StartedAtMillis: 5, Parts: []string{"a"}}, Answered: []string{"b"},
 			Suspected: []PartSuspicion{{Part: "c", Ends: 2, LastEndAgeMS: 3, RemainingMS: 4, Quarantines: 1, AnsweredBefore: true,
 				Engines: []quarantine.Engine{{Server: "i", StartedAtMillis: 5}}, With: []string{"d"}}}},
+		&ServerLimits{Limits: []ServerLimit{{Server: "i", StartedAtMillis: 5, RequestsPerSecond: 2.5}}},
 	}
 }
 
 // Guards against a message type that cannot be encoded, or that loses a field.
 func TestRoundTrip(t *testing.T) {
 	is := is.New(t)
-	is.Equal(len(samples()), int(TypePromptParts)) // every type has a sample
+	is.Equal(len(samples()), int(TypeServerLimits)) // every type has a sample
 	for i, m := range samples() {
 		stream := uint64(i) << (2 * i)
 		frame, err := Encode(stream, m)
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -59,6 +59,7 @@
 	TypeRankDone             Type = 31
 	TypeGroupLoads           Type = 32
 	TypePromptParts          Type = 33
+	TypeServerLimits         Type = 34
 )
 
 // Hello is the first message in both directions of a session.
@@ -347,6 +348,19 @@
 	UnknownGroupLoad = 255
 )
 
+// ServerLimits carries what backend servers have named as the limit of their requests. An entry instance sends it to all control
+// instances, and these send to the other entry instances what is news to them.
+type ServerLimits struct {
+	Limits []ServerLimit `cbor:"1,keyasint"`
+}
+
+// ServerLimit is the requests a second that one incarnation of a server takes from all entry instances together.
+type ServerLimit struct {
+	Server            string  `cbor:"1,keyasint"`
+	StartedAtMillis   int64   `cbor:"2,keyasint"`
+	RequestsPerSecond float64 `cbor:"3,keyasint"` // 0 for no limit
+}
+
 // PromptParts tells what an entry instance has learned about parts of prompts that may crash the engines of a service. An
 // entry instance sends it to all control instances, and these send to the other entry instances what is news to them.
 type PromptParts struct {
--- a/internal/protocol/types.go
+++ b/internal/protocol/types.go
@@ -98,3 +98,6 @@
 
 // Type implements Message.
 func (*PromptParts) Type() Type { return TypePromptParts }
+
+// Type implements Message.
+func (*ServerLimits) Type() Type { return TypeServerLimits }
