Permits for servers with a limit: asked for at a control instance, when there are requests

A fixed part of a low limit is next to nothing where many instances share it. Now instances ask the control instance that grants for the service (the same for all, by hash) for as many permits as they have requests; it grants at most the rate of each server. While none answers, an instance uses its part as before.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -94,6 +94,7 @@
 	Objective       time.Duration
 	MaxEventGap     time.Duration
 	ObjectiveMissed bool // the objective will be missed on any server
+	Again           bool // a choice for the same attempt has found no server
 }
 
 // Choice is the server for one attempt. It counts as in flight there until Release.
@@ -122,8 +123,10 @@
 	coldUntil           time.Time
 	limit               namedLimit
 	rate                rateLimiter // of the requests while it is cold or names a limit
-	lastActivityAt      time.Time   // when data was last received from it, for any request
-	gaps                *eventGaps  // of its group, or its own if it is in none
+	permits             int         // granted for requests while it names a limit
+	permitsUntil        time.Time
+	lastActivityAt      time.Time  // when data was last received from it, for any request
+	gaps                *eventGaps // of its group, or its own if it is in none
 }
 
 // group is the state of a lock-step group, whose ranks are available only together.
@@ -141,6 +144,8 @@
 	evacuated    map[string]bool
 	groups       map[string]*group
 	retryBudgets map[string]*retryBudget
+	permits      map[string]*permits   // by service
+	granting     bool                  // a control instance can be asked for permits
 	gapsByGroup  map[string]*eventGaps // by group, or by server if it is in none
 	instances    int                   // entry instances that share the bounds, this one included
 	tieOffset    int                   // rotates the first server examined, which wins ties
@@ -154,7 +159,7 @@
 func New(config Config) *Dispatcher {
 	return &Dispatcher{config: config, servers: map[string]*server{}, byService: map[string][]*server{},
 		evacuated: map[string]bool{}, groups: map[string]*group{}, retryBudgets: map[string]*retryBudget{},
-		gapsByGroup: map[string]*eventGaps{}, paths: map[string]*path{}, instances: 1, random: rand.New(rand.NewPCG(config.Seed, 0))}
+		permits: map[string]*permits{}, gapsByGroup: map[string]*eventGaps{}, paths: map[string]*path{}, instances: 1, random: rand.New(rand.NewPCG(config.Seed, 0))}
 }
 
 // SetTable replaces the routing configuration.
@@ -281,8 +286,10 @@
 	d.candidates.reset()
 	refusal := &Refusal{Reason: Evacuated, RetryAfter: maxRetryAfter}
 	d.tieOffset++
+	limited := false
 	for i := range servers {
 		s := servers[(i+d.tieOffset)%len(servers)]
+		limited = limited || s.limit.requestsPerSecond > 0
 		reason, after := d.exclusion(now, s, &request)
 		if reason != "" {
 			if reasonPrecedence(reason) > reasonPrecedence(refusal.Reason) || reason == refusal.Reason && after < refusal.RetryAfter {
@@ -293,6 +300,9 @@
 		shared := now.Sub(s.loadSharedAt) <= loadDecayAfter
 		d.candidates.add(s, d.loadCost(now, s), d.penalty(now, s, &request), s.announcement.DataCentre == d.config.DataCentre, shared)
 	}
+	if limited && !request.Again {
+		d.noteDemand(request.Service)
+	}
 	best := d.candidates.choose(d.random)
 	if best == nil {
 		refusal.RetryAfter = min(max(refusal.RetryAfter, minRetryAfter), maxRetryAfter)
@@ -301,9 +311,7 @@
 	if request.Retry {
 		d.retryBudgetFor(request.Service).addRetry(now)
 	}
-	if rate, _ := d.allowedRate(now, best); rate > 0 {
-		best.rate.take(now)
-	}
+	d.useRate(now, best)
 	choice := &Choice{Server: best.announcement, AnnouncedAt: best.announcedAt, PickedAt: now, Load: d.load(now, best), state: best}
 	best.inFlight++
 	return choice, nil
@@ -346,10 +354,8 @@
 		// When a lost rank will return is not known. The longer the outage has lasted, the longer it is expected to last.
 		return GroupClosed, max(g.closedUntil.Sub(now), now.Sub(g.closedSince))
 	}
-	if rate, reason := d.allowedRate(now, s); rate > 0 {
-		if wait := s.rate.wait(now, rate, d.instances, d.random); wait > 0 {
-			return reason, wait
-		}
+	if reason, wait := d.rateExclusion(now, s); reason != "" {
+		return reason, wait
 	}
 	if d.load(now, s) >= d.concurrencyLimit(now, s, request) {
 		return Full, d.retryAfter(request.Service)
--- /dev/null
+++ b/decide/dispatch/permits.go
@@ -0,0 +1,145 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/banyanfront/banyanfront/decide/grants"
+)
+
+// A server that names a limit takes few requests a second. Where many instances share it, the part of each would permit a request
+// every half minute, and most of it would lapse. So the instances ask a control instance for permits as they have requests
+// (package grants), and use their part only while none answers.
+
+const (
+	// permitTimeout is the time without an answer to a request for permits after which the instance uses its part of the limits.
+	permitTimeout = 300 * time.Millisecond
+	// permitInterval is the interval of requests for permits while not all are granted.
+	permitInterval = 100 * time.Millisecond
+	// permitHorizon is the time for whose requests permits are asked, and demandWindow that after which the number of earlier
+	// requests says nothing about the next.
+	permitHorizon = 250 * time.Millisecond
+	demandWindow  = time.Second
+)
+
+// permits is what a service's servers with a limit need from the control instance that grants for it.
+type permits struct {
+	choices     int       // of a server since the last request for permits, while a server of the service named a limit
+	requestedAt time.Time // when permits were last asked for
+	// unansweredSince is the time of the first request for permits since the last answer, zero if all were answered.
+	unansweredSince time.Time
+	granted         bool // the last request was met
+	retryAfter      time.Duration
+}
+
+// SetGranting sets whether a control instance can be asked for permits.
+func (d *Dispatcher) SetGranting(granting bool) { d.granting = granting }
+
+// usesPermits reports whether requests to the servers of a service that name a limit need permits.
+func (d *Dispatcher) usesPermits(now time.Time, service string) bool {
+	p := d.permits[service]
+	return d.granting && (p == nil || p.unansweredSince.IsZero() || now.Sub(p.unansweredSince) <= permitTimeout)
+}
+
+// noteDemand counts a choice for a service of which a server names a limit.
+func (d *Dispatcher) noteDemand(service string) {
+	p := d.permits[service]
+	if p == nil {
+		p = &permits{}
+		d.permits[service] = p
+	}
+	p.choices++
+}
+
+// PermitsWanted returns the number of permits that the instance should ask for now, 0 if none. The caller asks for them.
+func (d *Dispatcher) PermitsWanted(now time.Time, service string) int {
+	p := d.permits[service]
+	if !d.granting || p == nil || p.choices == 0 {
+		return 0
+	}
+	age := now.Sub(p.requestedAt)
+	unanswered := !p.unansweredSince.IsZero()
+	if unanswered && age <= permitTimeout || !unanswered && !p.granted && age < permitInterval {
+		return 0
+	}
+	stock := 0
+	for _, s := range d.byService[service] {
+		if now.Before(s.permitsUntil) {
+			stock += s.permits
+		}
+	}
+	wanted := 1
+	if age <= demandWindow {
+		wanted = int(math.Ceil(float64(p.choices) * float64(permitHorizon) / float64(max(age, permitInterval))))
+	}
+	if wanted -= stock; wanted <= 0 {
+		return 0
+	}
+	p.choices, p.requestedAt = 0, now
+	if !unanswered {
+		p.unansweredSince = now
+	}
+	return wanted
+}
+
+// AwaitsPermits reports whether a request for permits of a service is not answered yet.
+func (d *Dispatcher) AwaitsPermits(now time.Time, service string) bool {
+	p := d.permits[service]
+	return p != nil && !p.unansweredSince.IsZero() && d.usesPermits(now, service)
+}
+
+// RecordPermits records the answer to a request for permits: one for each of the servers, and the time until more requests can be
+// served if there were too few.
+func (d *Dispatcher) RecordPermits(now time.Time, service string, servers []string, retryAfter time.Duration) {
+	p := d.permits[service]
+	if p == nil {
+		return
+	}
+	p.unansweredSince, p.granted, p.retryAfter = time.Time{}, retryAfter == 0, retryAfter
+	for _, server := range servers {
+		s := d.servers[server]
+		if s == nil {
+			continue
+		}
+		if !now.Before(s.permitsUntil) {
+			s.permits = 0
+		}
+		s.permits++
+		s.permitsUntil = now.Add(grants.PermitLifetime)
+	}
+}
+
+// rateExclusion returns why the rate of a server does not permit a request now, and how long that lasts. The reason is empty if it
+// permits one.
+func (d *Dispatcher) rateExclusion(now time.Time, s *server) (Reason, time.Duration) {
+	rate, reason := d.allowedRate(now, s)
+	if rate == 0 {
+		return "", 0
+	}
+	service := s.announcement.Service
+	if reason == Limited && d.usesPermits(now, service) {
+		if s.permits > 0 && now.Before(s.permitsUntil) {
+			return "", 0
+		}
+		if p := d.permits[service]; p != nil {
+			return Limited, p.retryAfter
+		}
+		return Limited, 0
+	}
+	if wait := s.rate.wait(now, rate, d.instances, d.random); wait > 0 {
+		return reason, wait
+	}
+	return "", 0
+}
+
+// useRate counts a request to a server against its rate.
+func (d *Dispatcher) useRate(now time.Time, s *server) {
+	rate, reason := d.allowedRate(now, s)
+	switch {
+	case rate == 0:
+	case reason == Limited && d.usesPermits(now, s.announcement.Service):
+		s.permits--
+	default:
+		s.rate.take(now)
+	}
+}
--- a/decide/dispatch/rate_limit.go
+++ b/decide/dispatch/rate_limit.go
@@ -1,21 +1,21 @@
 package dispatch
 
 import (
+	"iter"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
+
+	"github.com/banyanfront/banyanfront/decide/grants"
 )
 
 // Two kinds of servers take only a number of requests a second from all entry instances together: those that are cold, and those
-// that name a limit in their responses because they are in need. Each instance sends its part of that rate, and tells the
-// others what a server has named: an instance that sends few requests would learn it late.
+// that name a limit in their responses because they are in need. Each instance sends its part of that rate, or what it has permits
+// for, and tells the others what a server has named: an instance that sends few requests would learn it late.
 
 const (
-	// usedRateRatio is the part of a server's rate that is used. Instances that do not know of each other may exceed it
-	// together, within the tolerance of the servers.
-	usedRateRatio = 0.9
-	// minLimit is used for a server that names a lower limit: without a request, nothing would show that the limit has ended.
-	minLimit = 0.2
 	// limitNewsRatio is the relative change of a limit that is told to the other instances.
 	limitNewsRatio = 0.1
 	// While few requests come, unused permissions of all instances add up to those of lapseTime and lapseRequests more.
@@ -23,6 +23,10 @@
 	lapseRequests = 4
 )
 
+// MinLimit is used for a server that names a lower limit, in requests a second: without a request, nothing would show that the
+// limit has ended.
+const MinLimit = 0.2
+
 // Limit is the requests a second that one incarnation of a server takes from all entry instances together.
 type Limit struct {
 	Server            string
@@ -60,9 +64,9 @@
 		rate, reason = d.coldRate(s), Cold
 	}
 	if limit := s.limit.requestsPerSecond; limit > 0 && (rate == 0 || limit < rate) {
-		rate, reason = max(limit, minLimit), Limited
+		rate, reason = limit, Limited
 	}
-	return usedRateRatio * rate, reason
+	return grants.UsedRatio * rate, reason
 }
 
 // RecordCold records that a server reported to be cold for the remaining time.
@@ -100,9 +104,16 @@
 }
 
 // Limits returns the limits that the servers have named.
-func (d *Dispatcher) Limits() []Limit {
+func (d *Dispatcher) Limits() []Limit { return d.limitsOf(maps.Values(d.servers)) }
+
+// LimitsOf returns the limits that the servers of a service have named.
+func (d *Dispatcher) LimitsOf(service string) []Limit {
+	return d.limitsOf(slices.Values(d.byService[service]))
+}
+
+func (d *Dispatcher) limitsOf(servers iter.Seq[*server]) []Limit {
 	var limits []Limit
-	for _, s := range d.servers {
+	for s := range servers {
 		if s.limit.requestsPerSecond > 0 {
 			limits = append(limits, Limit{s.announcement.Server, s.announcement.StartedAtMillis, s.limit.requestsPerSecond})
 		}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -19,6 +19,7 @@
 	"github.com/banyanfront/banyanfront/decide/consensus"
 	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/experts"
+	"github.com/banyanfront/banyanfront/decide/grants"
 	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/decide/routes"
@@ -81,8 +82,9 @@
 	servers             *registry.Registry
 	promptParts         *quarantine.Tracker             // kept for entry instances that start, and to relay each report once
 	serverLimits        map[string]protocol.ServerLimit // by server; kept like promptParts
-	unsent              map[string]bool                 // servers with an announcement not yet sent to the entry instances
-	unsentChange        bool                            // one of those changes the server's recorded state
+	grants              *grants.Granter
+	unsent              map[string]bool // servers with an announcement not yet sent to the entry instances
+	unsentChange        bool            // one of those changes the server's recorded state
 	entrySessions       map[transport.Session]bool
 	rankSessions        map[transport.Session]bool     // sessions from rank processes, which run beside the ranks of a group
 	controlSessions     map[transport.Session]string   // sessions with control instances, with their inner addresses
@@ -104,6 +106,7 @@
 		servers:         registry.New(MaxMissedAnnouncements * config.AnnounceInterval),
 		promptParts:     quarantine.New(),
 		serverLimits:    map[string]protocol.ServerLimit{},
+		grants:          grants.New(),
 		unsent:          map[string]bool{},
 		entrySessions:   map[transport.Session]bool{},
 		rankSessions:    map[transport.Session]bool{},
@@ -197,7 +200,7 @@
 		log.WithField("server", id).Info("backend server dropped: too many announcements missed")
 	}
 	ExpirePromptParts(now, d.promptParts)
-	d.expireServerLimits()
+	d.expireServerLimits(now)
 	d.maintainVoters(now)
 	d.reportRedundancy(now)
 	dataCentres := map[string]string{d.config.Address: string(d.config.Hello().DataCentre)}
@@ -277,6 +280,8 @@
 		d.post(func(now time.Time) { d.relayPromptParts(now, s, m) })
 	case *protocol.ServerLimits:
 		d.post(func(time.Time) { d.relayServerLimits(s, m) })
+	case *protocol.PermitRequest:
+		d.post(func(now time.Time) { d.grantPermits(now, s, m) })
 	case *protocol.State:
 		if m.Request {
 			go d.sendState(s, m.Index)
--- a/internal/directory/server_limits.go
+++ b/internal/directory/server_limits.go
@@ -2,7 +2,13 @@
 
 import (
 	"maps"
+	"slices"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/banyanfront/banyanfront/decide/grants"
+	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
 )
@@ -37,7 +43,31 @@
 	transport.TrySend(s, message)
 }
 
+// maxWantedPermits limits what one request for permits costs.
+const maxWantedPermits = 256
+
+// grantPermits answers an entry instance that asks for permits. All of them ask the same control instance for a service.
+func (d *Directory) grantPermits(now time.Time, s transport.Session, m *protocol.PermitRequest) {
+	var limits []grants.Limit
+	known := 0
+	evacuated := d.State().Evacuated
+	for server, l := range d.serverLimits {
+		record := d.servers.Get(server)
+		if record == nil || record.Service != m.Service || record.StartedAtMillis != l.StartedAtMillis {
+			continue
+		}
+		known++
+		if record.State == registry.Ready && !slices.Contains(evacuated, record.DataCentre) {
+			limits = append(limits, grants.Limit{Server: server, RequestsPerSecond: l.RequestsPerSecond})
+		}
+	}
+	servers, retryAfter := d.grants.Grant(now, m.Service, limits, min(max(m.Wanted, 0), maxWantedPermits))
+	metrics.GetOrCreateCounter("banyanfront_permits_granted_total").Add(len(servers))
+	transport.TrySend(s, &protocol.Permits{Service: m.Service, Servers: servers, RetryAfterMS: retryAfter.Milliseconds(), Outdated: known < m.Limited})
+}
+
 // expireServerLimits drops the limits of servers that are gone.
-func (d *Directory) expireServerLimits() {
+func (d *Directory) expireServerLimits(now time.Time) {
+	d.grants.Expire(now)
 	maps.DeleteFunc(d.serverLimits, func(server string, _ protocol.ServerLimit) bool { return d.servers.Get(server) == nil })
 }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -124,9 +124,10 @@
 	}
 	request := dispatch.Request{Service: c.service, Tried: c.tried, Retry: len(c.tried) > 0, Objective: c.route.Objective,
 		MaxEventGap: c.route.LongestPause, ObjectiveMissed: c.objectiveMissed}
-	choice, refusal := c.proxy.pick(request)
-	if refusal != nil && refusal.RetryAfter <= c.route.Objective/capacityWaitDivisor && process.Sleep(c.ctx, refusal.RetryAfter) {
-		choice, refusal = c.proxy.pick(request)
+	choice, refusal, answered := c.proxy.pick(request)
+	if refusal != nil && c.awaitCapacity(refusal, answered) {
+		request.Again = true
+		choice, refusal, _ = c.proxy.pick(request)
 	}
 	if refusal != nil {
 		return nil, refusal
@@ -154,6 +155,24 @@
 	return a, nil
 }
 
+// awaitCapacity waits until a server may have become available, and reports false if that takes too long. permits is closed once
+// those that were asked for are granted or refused, and nil if none were.
+func (c *call) awaitCapacity(refusal *dispatch.Refusal, permits <-chan struct{}) bool {
+	limit := c.route.Objective / capacityWaitDivisor
+	if permits == nil {
+		return refusal.RetryAfter <= limit && process.Sleep(c.ctx, refusal.RetryAfter)
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-permits:
+		return true
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
+	return false
+}
+
 // capacityWaitDivisor limits the wait for capacity: if no server can be chosen now, a call waits once, for at most the
 // route's objective divided by it.
 const capacityWaitDivisor = 10
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -52,7 +52,9 @@
 
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
-	parts      promptParts
+	// permitsAnswered is closed when a request for permits of a service is answered.
+	permitsAnswered map[string]chan struct{}
+	parts           promptParts
 
 	// Accessed only by the goroutine of run.
 	servers             *registry.Registry
@@ -64,6 +66,7 @@
 	newestIndex         uint64            // highest index that a control instance has reported
 	newestSession       transport.Session // session that reported newestIndex
 	lastAnnouncementsAt time.Time
+	limitsSentAt        time.Time            // to a control instance that lacked some
 	loadsReceivedAt     map[string]time.Time // last loads of each lock-step group, by controlstate.GroupKey
 }
 
@@ -73,9 +76,12 @@
 		events:     make(chan func(time.Time), eventQueueLength),
 		done:       make(chan struct{}),
 		dispatcher: dispatch.New(config.Dispatch),
-		parts:      promptParts{tracker: quarantine.New(), waiting: map[*attempt]*call{}},
-		servers:    registry.New(directory.MaxMissedAnnouncements * config.Dispatch.AnnounceInterval),
-		sessions:   map[transport.Session]*protocol.ControlInstances{},
+
+		permitsAnswered: map[string]chan struct{}{},
+
+		parts:    promptParts{tracker: quarantine.New(), waiting: map[*attempt]*call{}},
+		servers:  registry.New(directory.MaxMissedAnnouncements * config.Dispatch.AnnounceInterval),
+		sessions: map[transport.Session]*protocol.ControlInstances{},
 
 		loadsReceivedAt: map[string]time.Time{},
 	}
@@ -229,6 +235,7 @@
 	f.post(func(now time.Time) {
 		log.WithField("peer", s.Peer().Instance).Info("session with a control instance opened")
 		f.sessions[s] = &protocol.ControlInstances{}
+		f.updateGranting()
 		f.requestState(now)
 		f.parts.mu.Lock()
 		suspicions := f.parts.tracker.Suspicions()
@@ -248,6 +255,7 @@
 	f.post(func(time.Time) {
 		log.WithField("peer", s.Peer().Instance).Warn("session with a control instance lost")
 		delete(f.sessions, s)
+		f.updateGranting()
 	})
 }
 
@@ -275,6 +283,8 @@
 		f.post(func(now time.Time) { broadcast(f, f.applyPromptParts(now, m, false)...) })
 	case *protocol.ServerLimits:
 		f.post(func(now time.Time) { f.applyServerLimits(now, m) })
+	case *protocol.Permits:
+		f.post(func(now time.Time) { f.applyPermits(now, s, m) })
 	case *protocol.State:
 		if m.Report {
 			f.post(func(now time.Time) {
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -184,10 +184,23 @@
 	f(time.Now(), p.dispatcher)
 }
 
-// pick chooses the server for an attempt.
-func (p *Proxy) pick(request dispatch.Request) (choice *dispatch.Choice, refusal *dispatch.Refusal) {
-	p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) { choice, refusal = d.Pick(now, request) })
-	return choice, refusal
+// pick chooses the server for an attempt, and asks for permits if the choice needs more of them. If there is no server while
+// permits are asked for, answered is closed once they are granted or refused.
+func (p *Proxy) pick(request dispatch.Request) (choice *dispatch.Choice, refusal *dispatch.Refusal, answered <-chan struct{}) {
+	wanted, limited := 0, 0
+	p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) {
+		choice, refusal = d.Pick(now, request)
+		if wanted = d.PermitsWanted(now, request.Service); wanted > 0 {
+			limited = len(d.LimitsOf(request.Service))
+		}
+		if refusal != nil && d.AwaitsPermits(now, request.Service) {
+			answered = p.awaitPermits(request.Service)
+		}
+	})
+	if wanted > 0 {
+		p.requestPermits(request.Service, wanted, limited)
+	}
+	return choice, refusal, answered
 }
 
 // recordReport records a response as activity of its server, with the load, cold time and limit reported in its headers.
--- a/internal/edge/server_limits.go
+++ b/internal/edge/server_limits.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/banyanfront/banyanfront/decide/dispatch"
 	"github.com/banyanfront/banyanfront/internal/backendhttp"
@@ -26,7 +27,7 @@
 			log.WithFields(log.Fields{"server": choice.Server.Server, "value": text}).Warn("the server names a limit that is no number")
 			return
 		}
-		requestsPerSecond = max(parsed, math.SmallestNonzeroFloat64) // 0 is a limit too
+		requestsPerSecond = max(parsed, dispatch.MinLimit)
 	} else if response.Status == http.StatusMisdirectedRequest || response.Header.Get(platform.HeaderNotRun) != "" {
 		return // a rejection need not name the limit
 	}
@@ -53,6 +54,57 @@
 	}
 }
 
+// updateGranting tells the dispatcher whether a control instance can grant permits. Only the goroutine of run calls it.
+func (f *fleetState) updateGranting() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dispatcher.SetGranting(len(f.sessions) > 0)
+}
+
+// awaitPermits returns a channel that is closed once the next request for permits of a service is answered. The lock is held.
+func (f *fleetState) awaitPermits(service string) <-chan struct{} {
+	answered := f.permitsAnswered[service]
+	if answered == nil {
+		answered = make(chan struct{})
+		f.permitsAnswered[service] = answered
+	}
+	return answered
+}
+
+// requestPermits asks the control instance that grants for a service: all entry instances that reach the same ones ask the same.
+func (f *fleetState) requestPermits(service string, wanted, limited int) {
+	f.post(func(time.Time) {
+		var granter transport.Session
+		lowest := uint64(math.MaxUint64)
+		for session := range f.sessions {
+			if hash := xxhash.Sum64String(service + "/" + string(session.Peer().Instance)); granter == nil || hash < lowest {
+				granter, lowest = session, hash
+			}
+		}
+		if granter != nil {
+			transport.TrySend(granter, &protocol.PermitRequest{Service: service, Wanted: wanted, Limited: limited})
+		}
+	})
+}
+
+// applyPermits passes permits to the dispatcher, and sends the limits to a control instance that does not know all of them.
+func (f *fleetState) applyPermits(now time.Time, s transport.Session, m *protocol.Permits) {
+	f.mu.Lock()
+	f.dispatcher.RecordPermits(now, m.Service, m.Servers, time.Duration(m.RetryAfterMS)*time.Millisecond)
+	if answered := f.permitsAnswered[m.Service]; answered != nil {
+		close(answered)
+		delete(f.permitsAnswered, m.Service)
+	}
+	f.mu.Unlock()
+	if m.Outdated && now.Sub(f.limitsSentAt) > limitsResendInterval {
+		f.limitsSentAt = now
+		f.sendServerLimits(s)
+	}
+}
+
+// limitsResendInterval is the minimum interval of sending all limits to control instances that lack some.
+const limitsResendInterval = time.Second
+
 // countServerLimits updates the number of servers that name a limit.
 func (f *fleetState) countServerLimits() {
 	f.mu.Lock()
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -323,6 +323,10 @@
 		return new(PromptParts)
 	case TypeServerLimits:
 		return new(ServerLimits)
+	case TypePermitRequest:
+		return new(PermitRequest)
+	case TypePermits:
+		return new(Permits)
 	}
 	return nil
 }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -60,6 +60,8 @@
 	TypeGroupLoads           Type = 32
 	TypePromptParts          Type = 33
 	TypeServerLimits         Type = 34
+	TypePermitRequest        Type = 35
+	TypePermits              Type = 36
 )
 
 // Hello is the first message in both directions of a session.
@@ -361,6 +363,24 @@
 	RequestsPerSecond float64 `cbor:"3,keyasint"` // 0 for no limit
 }
 
+// PermitRequest asks a control instance for permits: requests that may be sent to those servers of a service that name a limit.
+type PermitRequest struct {
+	Service string `cbor:"1,keyasint"`
+	Wanted  int    `cbor:"2,keyasint"`
+	Limited int    `cbor:"3,keyasint"` // servers of the service that name a limit, as far as the entry instance knows
+}
+
+// Permits answers PermitRequest.
+type Permits struct {
+	Service string `cbor:"1,keyasint"`
+	// Servers names one server for each permit.
+	Servers []string `cbor:"2,keyasint,omitempty"`
+	// RetryAfterMS is the estimated time until more requests can be served, 0 if all that was wanted is granted.
+	RetryAfterMS int64 `cbor:"3,keyasint,omitempty"`
+	// Outdated states that the control instance knows fewer limits than the entry instance, which should send them.
+	Outdated bool `cbor:"4,keyasint,omitempty"`
+}
+
 // PromptParts tells what an entry instance has learned about parts of prompts that may crash the engines of a service. An
 // entry instance sends it to all control instances, and these send to the other entry instances what is news to them.
 type PromptParts struct {
--- a/internal/protocol/types.go
+++ b/internal/protocol/types.go
@@ -101,3 +101,9 @@
 
 // Type implements Message.
 func (*ServerLimits) Type() Type { return TypeServerLimits }
+
+// Type implements Message.
+func (*PermitRequest) Type() Type { return TypePermitRequest }
+
+// Type implements Message.
+func (*Permits) Type() Type { return TypePermits }
