--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -25,8 +25,12 @@
 	"github.com/banyanfront/banyanfront/platform"
 )
 
-// harmfulPart is the part of prompts that ends engineFleet's engines.
-const harmfulPart = "bad0"
+const (
+	// harmfulPart is the part of prompts that ends engineFleet's engines.
+	harmfulPart = "bad0"
+	// harmfulPath is the path of a plain request that ends them as they begin to run it.
+	harmfulPath = "/safe/bad"
+)
 
 // engineFleet is a service of engines, each of which ends when it begins an answer on harmfulPart and starts again at
 // another address, as another server.
@@ -88,6 +92,14 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
 	w.Header().Set(platform.HeaderSeal, "seal")
+	if r.URL.Path == harmfulPath {
+		f.end(e)
+		panic(http.ErrAbortHandler)
+	}
+	if strings.HasPrefix(r.URL.Path, "/safe/") {
+		_, _ = io.WriteString(w, "ok")
+		return
+	}
 	if !strings.Contains(r.Header.Get(platform.HeaderPrompt), harmfulPart) {
 		if strings.Contains(r.Header.Get(platform.HeaderPrompt), "slow") {
 			f.reading.Add(1)
@@ -242,6 +254,31 @@
 	}
 }
 
+// Guards against a request that ends each server which begins to run it, comes again at any entry instance and is sent on each time:
+// four servers end at most, and requests of the same caller to the same servers are served.
+func TestRequestThatEndsServersIsRefused(t *testing.T) {
+	is := is.New(t)
+	proxies, urls := startRelayedProxies(t, 4)
+	f := startEngineFleet(t, 6, proxies...)
+	refused := 0
+	for n := range 12 {
+		status, header, _, _ := send(t, urls[n%4], harmfulPath)
+		if status == http.StatusServiceUnavailable {
+			refused++
+			is.True(header.Get(platform.HeaderRetryAfter) != "")
+		}
+		time.Sleep(300 * time.Millisecond) // the server that ended is no longer avoided, and another one has been announced
+		for i := range urls {
+			status, _, body, err := send(t, urls[i], fmt.Sprint("/safe/ok", n))
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+			is.Equal(body, "ok")
+		}
+	}
+	is.True(f.endCount() <= 4)
+	is.True(refused >= 8)
+}
+
 // Guards against a request that is sent to the next engine although its own prompt may have ended the first one, and against
 // one that waits for an engine when a part of its prompt is quarantined: it would end that engine too.
 func TestSuspectedRequestIsNotSentOn(t *testing.T) {
