Quarantine requests that crash the servers which run them

Cause: nothing connected the ends with the request that came again; its repeats went to any entry instance, each of which sent it on to a second server. The class: failover that carries on what caused the failure, with evidence spread over instances. The quarantine of parts of prompts takes in the whole request as a part, named by a keyed digest of caller, method, target and body: one mechanism, the same reports between instances. As it goes from server to server within milliseconds, an end of a request counts if it was sent after the end before, and three ends suffice without an answer in between. The first end does not keep a request from the next server, the second does. Nothing is kept of requests under which no server has ended, and the digest is not computed then.

--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -1,4 +1,4 @@
-// Package quarantine finds the parts of prompts that crash engines, and keeps requests with such a part from them.
+// Package quarantine finds the parts of prompts, and the whole requests, that crash servers, and keeps them from the next one.
 //
 // An engine that crashes ends all requests that are open there, so a single end says little: the part at fault is one of
 // those in a request on which no answer had begun. Two facts tell it from the others. It was open at each end, while
@@ -9,12 +9,17 @@
 // Where no answer of the service begins between two ends, as nothing does while a lock-step group is closed, the second fact
 // says nothing. A part that few requests have is then quarantined by the first fact alone, after one end more.
 //
+// A whole request that comes again is a part of its own, which RequestPart names by a digest. Other requests do not share it, so a
+// wrong guess costs less than with a part of prompts, and less evidence suffices: an end counts if the request was sent after the
+// one before, however soon that is. Nothing is kept of requests under which no server has ended.
+//
 // A Tracker is merged with those of other processes: reports may arrive late, repeatedly and in any order.
 package quarantine
 
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -40,6 +45,8 @@
 	// price of a trial is an engine, and for some seconds its lock-step group.
 	firstQuarantine = 5 * time.Minute
 	maxQuarantine   = 2 * time.Hour
+	// firstRequestQuarantine is firstQuarantine for whole requests: few callers are affected by a trial, and by a wrong guess.
+	firstRequestQuarantine = time.Minute
 	// forgetAfter is the time without a report after which a suspicion is dropped.
 	forgetAfter = 10 * time.Minute
 	// soundFor is how long an answer on a part vouches for it.
@@ -64,6 +71,15 @@
 	Part    string
 }
 
+// requestPrefix distinguishes whole requests from parts of prompts, whose names are hexadecimal.
+const requestPrefix = "request:"
+
+// RequestPart returns the part that stands for all repeats of a request, given a digest of what they have in common.
+func RequestPart(digest string) string { return requestPrefix + digest }
+
+// isRequest reports whether a part stands for a whole request.
+func isRequest(part string) bool { return strings.HasPrefix(part, requestPrefix) }
+
 // Suspicion is what is known of a suspected part.
 type Suspicion struct {
 	Key
@@ -134,7 +150,9 @@
 	}
 	c.total++
 	for _, part := range parts {
-		c.byPart[part]++
+		if !isRequest(part) {
+			c.byPart[part]++
+		}
 	}
 }
 
@@ -147,9 +165,10 @@
 	return float64(c.byPart[key.Part]+c.byPartBefore[key.Part]) <= maxRareRatio*float64(c.total+c.totalBefore)
 }
 
-// RecordEnd records that an engine ended at a time with requests open whose answers had not begun. It returns those of
-// their parts for which this is news, and those that it puts into quarantine.
-func (t *Tracker) RecordEnd(at time.Time, service string, engine Engine, parts []string) (news, quarantined []string) {
+// RecordEnd records that an engine ended at a time with a request open whose answer had not begun. It returns those of the
+// request's parts for which this is news, and those that it puts into quarantine. openFor is the time since the request was sent to
+// the engine.
+func (t *Tracker) RecordEnd(at time.Time, openFor time.Duration, service string, engine Engine, parts []string) (news, quarantined []string) {
 	var together []string // put into quarantine by the same end
 	for _, part := range parts {
 		key := Key{service, part}
@@ -168,7 +187,7 @@
 			quarantined = append(quarantined, part)
 			continue
 		}
-		if t.countEnd(at, s) {
+		if t.countEnd(at, at.Add(-openFor), s) {
 			s.quarantine(at)
 			together = append(together, part)
 		}
@@ -184,24 +203,41 @@
 	return news, quarantined
 }
 
-// countEnd counts an end if it is separate from those before, and reports whether that suffices for a quarantine.
-func (t *Tracker) countEnd(at time.Time, s *Suspicion) bool {
-	separate := t.isSeparate(at, s)
+// countEnd counts an end if it is separate from those before, and reports whether that suffices for a quarantine. sentAt is the time
+// at which the request was sent to the engine.
+func (t *Tracker) countEnd(at, sentAt time.Time, s *Suspicion) bool {
+	// While no answer of the service begins, nothing distinguishes a part from the others: engines that crash as they start, or a
+	// group that is broken again and again, would put all parts into quarantine.
+	separate := s.Ends == 0 || s.isApart(at, sentAt, s.LastEndAt) && t.beganAt[s.Service].After(s.LastEndAt)
 	if separate {
 		s.Ends++
 		s.LastEndAt = at
 	}
-	if s.UnansweredEnds > 0 && at.Sub(s.LastUnansweredAt) < minEndsApart {
+	if s.UnansweredEnds > 0 && !s.isApart(at, sentAt, s.LastUnansweredAt) {
 		return separate && s.Ends >= s.endsNeeded()
 	}
 	s.UnansweredEnds++
 	s.LastUnansweredAt = at
-	return separate && s.Ends >= s.endsNeeded() || s.UnansweredEnds >= s.endsNeeded()+moreEndsUnanswered && t.isRare(s.Key)
+	return separate && s.Ends >= s.endsNeeded() ||
+		s.UnansweredEnds >= s.endsNeeded()+moreEndsUnanswered && (isRequest(s.Part) || t.isRare(s.Key))
+}
+
+// isApart reports whether an end has another cause than an earlier one, unless both are due to the part. Engines that fail together
+// have a common cause, but not if the request was sent to the second one after the end of the first.
+func (s *Suspicion) isApart(at, sentAt, earlier time.Time) bool {
+	if isRequest(s.Part) {
+		return sentAt.After(earlier)
+	}
+	return at.Sub(earlier) >= minEndsApart
 }
 
 // quarantine begins the next quarantine of the part.
 func (s *Suspicion) quarantine(at time.Time) {
-	s.QuarantinedUntil = at.Add(min(firstQuarantine<<min(s.Quarantines, 16), maxQuarantine))
+	first := firstQuarantine
+	if isRequest(s.Part) {
+		first = firstRequestQuarantine
+	}
+	s.QuarantinedUntil = at.Add(min(first<<min(s.Quarantines, 16), maxQuarantine))
 	s.Quarantines++
 }
 
@@ -236,8 +272,12 @@
 	s.Engines = s.Engines[max(0, len(s.Engines)-maxEngines):]
 }
 
-// explain records that engines ended because of a quarantined part, and clears the other parts of these ends.
+// explain records that engines ended because of a quarantined part, and clears the other parts of these ends. A whole request
+// explains nothing: a sound one that was sent from engine to engine together with the one at fault would clear that.
 func (t *Tracker) explain(cause *Suspicion, engines ...Engine) {
+	if isRequest(cause.Part) {
+		return
+	}
 	if len(t.explained) >= maxExplained {
 		clear(t.explained)
 	}
@@ -256,13 +296,6 @@
 	}
 }
 
-// isSeparate reports whether an end counts as another one than those recorded for a part. While no answer of the service
-// begins, nothing distinguishes a part from the others: engines that crash as they start, or a group that is broken
-// again and again, would put all parts into quarantine.
-func (t *Tracker) isSeparate(at time.Time, s *Suspicion) bool {
-	return s.Ends == 0 || at.Sub(s.LastEndAt) >= minEndsApart && t.beganAt[s.Service].After(s.LastEndAt)
-}
-
 // RecordBegun records that an answer has begun on all of the parts. It returns the suspicions that this lifts.
 func (t *Tracker) RecordBegun(at time.Time, service string, parts []string) (lifted []Suspicion) {
 	if at.After(t.beganAt[service]) {
@@ -278,11 +311,14 @@
 
 // lift records that a part is sound. It returns the suspicion that there was, nil if there was none.
 func (t *Tracker) lift(at time.Time, key Key) *Suspicion {
+	s := t.suspicions[key]
+	if s == nil && isRequest(key.Part) {
+		return nil
+	}
 	if len(t.sound) >= maxSound {
 		t.sound, t.soundBefore = make(map[Key]time.Time, maxSound), t.sound
 	}
 	t.sound[key] = at
-	s := t.suspicions[key]
 	if s == nil {
 		return nil
 	}
@@ -303,17 +339,23 @@
 	return t.soundBefore[key]
 }
 
-// IsSound reports whether answers have begun on all of the parts lately and none of them is suspected.
+// IsSound reports whether answers have begun on all of the parts lately, other than the whole request, and none is suspected.
 func (t *Tracker) IsSound(now time.Time, service string, parts []string) bool {
 	for _, part := range parts {
 		key := Key{service, part}
-		if at := t.soundAt(key); at.IsZero() || now.Sub(at) > soundFor || t.suspicions[key] != nil {
+		if t.suspicions[key] != nil {
+			return false
+		}
+		if at := t.soundAt(key); !isRequest(part) && (at.IsZero() || now.Sub(at) > soundFor) {
 			return false
 		}
 	}
 	return true
 }
 
+// HasSuspicions reports whether any part is suspected.
+func (t *Tracker) HasSuspicions() bool { return len(t.suspicions) > 0 }
+
 // Quarantined returns the first of the parts that is in quarantine, and the time until it ends. The part is empty if there is
 // none.
 func (t *Tracker) Quarantined(now time.Time, service string, parts []string) (part string, remaining time.Duration) {
@@ -343,7 +385,7 @@
 		s.Ends = max(s.Ends, other.Ends)
 	}
 	news = news || s.Ends > before
-	s.Quarantines, s.UnansweredEnds = max(s.Quarantines, other.Quarantines), max(s.UnansweredEnds, s.Ends)
+	s.Quarantines, s.UnansweredEnds = max(s.Quarantines, other.Quarantines), max(s.UnansweredEnds, other.UnansweredEnds, s.Ends)
 	s.AnsweredBefore = s.AnsweredBefore || other.AnsweredBefore
 	for _, engine := range other.Engines {
 		if !slices.Contains(s.Engines, engine) {
--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -20,7 +20,7 @@
 
 // end records an end of an engine and returns the parts that it puts into quarantine.
 func end(t *Tracker, seconds float64, n int, parts ...string) []string {
-	_, quarantined := t.RecordEnd(at(seconds), "s", engine(n), parts)
+	_, quarantined := t.RecordEnd(at(seconds), 0, "s", engine(n), parts)
 	return quarantined
 }
 
@@ -184,7 +184,7 @@
 	is := is.New(t)
 	tracker := New()
 	for n := range 2 * maxParts {
-		tracker.RecordEnd(at(float64(n)), "s", engine(n), []string{fmt.Sprint(n)})
+		tracker.RecordEnd(at(float64(n)), 0, "s", engine(n), []string{fmt.Sprint(n)})
 		begun(tracker, float64(n), fmt.Sprint("sound", n))
 	}
 	is.Equal(len(tracker.Suspicions()), maxParts)
@@ -290,7 +290,7 @@
 		if r.engine.Server == "" {
 			f.instances[r.to].RecordBegun(at(r.due), "s", r.parts)
 		} else {
-			f.instances[r.to].RecordEnd(at(r.at), "s", r.engine, r.parts)
+			f.instances[r.to].RecordEnd(at(r.at), 0, "s", r.engine, r.parts)
 		}
 		return true
 	})
@@ -338,7 +338,7 @@
 				parts = append(parts, fmt.Sprint("subject", f.random.IntN(40))) // of a neighbour at the same engine
 			}
 			e := engine(engines)
-			if news, _ := f.instances[i].RecordEnd(at(now), "s", e, parts); len(news) > 0 {
+			if news, _ := f.instances[i].RecordEnd(at(now), 0, "s", e, parts); len(news) > 0 {
 				f.broadcast(i, now, e, news)
 			}
 			if seed%2 == 0 {
--- /dev/null
+++ b/decide/quarantine/request_test.go
@@ -0,0 +1,230 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// endOf records the end of a server while a request had been open there for a time, and reports whether the request is quarantined.
+func endOf(t *Tracker, seconds, openFor float64, n int, request string) bool {
+	_, quarantined := t.RecordEnd(at(seconds), time.Duration(openFor*float64(time.Second)), "s", engine(n), []string{RequestPart(request)})
+	return len(quarantined) > 0
+}
+
+// Guards against a request that goes from server to server within milliseconds and ends each: no answer of the service begins in
+// between, and the ends come in the same second.
+func TestRequestThatEndsServersOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	is.True(!endOf(tracker, 0, 0.05, 1, "bad"))
+	is.True(!endOf(tracker, 0.06, 0.05, 2, "bad"))
+	is.True(endOf(tracker, 0.12, 0.05, 3, "bad"))
+	is.True(quarantined(tracker, 1, RequestPart("bad")) != "")
+	is.Equal(quarantined(tracker, 1, RequestPart("other")), "")
+}
+
+// Guards against a request that ends a second server although others are answered between the two ends.
+func TestSecondEndSufficesIfOthersAreAnswered(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	is.True(!endOf(tracker, 0, 0.05, 1, "bad"))
+	begun(tracker, 1, RequestPart("other"))
+	is.True(endOf(tracker, 2, 0.05, 2, "bad"))
+}
+
+// Guards against sound requests that are refused as servers end together: in a data centre that loses power, a request that many
+// send is open at each of them.
+func TestRequestOpenAtServersThatEndTogether(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for n := range 12 {
+		is.True(!endOf(tracker, 1+0.01*float64(n), 0.5, n, "popular"))
+	}
+}
+
+// Guards against a request that stays under suspicion although an answer to it has begun, and against a quarantine without an end
+// or with more than one further server for each trial.
+func TestRequestIsClearedOrTriedAgain(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	endOf(tracker, 0, 0.05, 1, "sound")
+	endOf(tracker, 1, 0.05, 2, "sound")
+	begun(tracker, 2, RequestPart("sound"))
+	is.True(!endOf(tracker, 3, 0.05, 3, "sound"))
+
+	for n := range 3 {
+		endOf(tracker, 10+float64(n), 0.05, 10+n, "bad")
+	}
+	until := 12 + firstRequestQuarantine.Seconds()
+	is.True(quarantined(tracker, until-1, RequestPart("bad")) != "")
+	tracker.Expire(at(until + 1))
+	is.Equal(quarantined(tracker, until+1, RequestPart("bad")), "")
+	is.True(endOf(tracker, until+2, 0.05, 20, "bad"))
+	is.True(quarantined(tracker, until+2*firstRequestQuarantine.Seconds(), RequestPart("bad")) != "")
+}
+
+// Guards against memory that grows with requests of which no two are alike.
+func TestAnsweredRequestsLeaveNothing(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for n := range 100_000 {
+		parts := []string{RequestPart(fmt.Sprint(n))}
+		tracker.RecordRequest(at(float64(n)*0.01), "s", parts)
+		tracker.RecordBegun(at(float64(n)*0.01), "s", parts)
+	}
+	is.Equal(len(tracker.sound)+len(tracker.soundBefore)+len(tracker.suspicions)+len(tracker.requests["s"].byPart), 0)
+}
+
+// Guards against a whole request and a part of its prompt that hide each other: with the part at fault, requests with it are refused
+// although each has another digest; with the request at fault, others with its parts are not.
+func TestRequestAndPartAreToldApart(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for n := range 2 {
+		end(tracker, 2*float64(n), n, "bad", RequestPart(fmt.Sprint("r", n)))
+		begun(tracker, 2*float64(n)+1, "other")
+	}
+	is.True(quarantined(tracker, 5, "bad", RequestPart("r9")) != "")
+
+	tracker = New()
+	for n := range 2 {
+		end(tracker, 2*float64(n), n, "subject", RequestPart("bad"))
+		begun(tracker, 2*float64(n)+1, "other")
+	}
+	is.True(quarantined(tracker, 5, "subject", RequestPart("bad")) != "")
+	is.Equal(quarantined(tracker, 5, "subject", RequestPart("r9")), "")
+}
+
+// crashFleet is a plain service behind entry instances that tell each other of ends after a delay.
+type crashFleet struct {
+	random    *rand.Rand
+	now       float64
+	instances []*Tracker
+	downUntil []float64 // by server
+	starts    []int     // of each server
+	later     []func(now float64) bool
+	// harmful, and late of it, are the arrivals of the harmful request, late those 3 s after the third end.
+	harmful, late, refused, sound int
+	thirdEndAt                    float64
+}
+
+const (
+	crashNewsDelay = 0.02
+	crashRunTime   = 0.05
+	crashDownTime  = 3.0
+)
+
+func (f *crashFleet) after(delay float64, do func()) {
+	due := f.now + delay
+	f.later = append(f.later, func(now float64) bool {
+		if now < due {
+			return false
+		}
+		do()
+		return true
+	})
+}
+
+// send sends a request to a server that runs, at most attempts times. Sound requests are answered unless their server ends first.
+func (f *crashFleet) send(request string, bad bool, attempts int) {
+	i := f.random.IntN(len(f.instances))
+	t := f.instances[i]
+	part := RequestPart(request)
+	if quarantined(t, f.now, part) != "" {
+		if !bad {
+			f.refused++
+		}
+		return
+	}
+	var up []int
+	for server, until := range f.downUntil {
+		if until <= f.now {
+			up = append(up, server)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	server := up[f.random.IntN(len(up))]
+	started, sentAt := f.starts[server], f.now
+	if bad {
+		f.harmful++
+		if f.thirdEndAt > 0 && f.now > f.thirdEndAt+3 {
+			f.late++
+		}
+	}
+	f.after(crashRunTime*(0.5+f.random.Float64()), func() {
+		switch {
+		case bad && f.starts[server] == started:
+			f.starts[server]++
+			f.downUntil[server] = f.now + crashDownTime
+			if f.harmful >= 3 && f.thirdEndAt == 0 {
+				f.thirdEndAt = f.now
+			}
+		case f.starts[server] == started:
+			for _, other := range f.instances {
+				begun(other, f.now, part)
+			}
+			return
+		}
+		e := Engine{Server: fmt.Sprint(server), StartedAtMillis: int64(started)}
+		openFor := time.Duration((f.now - sentAt) * float64(time.Second))
+		isSound := t.IsSound(at(f.now), "s", []string{part})
+		endedAt := f.now
+		report := func(t *Tracker) {
+			if _, q := t.RecordEnd(at(endedAt), openFor, "s", e, []string{part}); len(q) > 0 {
+				s, _ := t.Get("s", part)
+				f.after(crashNewsDelay, func() {
+					for _, other := range f.instances {
+						other.Merge(at(f.now), s)
+					}
+				})
+			}
+		}
+		report(t)
+		f.after(crashNewsDelay, func() {
+			for _, other := range f.instances {
+				if other != t {
+					report(other)
+				}
+			}
+		})
+		if isSound && attempts > 1 {
+			f.send(request, bad, attempts-1)
+		}
+	})
+}
+
+// Guards against servers that end again and again under a request that comes again at any entry instance, while all servers of the
+// service may be down at once; and against sound requests that are refused as they were open there too.
+func TestFleetFindsTheHarmfulRequest(t *testing.T) {
+	for seed := range uint64(100) {
+		f := &crashFleet{random: rand.New(rand.NewPCG(seed, 3)), downUntil: make([]float64, 3+seed%8), starts: make([]int, 3+seed%8)}
+		for range 1 + seed%10 {
+			f.instances = append(f.instances, New())
+		}
+		for ; f.now < 60; f.now += 0.005 {
+			due := f.later
+			f.later = nil
+			for _, do := range due {
+				if !do(f.now) {
+					f.later = append(f.later, do)
+				}
+			}
+			if f.random.Float64() < 0.005*20 {
+				f.sound++
+				f.send(fmt.Sprint("r", f.sound), false, 2)
+			}
+			if f.now > 5 && f.random.Float64() < 0.005*1.5 {
+				f.send("bad", true, 2)
+			}
+		}
+		if f.harmful > 6 || f.late > 3 || f.refused > 0 {
+			t.Errorf("seed %d: the harmful request reached %d servers, %d late; %d of %d sound requests were refused", seed, f.harmful, f.late, f.refused, f.sound)
+		}
+	}
+}
--- a/internal/directory/prompt_parts.go
+++ b/internal/directory/prompt_parts.go
@@ -18,7 +18,8 @@
 	if e := m.Ended; e != nil {
 		engine := quarantine.Engine{Server: e.Server, StartedAtMillis: e.StartedAtMillis}
 		var parts []string
-		parts, quarantined = t.RecordEnd(now, m.Service, engine, e.Parts)
+		endedAt := now.Add(-time.Duration(e.AgeMS * float64(time.Millisecond)))
+		parts, quarantined = t.RecordEnd(endedAt, time.Duration(e.OpenMS*float64(time.Millisecond)), m.Service, engine, e.Parts)
 		if len(parts) > 0 {
 			ended := *e
 			ended.Parts = parts
@@ -97,7 +98,7 @@
 			byService[s.Service] = m
 			messages = append(messages, m)
 		}
-		m.Suspected = append(m.Suspected, protocol.PartSuspicion{Part: s.Part, Ends: s.Ends, LastEndAgeMS: now.Sub(s.LastEndAt).Milliseconds(),
+		m.Suspected = append(m.Suspected, protocol.PartSuspicion{Part: s.Part, Ends: s.Ends, UnansweredEnds: s.UnansweredEnds, LastEndAgeMS: now.Sub(s.LastEndAt).Milliseconds(),
 			RemainingMS: max(0, s.QuarantinedUntil.Sub(now).Milliseconds()), Quarantines: s.Quarantines, AnsweredBefore: s.AnsweredBefore,
 			Engines: s.Engines, With: s.With})
 	}
@@ -106,7 +107,7 @@
 
 // decodeSuspicion is the inverse of EncodePromptParts for one part.
 func decodeSuspicion(now time.Time, service string, s protocol.PartSuspicion) quarantine.Suspicion {
-	out := quarantine.Suspicion{Key: quarantine.Key{Service: service, Part: s.Part}, Ends: s.Ends, Quarantines: s.Quarantines,
+	out := quarantine.Suspicion{Key: quarantine.Key{Service: service, Part: s.Part}, Ends: s.Ends, UnansweredEnds: s.UnansweredEnds, Quarantines: s.Quarantines,
 		LastEndAt: now.Add(-time.Duration(s.LastEndAgeMS) * time.Millisecond), AnsweredBefore: s.AnsweredBefore, Engines: s.Engines, With: s.With}
 	if s.RemainingMS > 0 {
 		out.QuarantinedUntil = now.Add(time.Duration(s.RemainingMS) * time.Millisecond)
--- a/internal/directory/prompt_parts_test.go
+++ b/internal/directory/prompt_parts_test.go
@@ -113,7 +113,7 @@
 	tracker, now := quarantine.New(), time.Now()
 	for n := range 3000 {
 		for e := range 16 {
-			tracker.RecordEnd(now, "s", quarantine.Engine{Server: fmt.Sprint("i-0123456789abcdef", e), StartedAtMillis: now.UnixMilli()}, []string{fmt.Sprint("part", n)})
+			tracker.RecordEnd(now, 0, "s", quarantine.Engine{Server: fmt.Sprint("i-0123456789abcdef", e), StartedAtMillis: now.UnixMilli()}, []string{fmt.Sprint("part", n)})
 		}
 	}
 	other, known := quarantine.New(), 0
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -33,8 +33,9 @@
 	deadline        time.Time // the caller expects the response by then
 	objectiveMissed bool      // the caller had waited for longer than the objective before it sent this request
 	body            []byte
-	header          http.Header // forwarded to the server, without headers that differ between attempts
-	parts           []string    // of the prompt that other requests may share
+	header          http.Header     // forwarded to the server, without headers that differ between attempts
+	parts           func() []string // of the prompt that other requests may share, and the whole request; see package quarantine
+	promptParts     []string
 
 	tried           []string // servers that the request was sent to, whole or in part
 	countedAttempts int      // attempts that count towards the route's MaxAttempts
@@ -243,7 +244,7 @@
 		}
 	}
 	log.WithFields(log.Fields{"request": c.id, "server": server, "sent": failure.Sent, "error": c.lastError,
-		"heardMs": a.started.Sub(a.choice.AnnouncedAt).Milliseconds(), "load": a.choice.Load, "parts": c.parts,
+		"heardMs": a.started.Sub(a.choice.AnnouncedAt).Milliseconds(), "load": a.choice.Load, "parts": c.parts(),
 		"afterMs": time.Since(a.started).Milliseconds()}).Warn("attempt failed")
 }
 
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -69,7 +69,7 @@
 		c.recordResult(a, "broken off")
 		c.recordBrokenOff(a)
 		log.WithFields(log.Fields{"request": c.id, "server": a.choice.Server.Server, "status": response.Status, "error": c.lastError,
-			"parts": c.parts}).Warn("answer broken off")
+			"parts": c.parts()}).Warn("answer broken off")
 		return false
 	}
 	success := response.Status >= 200 && response.Status < 300
--- a/internal/edge/prompt_parts.go
+++ b/internal/edge/prompt_parts.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"syscall"
@@ -19,8 +23,8 @@
 	"github.com/banyanfront/banyanfront/internal/protocol"
 )
 
-// This file keeps requests with a part of a prompt that crashes engines from them; package quarantine says how such a part is
-// found. The entry instances tell each other through the control instances what they have seen.
+// This file keeps requests that crash servers, or whose prompt has a part that does, from the next server; package quarantine says
+// how they are found. The entry instances tell each other through the control instances what they have seen.
 
 // endCheckTimeout limits the check whether an engine has ended. The machine of a process that has ended refuses connections at
 // once; one that is out of reach is no sign of a crash.
@@ -36,32 +40,56 @@
 
 // recordRequest counts a request by the parts of its prompt.
 func (p *promptParts) recordRequest(c *call) {
-	if len(c.parts) == 0 {
+	if len(c.promptParts) == 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tracker.RecordRequest(c.arrived, c.service, c.parts)
+	p.tracker.RecordRequest(c.arrived, c.service, c.promptParts)
+}
+
+// suspectParts returns the parts of a call by which it may be suspected: while nothing is suspected, only those of its prompt, which
+// saves the digest of the request.
+func (p *promptParts) suspectParts(c *call) []string {
+	p.mu.Lock()
+	suspicions := p.tracker.HasSuspicions()
+	p.mu.Unlock()
+	if !suspicions {
+		return c.promptParts
+	}
+	return c.parts()
 }
 
 // quarantineRefusal returns the refusal of a call with a quarantined part, nil if it has none.
 func (p *Proxy) quarantineRefusal(c *call) *dispatch.Refusal {
-	if len(c.parts) == 0 {
-		return nil
-	}
+	parts := p.parts.suspectParts(c)
 	p.parts.mu.Lock()
 	defer p.parts.mu.Unlock()
-	part, remaining := p.parts.tracker.Quarantined(time.Now(), c.service, c.parts)
+	part, remaining := p.parts.tracker.Quarantined(time.Now(), c.service, parts)
 	if part == "" {
 		return nil
 	}
-	c.lastError = "part " + part + " of the prompt crashes engines"
+	c.lastError = "servers end under " + part + ", a part of the prompt or the whole request"
 	return &dispatch.Refusal{Reason: dispatch.Quarantined, RetryAfter: remaining}
 }
 
+// digest identifies what the repeats of a request have in common: caller, method, target and body. It has a key, so that it tells
+// nothing of the body in a log.
+func (c *call) digest() string {
+	hash := hmac.New(sha256.New, c.proxy.config.DigestKey)
+	for _, field := range []string{c.organisation, c.r.Method, c.r.Host, c.r.RequestURI} {
+		_, _ = fmt.Fprintf(hash, "%d:%s,", len(field), field) // a hash returns no error
+	}
+	_, _ = hash.Write(c.body)
+	return hex.EncodeToString(hash.Sum(nil)[:digestBytes])
+}
+
+// digestBytes is the length of a digest: two of the requests under suspicion have the same one by chance in no likely time.
+const digestBytes = 12
+
 // await adds an attempt to those whose answer has not begun, until forget.
 func (p *promptParts) await(a *attempt, c *call) {
-	if len(c.parts) == 0 || c.answerBegun {
+	if c.answerBegun {
 		return
 	}
 	p.mu.Lock()
@@ -71,39 +99,39 @@
 
 // forget ends await.
 func (p *promptParts) forget(a *attempt, c *call) {
-	if len(c.parts) == 0 {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.waiting, a)
 }
 
-// recordAnswerBegun records that an answer to the call has begun, which lifts the suspicion from all parts of its prompt.
+// recordAnswerBegun records that an answer to the call has begun, which lifts the suspicion from it and from all parts of its
+// prompt.
 func (c *call) recordAnswerBegun(a *attempt) {
-	if c.answerBegun || len(c.parts) == 0 {
+	if c.answerBegun {
 		return
 	}
 	c.answerBegun = true
 	p := c.proxy
+	parts := p.parts.suspectParts(c)
 	p.parts.mu.Lock()
 	delete(p.parts.waiting, a)
 	now := time.Now()
-	lifted := directory.LiftedParts(now, p.parts.tracker.RecordBegun(now, c.service, c.parts))
+	lifted := directory.LiftedParts(now, p.parts.tracker.RecordBegun(now, c.service, parts))
 	p.parts.mu.Unlock()
 	if len(lifted) > 0 {
 		p.sendPromptParts(&protocol.PromptParts{Service: c.service, Answered: lifted})
 	}
 }
 
-// checkEngineEnd finds out whether the engine of a broken attempt has ended before an answer began, and records it for the
-// parts of the prompt. A call is not sent on to the next engine then, unless answers have begun on all of its parts: it may be
-// the reason.
+// checkEngineEnd finds out whether the server of a broken attempt has ended before an answer began, and records it for the call and
+// the parts of its prompt. A call is not sent on to the next server then if it may be the reason: an earlier server has ended under
+// it, or no answer is known to have begun on one of its parts.
 func (c *call) checkEngineEnd(a *attempt) {
-	if c.answerBegun || len(c.parts) == 0 || a.cancelled {
+	if c.answerBegun || a.cancelled {
 		return
 	}
-	p, engine, parts, service := c.proxy, a.choice.Server, c.parts, c.service
+	brokenAt := time.Now()
+	p, engine, parts, service := c.proxy, a.choice.Server, c.parts(), c.service
 	p.parts.mu.Lock()
 	sound := p.parts.tracker.IsSound(time.Now(), service, parts)
 	p.parts.mu.Unlock()
@@ -111,7 +139,7 @@
 	check := func() bool {
 		ended, _, _ := p.parts.checks.Do(engine.Server, func() (any, error) { return p.hasEnded(engine, limit), nil })
 		if ended == true {
-			p.recordEngineEnd(engine, service, parts, c.id)
+			p.recordEngineEnd(a, brokenAt, service, parts, c.id)
 		}
 		return ended == true
 	}
@@ -130,16 +158,20 @@
 	return errors.Is(p.client.Connect(ctx, engine.Server, engine.Address, maxConnections), syscall.ECONNREFUSED)
 }
 
-// recordEngineEnd records that an engine ended while a request with the parts was open there, whose answer had not begun.
-func (p *Proxy) recordEngineEnd(engine registry.Announcement, service string, parts []string, request string) {
+// recordEngineEnd records that the server of an attempt ended at a time while a request with the parts was open there, whose answer
+// had not begun.
+func (p *Proxy) recordEngineEnd(a *attempt, endedAt time.Time, service string, parts []string, request string) {
+	engine := a.choice.Server
 	ended := &protocol.PromptParts{Service: service, Ended: &protocol.EndedEngine{Server: engine.Server,
-		StartedAtMillis: engine.StartedAtMillis, Parts: parts}}
+		StartedAtMillis: engine.StartedAtMillis, Parts: parts, AgeMS: inMilliseconds(time.Since(endedAt)), OpenMS: inMilliseconds(endedAt.Sub(a.started))}}
 	metrics.GetOrCreateCounter(`banyanfront_edge_engine_ends_total`).Inc()
 	log.WithFields(log.Fields{"request": request, "server": engine.Server, "parts": parts}).
-		Warn("engine ended before an answer to the request began; the parts of its prompt are suspected")
+		Warn("engine ended before an answer to the request began; the request and the parts of its prompt are suspected")
 	p.sendPromptParts(p.applyPromptParts(time.Now(), ended, true)...)
 }
 
+func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // applyPromptParts records what this instance, or another one, has learned about parts of prompts. It returns the messages that
 // tell the others what they do not know: what this one has seen itself, the parts that it puts into quarantine, and those that
 // it knows to have been answered before.
@@ -174,7 +206,7 @@
 // is held.
 func (p *promptParts) withdraw(now time.Time) {
 	for a, c := range p.waiting {
-		if part, _ := p.tracker.Quarantined(now, c.service, c.parts); part != "" {
+		if part, _ := p.tracker.Quarantined(now, c.service, c.parts()); part != "" {
 			a.withdrawn.Store(true)
 			a.cancel()
 		}
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/banyanfront/banyanfront/decide/dispatch"
+	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/decide/routes"
 	"github.com/banyanfront/banyanfront/internal/backendhttp"
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -41,6 +43,8 @@
 	Decode   func(body []byte) (*routes.Configuration, error)
 	Dial     func(address string, hello func() protocol.Hello, h transport.Handler) transport.ConnectFunc
 	Hello    func() protocol.Hello
+	// DigestKey is the key of the digests by which requests that come again are recognised, the same on all instances.
+	DigestKey []byte
 }
 
 // Proxy forwards the requests of callers to backend servers.
@@ -156,7 +160,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.body = body
-	c.parts = platform.SharedPromptParts(c.r.Header.Get(platform.HeaderPrompt))
+	c.promptParts = platform.SharedPromptParts(c.r.Header.Get(platform.HeaderPrompt))
+	c.parts = sync.OnceValue(func() []string { return append(slices.Clone(c.promptParts), quarantine.RequestPart(c.digest())) })
 	c.header = backendhttp.EndToEnd(c.r.Header)
 	for _, name := range []string{platform.HeaderKey, platform.HeaderOrganisation, platform.HeaderExpectServer, "Expect"} {
 		delete(c.header, http.CanonicalHeaderKey(name))
--- a/internal/edge/proxy_test.go
+++ b/internal/edge/proxy_test.go
@@ -452,7 +452,7 @@
 	for range backends {
 		choice, refusal, _ := proxy.pick(dispatch.Request{Service: "s"})
 		is.Equal(refusal, nil)
-		c := &call{proxy: proxy, ctx: t.Context()}
+		c := &call{parts: func() []string { return nil }, proxy: proxy, ctx: t.Context()}
 		c.handleFailure(&attempt{choice: choice, started: time.Now(), ctx: t.Context(), cancel: func() {}}, timeout)
 	}
 	status, header, _, err := send(t, url, "/safe/x")
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -30,6 +30,8 @@
 	harmfulPart = "bad0"
 	// harmfulPath is the path of a plain request that ends them as they begin to run it.
 	harmfulPath = "/safe/bad"
+	// unluckyPath is the path of a plain request under which the first engine ends that has it, by accident.
+	unluckyPath = "/safe/unlucky"
 )
 
 // engineFleet is a service of engines, each of which ends when it begins an answer on harmfulPart and starts again at
@@ -96,6 +98,11 @@
 		f.end(e)
 		panic(http.ErrAbortHandler)
 	}
+	if r.URL.Path == unluckyPath && f.endCount() == 0 {
+		go f.end(e)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if strings.HasPrefix(r.URL.Path, "/safe/") {
 		_, _ = io.WriteString(w, "ok")
 		return
@@ -249,8 +256,11 @@
 	}
 	is.True(f.endCount() <= 4)
 	for _, p := range proxies {
-		is.True(p.quarantineRefusal(&call{service: "s", parts: []string{"a0", harmfulPart}}) != nil)
-		is.True(p.quarantineRefusal(&call{service: "s", parts: []string{"a0", "c0"}}) == nil)
+		refusal := func(parts ...string) *dispatch.Refusal {
+			return p.quarantineRefusal(&call{service: "s", promptParts: parts, parts: func() []string { return parts }})
+		}
+		is.True(refusal("a0", harmfulPart) != nil)
+		is.True(refusal("a0", "c0") == nil)
 	}
 }
 
@@ -279,6 +289,36 @@
 	is.True(refused >= 8)
 }
 
+// Guards against a sound request that fails since it was open at a server which ended for another reason: it is sent on.
+func TestSoundRequestIsSentOnWhenItsServerEnds(t *testing.T) {
+	is := is.New(t)
+	proxies, urls := startRelayedProxies(t, 1)
+	f := startEngineFleet(t, 3, proxies...)
+	status, _, _, err := send(t, urls[0], unluckyPath)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(f.endCount(), 1)
+}
+
+// Guards against repeats that are not recognised, and against others that are taken for them: a digest depends on caller, method,
+// target, body and key, and not on the identifier.
+func TestDigestOfARequest(t *testing.T) {
+	is := is.New(t)
+	digest := func(key, organisation, method, target, id, body string) string {
+		r := httptest.NewRequest(method, target, nil)
+		r.RequestURI = target
+		r.Header.Set(platform.HeaderRequestID, id)
+		proxy := &Proxy{fleetState: &fleetState{config: Config{DigestKey: []byte(key)}}}
+		return (&call{proxy: proxy, r: r, organisation: organisation, body: []byte(body)}).digest()
+	}
+	base := digest("k", "o", "POST", "/safe/x?a=1", "r1", "body")
+	is.Equal(digest("k", "o", "POST", "/safe/x?a=1", "r2", "body"), base)
+	for _, other := range []string{digest("other", "o", "POST", "/safe/x?a=1", "r1", "body"), digest("k", "p", "POST", "/safe/x?a=1", "r1", "body"),
+		digest("k", "o", "PUT", "/safe/x?a=1", "r1", "body"), digest("k", "o", "POST", "/safe/x?a=2", "r1", "body"), digest("k", "o", "POST", "/safe/x?a=1", "r1", "bodY")} {
+		is.True(other != base)
+	}
+}
+
 // Guards against a request that is sent to the next engine although its own prompt may have ended the first one, and against
 // one that waits for an engine when a part of its prompt is quarantined: it would end that engine too.
 func TestSuspectedRequestIsNotSentOn(t *testing.T) {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -42,6 +42,8 @@
 		Decode: platform.DecodeConfiguration,
 		Dial:   link.Dial,
 		Hello:  link.Hello(s.Instance, s.DataCentre, ""),
+
+		DigestKey: link.Config.FleetKey,
 	})
 	callers, err := process.Listen("listen.front", s.CallersListen, proxy, nil)
 	if err != nil {
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -180,7 +180,7 @@
 	s.finish(a, false, "broken off at "+s.lastEventID)
 	if s.recordBrokenOff(a) {
 		log.WithFields(log.Fields{"request": s.id, "server": a.choice.Server.Server, "last": s.lastEventID, "events": s.events,
-			"error": s.lastError, "resumable": s.route.Resumable, "parts": s.parts}).Warn("stream broken off")
+			"error": s.lastError, "resumable": s.route.Resumable, "parts": s.parts()}).Warn("stream broken off")
 	}
 	if !s.route.Resumable && s.headSent {
 		s.outcome = "stream_broken_off"
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -398,6 +398,8 @@
 	Server          string   `cbor:"1,keyasint"`
 	StartedAtMillis int64    `cbor:"2,keyasint"`
 	Parts           []string `cbor:"3,keyasint"`
+	AgeMS           float64  `cbor:"4,keyasint,omitempty"` // time since the end
+	OpenMS          float64  `cbor:"5,keyasint,omitempty"` // time for which a request with the parts had been open there
 }
 
 // PartSuspicion is a quarantine.Suspicion, with times relative to the sending of the message.
@@ -410,6 +412,7 @@
 	AnsweredBefore bool                `cbor:"6,keyasint,omitempty"`
 	Engines        []quarantine.Engine `cbor:"7,keyasint"`
 	With           []string            `cbor:"8,keyasint,omitempty"`
+	UnansweredEnds int                 `cbor:"9,keyasint,omitempty"`
 }
 
 // RankOrder asks a rank process to send an order to its engine.
