--- a/internal/directory/prompt_parts.go
+++ b/internal/directory/prompt_parts.go
@@ -117,10 +117,23 @@
 
 // relayPromptParts records what an entry instance has learned about parts of prompts, and sends the news to the others.
 func (d *Directory) relayPromptParts(now time.Time, from transport.Session, m *protocol.PromptParts) {
-	news, _ := ApplyPromptParts(now, d.promptParts, m)
+	news, quarantined := ApplyPromptParts(now, d.promptParts, m)
 	if news != nil {
 		d.relay(from, news)
 	}
+	if m.Ended == nil {
+		return
+	}
+	// The entry instances may have counted fewer ends, as messages take different times.
+	var begun []quarantine.Suspicion
+	for _, part := range quarantined {
+		if s, ok := d.promptParts.Get(m.Service, part); ok {
+			begun = append(begun, s)
+		}
+	}
+	for _, m := range EncodePromptParts(now, begun) {
+		d.broadcast(m)
+	}
 }
 
 // relay sends what one entry instance has told to the others.
--- a/internal/directory/prompt_parts_test.go
+++ b/internal/directory/prompt_parts_test.go
@@ -107,6 +107,34 @@
 	})
 }
 
+// Guards against entry instances that do not learn of a quarantine that the control instance has begun: with messages that take
+// different times, they may count fewer ends than it does.
+func TestEntryInstancesLearnOfQuarantines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newControlFleet(t, 1)
+		defer f.stopAll()
+		const address = "10.0.0.1:1"
+		f.startFounders(address)
+		time.Sleep(3 * time.Second)
+		r := &partsReceiver{tracker: quarantine.New()}
+		_, err := f.connect(&controlNode{}, address, protocol.Hello{Version: protocol.Version, Instance: "a"}, r)
+		is.NoErr(err)
+		sender, err := f.connect(&controlNode{}, address, protocol.Hello{Version: protocol.Version, Instance: "b"}, &partsReceiver{tracker: quarantine.New()})
+		is.NoErr(err)
+		part := quarantine.RequestPart("d")
+		for n := range 3 {
+			r.mu.Lock()
+			r.tracker = quarantine.New() // has not counted the ends before
+			r.mu.Unlock()
+			is.NoErr(sender.Send(&protocol.PromptParts{Service: "s", Ended: &protocol.EndedEngine{Server: fmt.Sprint("i-", n), StartedAtMillis: 1, Parts: []string{part}}}))
+			time.Sleep(100 * time.Millisecond)
+		}
+		s, _ := r.get(part)
+		is.True(s.InForce(time.Now()))
+	})
+}
+
 // Guards against suspicions that do not fit into one message: the session would be lost with it.
 func TestManySuspicionsFitIntoMessages(t *testing.T) {
 	is := is.New(t)
