Grant permits in logarithmic time

With 700 servers that name a limit, one request for permits took 225 us; 330 instances that ask ten times a second would use 74 % of a core. The set of servers is renewed every 250 ms and with each change of a limit.

--- a/decide/grants/grants.go
+++ b/decide/grants/grants.go
@@ -6,8 +6,7 @@
 package grants
 
 import (
-	"cmp"
-	"slices"
+	"container/heap"
 	"time"
 )
 
@@ -21,8 +20,6 @@
 	maxUnused = 500 * time.Millisecond
 	// backlogWindow is the time over which unmet requests are counted for the Retry-After of the next.
 	backlogWindow = time.Second
-	// forgetAfter is the time after which a server is dropped for which nobody asks.
-	forgetAfter = time.Minute
 )
 
 // Limit is the requests a second that a server takes.
@@ -31,102 +28,96 @@
 	RequestsPerSecond float64
 }
 
-// Granter grants permits. It is not safe for concurrent use.
+// Granter grants permits for the servers of one service. It is not safe for concurrent use.
 type Granter struct {
-	servers map[string]*bucket
-	backlog map[string]*backlog // by service
+	servers map[string]*server
+	order   order
+	rate    float64 // of all servers, in permits a second
+	// unmet counts what was asked for in vain since unmetSince, and unmetBefore in the window before.
+	unmet       int
+	unmetBefore float64
+	unmetSince  time.Time
 }
 
-// bucket holds the permits of one server that can be granted.
-type bucket struct {
-	permits float64
-	filled  time.Time
+// server is a server with a limit.
+type server struct {
+	name   string
+	rate   float64   // permits a second
+	nextAt time.Time // of its next permit; in the past if some are saved up
 }
 
-// backlog counts what was asked for in vain.
-type backlog struct {
-	since        time.Time
-	unmet        int
-	unmetAverage float64 // of the last window
-}
+// interval returns the time between two permits.
+func (s *server) interval() time.Duration { return time.Duration(float64(time.Second) / s.rate) }
 
 // New returns a granter without servers.
-func New() *Granter { return &Granter{servers: map[string]*bucket{}, backlog: map[string]*backlog{}} }
+func New() *Granter { return &Granter{servers: map[string]*server{}} }
 
-// Grant grants up to wanted permits for the servers of a service, one server name each, those with most permits first. If there
-// are fewer, retryAfter is the estimated time until the requests without one can be served.
-func (g *Granter) Grant(now time.Time, service string, limits []Limit, wanted int) (servers []string, retryAfter time.Duration) {
-	type entry struct {
-		Limit
-		*bucket
-	}
-	var open []entry
-	sum := 0.0
+// Update replaces the servers and their limits. A server that is new has no permit yet: until its limit was known, it got more.
+func (g *Granter) Update(now time.Time, limits []Limit) {
+	servers := make(map[string]*server, len(limits))
+	g.order, g.rate = g.order[:0], 0
 	for _, l := range limits {
 		if l.RequestsPerSecond <= 0 {
 			continue
 		}
-		open = append(open, entry{l, g.fill(now, l)})
-		sum += UsedRatio * l.RequestsPerSecond
-	}
-	slices.SortFunc(open, func(a, b entry) int {
-		return cmp.Or(cmp.Compare(b.permits, a.permits), cmp.Compare(a.Server, b.Server))
-	})
-	for met := true; met && len(servers) < wanted; {
-		met = false
-		for _, e := range open {
-			if e.permits >= 1 && len(servers) < wanted {
-				e.permits--
-				servers = append(servers, e.Server)
-				met = true
-			}
+		rate := UsedRatio * l.RequestsPerSecond
+		s := g.servers[l.Server]
+		switch {
+		case s == nil:
+			s = &server{name: l.Server, rate: rate}
+			s.nextAt = now.Add(s.interval())
+		case s.rate != rate && s.nextAt.After(now):
+			s.nextAt = now.Add(time.Duration(float64(s.nextAt.Sub(now)) * s.rate / rate))
 		}
+		s.rate = rate
+		servers[l.Server] = s
+		g.order = append(g.order, s)
+		g.rate += rate
 	}
-	unmet := g.recordUnmet(now, service, wanted-len(servers))
-	if len(servers) < wanted && sum > 0 {
-		retryAfter = time.Duration((1 + unmet) / sum * float64(time.Second))
-	}
-	return servers, retryAfter
+	g.servers = servers
+	heap.Init(&g.order)
 }
 
-// fill adds the permits of a server since the last call. A server begins without any: until its limit was known, it got more.
-func (g *Granter) fill(now time.Time, l Limit) *bucket {
-	b := g.servers[l.Server]
-	if b == nil {
-		b = &bucket{filled: now}
-		g.servers[l.Server] = b
+// Grant grants up to wanted permits, one server name each, those first that have waited longest. If there are fewer, retryAfter is
+// the estimated time until the requests without one can be served.
+func (g *Granter) Grant(now time.Time, wanted int) (servers []string, retryAfter time.Duration) {
+	for len(servers) < wanted && len(g.order) > 0 && !g.order[0].nextAt.After(now) {
+		s := g.order[0]
+		servers = append(servers, s.name)
+		if earliest := now.Add(-maxUnused); s.nextAt.Before(earliest) {
+			s.nextAt = earliest
+		}
+		s.nextAt = s.nextAt.Add(s.interval())
+		heap.Fix(&g.order, 0)
 	}
-	rate := UsedRatio * l.RequestsPerSecond
-	b.permits = min(b.permits+max(0, now.Sub(b.filled).Seconds())*rate, 1+maxUnused.Seconds()*rate)
-	b.filled = now
-	return b
+	backlog := g.recordUnmet(now, wanted-len(servers))
+	if len(servers) < wanted && g.rate > 0 {
+		retryAfter = time.Duration((1 + backlog) / g.rate * float64(time.Second))
+	}
+	return servers, retryAfter
 }
 
 // recordUnmet counts requests without a permit, and returns how many there are in a window.
-func (g *Granter) recordUnmet(now time.Time, service string, unmet int) float64 {
-	b := g.backlog[service]
-	if b == nil {
-		b = &backlog{since: now}
-		g.backlog[service] = b
+func (g *Granter) recordUnmet(now time.Time, unmet int) float64 {
+	if age := now.Sub(g.unmetSince); age >= backlogWindow {
+		g.unmetBefore = float64(g.unmet) * float64(backlogWindow) / float64(age)
+		g.unmetSince, g.unmet = now, 0
 	}
-	if age := now.Sub(b.since); age >= backlogWindow {
-		b.unmetAverage = float64(b.unmet) * float64(backlogWindow) / float64(age)
-		b.since, b.unmet = now, 0
-	}
-	b.unmet += unmet
-	return max(b.unmetAverage, float64(b.unmet))
+	g.unmet += unmet
+	return max(g.unmetBefore, float64(g.unmet))
 }
 
-// Expire drops servers and services for which nobody has asked for long.
-func (g *Granter) Expire(now time.Time) {
-	for server, b := range g.servers {
-		if now.Sub(b.filled) > forgetAfter {
-			delete(g.servers, server)
-		}
-	}
-	for service, b := range g.backlog {
-		if now.Sub(b.since) > forgetAfter {
-			delete(g.backlog, service)
-		}
-	}
+// order is a heap of servers by the time of their next permit.
+type order []*server
+
+var _ heap.Interface = (*order)(nil)
+
+func (o order) Len() int           { return len(o) }
+func (o order) Less(i, j int) bool { return o[i].nextAt.Before(o[j].nextAt) }
+func (o order) Swap(i, j int)      { o[i], o[j] = o[j], o[i] }
+func (o *order) Push(x any)        { *o = append(*o, x.(*server)) }
+func (o *order) Pop() any {
+	last := (*o)[len(*o)-1]
+	*o = (*o)[:len(*o)-1]
+	return last
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -19,7 +19,6 @@
 	"github.com/banyanfront/banyanfront/decide/consensus"
 	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/experts"
-	"github.com/banyanfront/banyanfront/decide/grants"
 	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/decide/routes"
@@ -82,9 +81,9 @@
 	servers             *registry.Registry
 	promptParts         *quarantine.Tracker             // kept for entry instances that start, and to relay each report once
 	serverLimits        map[string]protocol.ServerLimit // by server; kept like promptParts
-	grants              *grants.Granter
-	unsent              map[string]bool // servers with an announcement not yet sent to the entry instances
-	unsentChange        bool            // one of those changes the server's recorded state
+	grants              map[string]*serviceGrants       // by service
+	unsent              map[string]bool                 // servers with an announcement not yet sent to the entry instances
+	unsentChange        bool                            // one of those changes the server's recorded state
 	entrySessions       map[transport.Session]bool
 	rankSessions        map[transport.Session]bool     // sessions from rank processes, which run beside the ranks of a group
 	controlSessions     map[transport.Session]string   // sessions with control instances, with their inner addresses
@@ -106,7 +105,7 @@
 		servers:         registry.New(MaxMissedAnnouncements * config.AnnounceInterval),
 		promptParts:     quarantine.New(),
 		serverLimits:    map[string]protocol.ServerLimit{},
-		grants:          grants.New(),
+		grants:          map[string]*serviceGrants{},
 		unsent:          map[string]bool{},
 		entrySessions:   map[transport.Session]bool{},
 		rankSessions:    map[transport.Session]bool{},
--- a/internal/directory/server_limits.go
+++ b/internal/directory/server_limits.go
@@ -26,8 +26,12 @@
 		}
 		news.Limits = append(news.Limits, l)
 	}
-	if len(news.Limits) > 0 {
-		d.relay(from, news)
+	if len(news.Limits) == 0 {
+		return
+	}
+	d.relay(from, news)
+	for _, g := range d.grants {
+		g.updatedAt = time.Time{}
 	}
 }
 
@@ -46,28 +50,58 @@
 // maxWantedPermits limits what one request for permits costs.
 const maxWantedPermits = 256
 
+// serviceGrants grants the permits of a service.
+type serviceGrants struct {
+	*grants.Granter
+	known     int // servers with a limit
+	updatedAt time.Time
+	askedAt   time.Time
+}
+
+const (
+	// grantsUpdateInterval is the interval at which a granter is given the servers that are ready, if no limit changes.
+	grantsUpdateInterval = 250 * time.Millisecond
+	// grantsExpiry is the time without a request after which a granter is dropped.
+	grantsExpiry = time.Minute
+)
+
 // grantPermits answers an entry instance that asks for permits. All of them ask the same control instance for a service.
 func (d *Directory) grantPermits(now time.Time, s transport.Session, m *protocol.PermitRequest) {
+	g := d.grants[m.Service]
+	if g == nil {
+		g = &serviceGrants{Granter: grants.New()}
+		d.grants[m.Service] = g
+	}
+	g.askedAt = now
+	if now.Sub(g.updatedAt) >= grantsUpdateInterval {
+		g.updatedAt = now
+		d.updateGrants(now, m.Service, g)
+	}
+	servers, retryAfter := g.Grant(now, min(max(m.Wanted, 0), maxWantedPermits))
+	metrics.GetOrCreateCounter("banyanfront_permits_granted_total").Add(len(servers))
+	transport.TrySend(s, &protocol.Permits{Service: m.Service, Servers: servers, RetryAfterMS: retryAfter.Milliseconds(), Outdated: g.known < m.Limited})
+}
+
+// updateGrants gives a granter the limits of those servers of a service that can be used.
+func (d *Directory) updateGrants(now time.Time, service string, g *serviceGrants) {
 	var limits []grants.Limit
-	known := 0
+	g.known = 0
 	evacuated := d.State().Evacuated
 	for server, l := range d.serverLimits {
 		record := d.servers.Get(server)
-		if record == nil || record.Service != m.Service || record.StartedAtMillis != l.StartedAtMillis {
+		if record == nil || record.Service != service || record.StartedAtMillis != l.StartedAtMillis {
 			continue
 		}
-		known++
+		g.known++
 		if record.State == registry.Ready && !slices.Contains(evacuated, record.DataCentre) {
 			limits = append(limits, grants.Limit{Server: server, RequestsPerSecond: l.RequestsPerSecond})
 		}
 	}
-	servers, retryAfter := d.grants.Grant(now, m.Service, limits, min(max(m.Wanted, 0), maxWantedPermits))
-	metrics.GetOrCreateCounter("banyanfront_permits_granted_total").Add(len(servers))
-	transport.TrySend(s, &protocol.Permits{Service: m.Service, Servers: servers, RetryAfterMS: retryAfter.Milliseconds(), Outdated: known < m.Limited})
+	g.Update(now, limits)
 }
 
 // expireServerLimits drops the limits of servers that are gone.
 func (d *Directory) expireServerLimits(now time.Time) {
-	d.grants.Expire(now)
+	maps.DeleteFunc(d.grants, func(_ string, g *serviceGrants) bool { return now.Sub(g.askedAt) > grantsExpiry })
 	maps.DeleteFunc(d.serverLimits, func(server string, _ protocol.ServerLimit) bool { return d.servers.Get(server) == nil })
 }
