--- a/decide/dispatch/permits.go
+++ b/decide/dispatch/permits.go
@@ -109,11 +109,10 @@
 		if s == nil {
 			continue
 		}
-		if !now.Before(s.permitsUntil) {
-			s.permits = 0
+		if s.permits == 0 || !now.Before(s.permitsUntil) {
+			s.permits, s.permitsUntil = 0, now.Add(grants.PermitLifetime) // later ones lapse with the first
 		}
 		s.permits++
-		s.permitsUntil = now.Add(grants.PermitLifetime)
 	}
 }
 
--- a/decide/dispatch/rate_limit_test.go
+++ b/decide/dispatch/rate_limit_test.go
@@ -289,3 +289,25 @@
 	is.True(news)
 	is.Equal(len(d.Limits()), 0)
 }
+
+// Guards against permits that are kept by instances with few requests and used together later: those not used within a second lapse,
+// also where new ones have come.
+func TestUnusedPermitsLapse(t *testing.T) {
+	is := is.New(t)
+	d := dispatcher(1, false)
+	d.SetGranting(true)
+	named, _ := d.Pick(start, Request{Service: "s"})
+	d.RecordLimit(start, named, 2)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	_, refusal := d.Pick(at(10), Request{Service: "s"})
+	is.Equal(refusal.Reason, Limited)
+	is.Equal(d.PermitsWanted(at(10), "s"), 1)
+	is.True(d.AwaitsPermits(at(11), "s"))
+	d.RecordPermits(at(20), "s", []string{"i0", "i0"}, 0)
+	is.True(!d.AwaitsPermits(at(21), "s"))
+	_, refusal = d.Pick(at(30), Request{Service: "s", Again: true})
+	is.Equal(refusal, nil)
+	d.RecordPermits(at(900), "s", []string{"i0", "gone"}, 0)
+	_, refusal = d.Pick(at(1100), Request{Service: "s", Again: true})
+	is.Equal(refusal.Reason, Limited)
+}
