--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -144,13 +144,13 @@
 	evacuated    map[string]bool
 	groups       map[string]*group
 	retryBudgets map[string]*retryBudget
-	permits      map[string]*permits   // by service
-	granting     bool                  // a control instance can be asked for permits
-	gapsByGroup  map[string]*eventGaps // by group, or by server if it is in none
-	instances    int                   // entry instances that share the bounds, this one included
-	tieOffset    int                   // rotates the first server examined, which wins ties
-	paths        map[string]*path      // by data centre; none is kept for those with signs of life only
-	cutOffSince  time.Time             // see UpdateCutOff; zero while the instance is not cut off
+	permitDemand map[string]*permitDemand // by service
+	granting     bool                     // a control instance can be asked for permits
+	gapsByGroup  map[string]*eventGaps    // by group, or by server if it is in none
+	instances    int                      // entry instances that share the bounds, this one included
+	tieOffset    int                      // rotates the first server examined, which wins ties
+	paths        map[string]*path         // by data centre; none is kept for those with signs of life only
+	cutOffSince  time.Time                // see UpdateCutOff; zero while the instance is not cut off
 	random       *rand.Rand
 	candidates   candidates // of the current choice; kept to reuse its memory
 }
@@ -159,7 +159,7 @@
 func New(config Config) *Dispatcher {
 	return &Dispatcher{config: config, servers: map[string]*server{}, byService: map[string][]*server{},
 		evacuated: map[string]bool{}, groups: map[string]*group{}, retryBudgets: map[string]*retryBudget{},
-		permits: map[string]*permits{}, gapsByGroup: map[string]*eventGaps{}, paths: map[string]*path{}, instances: 1, random: rand.New(rand.NewPCG(config.Seed, 0))}
+		permitDemand: map[string]*permitDemand{}, gapsByGroup: map[string]*eventGaps{}, paths: map[string]*path{}, instances: 1, random: rand.New(rand.NewPCG(config.Seed, 0))}
 }
 
 // SetTable replaces the routing configuration.
--- a/decide/dispatch/permits.go
+++ b/decide/dispatch/permits.go
@@ -24,8 +24,8 @@
 	demandWindow = time.Second
 )
 
-// permits is what a service's servers with a limit need from the control instance that grants for it.
-type permits struct {
+// permitDemand is what an instance needs for those servers of a service that name a limit, and what it has asked for.
+type permitDemand struct {
 	choices     int       // of a server since the last request for permits, while a server of the service named a limit
 	requestedAt time.Time // when permits were last asked for
 	// unansweredSince is the time of the first request for permits since the last answer, zero if all were answered.
@@ -39,23 +39,23 @@
 
 // usesPermits reports whether requests to the servers of a service that name a limit need permits.
 func (d *Dispatcher) usesPermits(now time.Time, service string) bool {
-	p := d.permits[service]
+	p := d.permitDemand[service]
 	return d.granting && (p == nil || p.unansweredSince.IsZero() || now.Sub(p.unansweredSince) <= permitTimeout)
 }
 
 // noteDemand counts a choice for a service of which a server names a limit.
 func (d *Dispatcher) noteDemand(service string) {
-	p := d.permits[service]
+	p := d.permitDemand[service]
 	if p == nil {
-		p = &permits{}
-		d.permits[service] = p
+		p = &permitDemand{}
+		d.permitDemand[service] = p
 	}
 	p.choices++
 }
 
 // PermitsWanted returns the number of permits that the instance should ask for now, 0 if none. The caller asks for them.
 func (d *Dispatcher) PermitsWanted(now time.Time, service string) int {
-	p := d.permits[service]
+	p := d.permitDemand[service]
 	if !d.granting || p == nil || p.choices == 0 {
 		return 0
 	}
@@ -92,14 +92,14 @@
 
 // AwaitsPermits reports whether a request for permits of a service is not answered yet.
 func (d *Dispatcher) AwaitsPermits(now time.Time, service string) bool {
-	p := d.permits[service]
+	p := d.permitDemand[service]
 	return p != nil && !p.unansweredSince.IsZero() && d.usesPermits(now, service)
 }
 
 // RecordPermits records the answer to a request for permits: one for each of the servers, and the time until more requests can be
 // served if there were too few.
 func (d *Dispatcher) RecordPermits(now time.Time, service string, servers []string, retryAfter time.Duration) {
-	p := d.permits[service]
+	p := d.permitDemand[service]
 	if p == nil {
 		return
 	}
@@ -128,7 +128,7 @@
 		if s.permits > 0 && now.Before(s.permitsUntil) {
 			return "", 0
 		}
-		if p := d.permits[service]; p != nil {
+		if p := d.permitDemand[service]; p != nil {
 			return Limited, p.retryAfter
 		}
 		return Limited, 0
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -76,14 +76,12 @@
 		events:     make(chan func(time.Time), eventQueueLength),
 		done:       make(chan struct{}),
 		dispatcher: dispatch.New(config.Dispatch),
-
-		permitsAnswered: map[string]chan struct{}{},
-
-		parts:    promptParts{tracker: quarantine.New(), waiting: map[*attempt]*call{}},
-		servers:  registry.New(directory.MaxMissedAnnouncements * config.Dispatch.AnnounceInterval),
-		sessions: map[transport.Session]*protocol.ControlInstances{},
+		parts:      promptParts{tracker: quarantine.New(), waiting: map[*attempt]*call{}},
+		servers:    registry.New(directory.MaxMissedAnnouncements * config.Dispatch.AnnounceInterval),
+		sessions:   map[transport.Session]*protocol.ControlInstances{},
 
 		loadsReceivedAt: map[string]time.Time{},
+		permitsAnswered: map[string]chan struct{}{},
 	}
 	f.pool = transport.NewPool(func(address string) transport.ConnectFunc {
 		return config.Dial(address, config.Hello, f)
