--- a/decide/dispatch/rate_limit_test.go
+++ b/decide/dispatch/rate_limit_test.go
@@ -220,8 +220,9 @@
 	}
 }
 
-// Guards against a limit that is exceeded after it has been lowered, or when instances start one after the other.
-func TestLowerLimitAndMoreInstances(t *testing.T) {
+// Guards against a limit that is exceeded after it has been lowered, when instances start one after the other, when another control
+// instance grants from now on, and when none answers for a time.
+func TestLimitHoldsThroughChanges(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(5) {
 		f := newLimitedFleet(seed, 4, 3, 8)
@@ -235,6 +236,12 @@
 			f.play(500*time.Millisecond, 100, 0)
 		}
 		f.play(5*time.Second, 100, 0)
+		f.granter = grants.New()
+		f.play(5*time.Second, 100, 0)
+		f.granting = false
+		f.play(5*time.Second, 100, 0)
+		f.granting = true
+		f.play(5*time.Second, 100, 0)
 		most, _ := f.most(lowered)
 		is.True(most <= tolerated(2))
 	}
