--- a/internal/directory/prompt_parts_test.go
+++ b/internal/directory/prompt_parts_test.go
@@ -112,16 +112,11 @@
 func TestEntryInstancesLearnOfQuarantines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newControlFleet(t, 1)
+		f, d := startOneControl(t)
 		defer f.stopAll()
-		const address = "10.0.0.1:1"
-		f.startFounders(address)
-		time.Sleep(3 * time.Second)
 		r := &partsReceiver{tracker: quarantine.New()}
-		_, err := f.connect(&controlNode{}, address, protocol.Hello{Version: protocol.Version, Instance: "a"}, r)
-		is.NoErr(err)
-		sender, err := f.connect(&controlNode{}, address, protocol.Hello{Version: protocol.Version, Instance: "b"}, &partsReceiver{tracker: quarantine.New()})
-		is.NoErr(err)
+		f.connectEntry(d, "a", r)
+		sender := f.connectEntry(d, "b", &partsReceiver{tracker: quarantine.New()})
 		part := quarantine.RequestPart("d")
 		for n := range 3 {
 			r.mu.Lock()
--- a/internal/directory/rejoin_test.go
+++ b/internal/directory/rejoin_test.go
@@ -101,6 +101,25 @@
 	return session, nil
 }
 
+// startOneControl starts a fleet of one control instance, which leads after its return.
+func startOneControl(t *testing.T) (*controlFleet, *controlNode) {
+	f := newControlFleet(t, 1)
+	const address = "10.0.0.1:1"
+	f.startFounders(address)
+	time.Sleep(3 * time.Second)
+	return f, f.nodes[address]
+}
+
+// connectEntry opens a session from an entry instance.
+func (f *controlFleet) connectEntry(to *controlNode, instance fleet.InstanceID, h transport.Handler) transport.Session {
+	f.t.Helper()
+	s, err := f.connect(&controlNode{}, to.address, protocol.Hello{Version: protocol.Version, Instance: instance}, h)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return s
+}
+
 // crash ends an instance without handing leadership over.
 func (f *controlFleet) crash(n *controlNode) {
 	f.mu.Lock()
--- a/internal/directory/server_limits_test.go
+++ b/internal/directory/server_limits_test.go
@@ -49,19 +49,14 @@
 func TestEntryInstancesLearnLimitsOfServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newControlFleet(t, 1)
+		f, d := startOneControl(t)
 		defer f.stopAll()
-		const address = "10.0.0.1:1"
-		f.startFounders(address)
-		time.Sleep(3 * time.Second)
 		connect := func() (*limitsReceiver, transport.Session) {
 			r := &limitsReceiver{limits: map[string]float64{}}
-			s, err := f.connect(&controlNode{}, address, protocol.Hello{Version: protocol.Version, Instance: "entry"}, r)
-			is.NoErr(err)
+			s := f.connectEntry(d, "entry", r)
 			time.Sleep(100 * time.Millisecond)
 			return r, s
 		}
-		d := f.nodes[address].Directory
 		announce := func() {
 			d.HandleAnnouncement(registry.Announcement{Server: "i-1", Service: "s", Address: "10.0.1.1:1", StartedAtMillis: 7, Sequence: uint64(time.Now().UnixMilli())})
 		}
@@ -95,20 +90,15 @@
 func TestControlInstanceGrantsPermits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newControlFleet(t, 1)
+		f, d := startOneControl(t)
 		defer f.stopAll()
-		const address = "10.0.0.1:1"
-		f.startFounders(address)
-		time.Sleep(3 * time.Second)
 		var receivers []*limitsReceiver
 		var sessions []transport.Session
 		for range 3 {
 			r := &limitsReceiver{limits: map[string]float64{}}
-			s, err := f.connect(&controlNode{}, address, protocol.Hello{Version: protocol.Version, Instance: "entry"}, r)
-			is.NoErr(err)
-			receivers, sessions = append(receivers, r), append(sessions, s)
+			receivers, sessions = append(receivers, r), append(sessions, f.connectEntry(d, "entry", r))
 		}
-		f.nodes[address].HandleAnnouncement(registry.Announcement{Server: "i-1", Service: "s", Address: "10.0.1.1:1", StartedAtMillis: 7, Sequence: 1})
+		d.HandleAnnouncement(registry.Announcement{Server: "i-1", Service: "s", Address: "10.0.1.1:1", StartedAtMillis: 7, Sequence: 1})
 		ask := func(i int) *protocol.Permits {
 			is.NoErr(sessions[i].Send(&protocol.PermitRequest{Service: "s", Wanted: 2, Limited: 1}))
 			time.Sleep(10 * time.Millisecond)
