--- a/internal/directory/server_limits_test.go
+++ b/internal/directory/server_limits_test.go
@@ -44,6 +44,12 @@
 	return limit, known
 }
 
+func (r *limitsReceiver) lastPermits() *protocol.Permits {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.permits[len(r.permits)-1]
+}
+
 // Guards against entry instances that do not learn the limit which a server has named to another one, also those that start
 // later, and against limits that are kept after their server has gone.
 func TestEntryInstancesLearnLimitsOfServers(t *testing.T) {
@@ -102,7 +108,7 @@
 		ask := func(i int) *protocol.Permits {
 			is.NoErr(sessions[i].Send(&protocol.PermitRequest{Service: "s", Wanted: 2, Limited: 1}))
 			time.Sleep(10 * time.Millisecond)
-			return receivers[i].permits[len(receivers[i].permits)-1]
+			return receivers[i].lastPermits()
 		}
 		is.True(ask(0).Outdated)
 		is.NoErr(sessions[0].Send(&protocol.ServerLimits{Limits: []protocol.ServerLimit{{Server: "i-1", StartedAtMillis: 7, RequestsPerSecond: 4}}}))
