Soak: a report is a copy of what was recorded

Reproduced in one of three runs side by side: a timer of a stand-in (group.prepare, a copy of experts that ends after the soak) counted an event in the map that the report had taken over from the ledger, while the report was written. The report now has copies. TestReportIsACopy failed before (2 events instead of 1).

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -30,6 +30,19 @@
 	return strings.Join(names, " ")
 }
 
+// Guards against a report that changes after it was made: timers and handlers of stand-ins may still record events then.
+func TestReportIsACopy(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{ledger: newLedger()}
+	f.ledger.count("event")
+	f.ledger.recordViolation("RULE", "first")
+	report := f.report(nil)
+	f.ledger.count("event")
+	f.ledger.violations[0].Detail = "second"
+	is.Equal(report.Counts["event"], 1)
+	is.Equal(report.Violations[0].Detail, "first")
+}
+
 // Guards against checks of requests that cannot fail: each case violates one guarantee or narrowly meets it.
 func TestRequestChecks(t *testing.T) {
 	unsafe := newRoute("unsafe", "/unsafe/", plainService, routes.Unsafe)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -241,7 +241,8 @@
 	l := f.ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := &Report{Seed: f.config.Seed, Requests: len(l.requests), Counts: l.counts, Faults: list, Violations: l.violations}
+	r := &Report{Seed: f.config.Seed, Requests: len(l.requests), Counts: maps.Clone(l.counts), Faults: list,
+		Violations: slices.Clone(l.violations)}
 	for _, q := range l.requests {
 		r.Outcomes[q.outcome]++
 	}
