Keep quarantines on the disks of the control instances

What callers and operators saw: after a loss of power everywhere, a request that was in quarantine crashed three more servers, and with several entry instances some more arrivals on top; the rule tolerates three. Cause: suspicions and quarantines were kept in memory only. Nothing is agreed on: any one of the files suffices.

The soak now counts arrivals of harmful requests after the final fault as well.

--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -448,6 +448,17 @@
 	return all
 }
 
+// Quarantines returns a copy of the suspicions of parts that are or were in quarantine.
+func (t *Tracker) Quarantines() []Suspicion {
+	var quarantined []Suspicion
+	for _, s := range t.suspicions {
+		if s.Quarantines > 0 {
+			quarantined = append(quarantined, s.clone())
+		}
+	}
+	return quarantined
+}
+
 // Get returns a copy of the suspicion of a part.
 func (t *Tracker) Get(service, part string) (Suspicion, bool) {
 	s := t.suspicions[Key{service, part}]
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -73,6 +73,7 @@
 	events       chan func(now time.Time)
 	done         chan struct{}
 	groups       *groups // lock-step groups, with a loop of their own
+	quarantines  *quarantineKeeper
 	// dataCentres holds the data centres of the other control instances by address. It is replaced as a whole.
 	dataCentres    atomic.Pointer[map[string]string]
 	entryInstances atomic.Int64 // sessions with entry instances
@@ -114,6 +115,11 @@
 		reportedAddresses: map[transport.Session][]string{},
 	}
 	d.groups = newGroups(d)
+	d.quarantines = newQuarantineKeeper(folder)
+	now := time.Now()
+	for _, s := range readQuarantines(now, folder) {
+		d.promptParts.Merge(now, s)
+	}
 	d.stateMachine = newStateMachine(d.stateChanged)
 	d.pool = transport.NewPool(func(address string) transport.ConnectFunc {
 		return config.Dial(address, config.Hello, d)
@@ -149,9 +155,10 @@
 	defer flush.Stop()
 	rosterTick := time.NewTicker(rosterInterval)
 	defer rosterTick.Stop()
-	var groups sync.WaitGroup
-	groups.Go(func() { d.groups.run(ctx) })
-	defer groups.Wait()
+	var background sync.WaitGroup
+	background.Go(func() { d.groups.run(ctx) })
+	background.Go(func() { d.quarantines.run(ctx) })
+	defer background.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -199,6 +206,7 @@
 		log.WithField("server", id).Info("backend server dropped: too many announcements missed")
 	}
 	ExpirePromptParts(now, d.promptParts)
+	d.quarantines.keep(now, d.promptParts.Quarantines())
 	d.expireServerLimits(now)
 	d.maintainVoters(now)
 	d.reportRedundancy(now)
--- a/internal/directory/prompt_parts.go
+++ b/internal/directory/prompt_parts.go
@@ -121,6 +121,9 @@
 	if news != nil {
 		d.relay(from, news)
 	}
+	if len(quarantined) > 0 {
+		d.quarantines.keep(now, d.promptParts.Quarantines())
+	}
 	if m.Ended == nil {
 		return
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -76,6 +76,7 @@
 		{"more requests with a harmful part at engines", func(l *ledger) { recordHarmful(l, maxLateArrivals+1, 2*stableWindow, faultFree) }, "BUDGET"},
 		{"requests with a harmful part soon after the ends", func(l *ledger) { recordHarmful(l, maxLateArrivals+1, stableWindow/2, rollingRestart) }, ""},
 		{"requests with a harmful part under faults", func(l *ledger) { recordHarmful(l, maxLateArrivals+1, 2*stableWindow, underFaults) }, ""},
+		{"requests with a harmful part at engines after the final fault", func(l *ledger) { recordHarmful(l, maxLateArrivals+1, 2*stableWindow, afterFinalFault) }, "BUDGET"},
 		{"a harmful request at servers, as often as allowed", func(l *ledger) { recordHarmfulRequest(l, maxRequestEnds, maxLateArrivals) }, ""},
 		{"a harmful request at servers more often", func(l *ledger) { recordHarmfulRequest(l, maxRequestEnds, maxLateArrivals+1) }, "BUDGET"},
 		{"a harmful request at servers before the third end", func(l *ledger) { recordHarmfulRequest(l, maxRequestEnds-1, maxLateArrivals+1) }, ""},
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -91,7 +91,7 @@
 	name         string
 	maxEnds      int // of servers, by which the system must know it
 	ends         []time.Time
-	lateArrivals int // at servers, without a fault, later than stableWindow after the end number maxEnds
+	lateArrivals int // at servers, not under faults but also after the final one, later than stableWindow after the end number maxEnds
 }
 
 // harmfulRequest is the name of the harmfulPart that is a whole request. Its repeats have harmfulRequestPath and
@@ -232,7 +232,7 @@
 func (l *ledger) recordHarmfulArrival(part string) {
 	l.updatePart(part, func(p *harmfulPart) {
 		known := len(p.ends) >= p.maxEnds && time.Since(p.ends[p.maxEnds-1]) > stableWindow
-		if known && (l.phase == faultFree || l.phase == rollingRestart) {
+		if known && l.phase != underFaults {
 			p.lateArrivals++
 		}
 	})
--- a/internal/storage/format.go
+++ b/internal/storage/format.go
@@ -28,6 +28,7 @@
 	magicSegment  = "BANYLOG\n"
 	magicSnapshot = "BANYSNP\n"
 	magicIdentity = "BANYIDN\n"
+	magicFile     = "BANYFIL\n"
 	magicBytes    = 8
 )
 
@@ -178,7 +179,7 @@
 	return record{kind: recordKind(b[8]), index: le.Uint64(payload), data: payload[recordIndexBytes:], size: recordHeader1Bytes + length}, true
 }
 
-// encodeBlob encodes a snapshot or identity file: magic, version, index, length, checksum of these and the data, data.
+// encodeBlob encodes a snapshot, identity or other file: magic, version, index, length, checksum of these and the data, data.
 func encodeBlob(magic string, index uint64, data []byte) []byte {
 	b := append(make([]byte, 0, blobHeader2Bytes+len(data)), magic...)
 	b = le.AppendUint32(b, FormatVersion)
--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -30,7 +30,8 @@
 	identityName    = "identity"
 	segmentPrefix   = "log-"
 	snapshotPrefix  = "snapshot-"
-	temporaryPrefix = "new-" // of a file that is renamed when it is complete
+	filePrefix      = "file-" // of files beside the log
+	temporaryPrefix = "new-"  // of a file that is renamed when it is complete
 )
 
 func segmentName(sequence uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, sequence) }
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -305,3 +305,26 @@
 	is.NoErr(check(c, confirmed{45, 31, 37}))
 	is.NoErr(s.Close())
 }
+
+// Guards against a file beside the log that a crash leaves damaged or empty, or with neither the old nor the new content.
+func TestFileIsReplacedAtomically(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		for operation := 1; ; operation++ {
+			disk := faultfs.New(rand.New(rand.NewPCG(seed, 7)))
+			is.NoErr(storage.WriteFile(disk, "f", []byte("old")))
+			disk.FailAt(operation, faultfs.Crash)
+			err := storage.WriteFile(disk, "f", []byte("new"))
+			crashed := disk.Crashed()
+			disk.Restart()
+			content, readErr := storage.ReadFile(disk, "f")
+			is.NoErr(readErr)
+			is.True(string(content) == "new" || err != nil && string(content) == "old")
+			if !crashed {
+				break
+			}
+		}
+	}
+	_, err := storage.ReadFile(faultfs.New(rand.New(rand.NewPCG(1, 7))), "f")
+	is.True(errors.Is(err, os.ErrNotExist))
+}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -281,6 +281,26 @@
 	return s.AdoptSnapshot(index, s.WriteSnapshot(index, data))
 }
 
+// WriteFile replaces a file beside the log, such as what its owner knows but does not agree on with others. It is durable on return,
+// and may run concurrently with the methods of a Store.
+func WriteFile(fsys FS, name string, data []byte) error {
+	return writeFile(fsys, filePrefix+name, encodeBlob(magicFile, 0, data))
+}
+
+// ReadFile returns the data of a file that WriteFile has written, and an error that is os.ErrNotExist if there is none.
+func ReadFile(fsys FS, name string) ([]byte, error) {
+	b, err := fsys.ReadFile(filePrefix + name)
+	if err != nil {
+		return nil, err
+	}
+	data, damage := decodeBlob(b, magicFile, 0)
+	if damage != nil {
+		damage.File, damage.Offset = fsys.Path(filePrefix+name), -1
+		return nil, damage
+	}
+	return data, nil
+}
+
 // writeFile writes a file under a temporary name, syncs it, renames it and syncs the folder.
 func writeFile(fsys FS, name string, data []byte) error {
 	file, err := fsys.Create(temporaryPrefix + name)
