Do not quarantine sound requests as many servers crash within a second

Cause: a request that is sent on to a server which then crashes too has two ends with answers in between, since others of a large service still answer. With answers in between, the second end now counts for whole requests only 1 s after the first; three ends suffice as before, however close they are. TestRequestSentOnWhileServersCrashTogether failed before.

--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -10,8 +10,8 @@
 // says nothing. A part that few requests have is then quarantined by the first fact alone, after one end more.
 //
 // A whole request that comes again is a part of its own, which RequestPart names by a digest. Other requests do not share it, so a
-// wrong guess costs less than with a part of prompts, and less evidence suffices: an end counts if the request was sent after the
-// one before, however soon that is. Nothing is kept of requests under which no server has ended.
+// wrong guess costs less than with a part of prompts, and less evidence suffices: three ends count, however soon they follow one
+// another, if the request was sent to each server after the end before. Nothing is kept of requests under which no server has ended.
 //
 // A Tracker is merged with those of other processes: reports may arrive late, repeatedly and in any order.
 package quarantine
@@ -208,7 +208,8 @@
 func (t *Tracker) countEnd(at, sentAt time.Time, s *Suspicion) bool {
 	// While no answer of the service begins, nothing distinguishes a part from the others: engines that crash as they start, or a
 	// group that is broken again and again, would put all parts into quarantine.
-	separate := s.Ends == 0 || s.isApart(at, sentAt, s.LastEndAt) && t.beganAt[s.Service].After(s.LastEndAt)
+	// Answers in between say little, too, if the ends are close: other servers answer while some crash together.
+	separate := s.Ends == 0 || s.isApart(at, sentAt, s.LastEndAt) && at.Sub(s.LastEndAt) >= minEndsApart && t.beganAt[s.Service].After(s.LastEndAt)
 	if separate {
 		s.Ends++
 		s.LastEndAt = at
--- a/decide/quarantine/request_test.go
+++ b/decide/quarantine/request_test.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// Guards against a sound request that is refused as many servers of a large service crash within a second: it was sent from one of them
+// to another while the rest still answered.
+func TestRequestSentOnWhileServersCrashTogether(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	is.True(!endOf(tracker, 0, 0.05, 1, "sound"))
+	begun(tracker, 0.1, RequestPart("other"))
+	is.True(!endOf(tracker, 0.3, 0.2, 2, "sound"))
+	begun(tracker, 1, RequestPart("other"))
+	is.True(endOf(tracker, 2, 0.05, 3, "sound"))
+}
+
 // Guards against a request that stays under suspicion although an answer to it has begun, and against a quarantine without an end
 // or with more than one further server for each trial.
 func TestRequestIsClearedOrTriedAgain(t *testing.T) {
