One function divides all bounds that entry instances share

The limiter and the connections of a server divided by the number of instances themselves, beside Dispatcher.part for the slack of the retry budget. No behaviour changes. Servers with a limit are counted without a list of them.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -270,7 +270,7 @@
 
 // MayRetry reports whether the retry budget of a service allows one more retry now. It does not count one.
 func (d *Dispatcher) MayRetry(now time.Time, service string) bool {
-	slack := d.part(d.config.RetrySlack * retrySlackRatio)
+	slack := d.part(d.config.RetrySlack*retrySlackRatio, 0)
 	return d.retryBudgetFor(service).allowsRetry(now, d.config.RetryRatio, slack)
 }
 
@@ -524,5 +524,14 @@
 // Instances returns how many entry instances share the bounds.
 func (d *Dispatcher) Instances() int { return d.instances }
 
-// part returns this instance's part of a bound on the sum over all entry instances.
-func (d *Dispatcher) part(bound float64) float64 { return bound / float64(d.instances) }
+// part returns this instance's part of a bound on the sum over all entry instances. newcomers is the number of instances that may use
+// the bound before the others know of them.
+func (d *Dispatcher) part(bound float64, newcomers int) float64 {
+	return bound / float64(d.instances+newcomers)
+}
+
+// ConnectionLimit returns this instance's part of the connections that a server accepts, at least one. An instance that has just
+// started connects to servers before the others have been notified of it.
+func (d *Dispatcher) ConnectionLimit(maxConnections int) int {
+	return max(1, int(d.part(float64(maxConnections), 1)))
+}
--- a/decide/dispatch/permits.go
+++ b/decide/dispatch/permits.go
@@ -133,7 +133,7 @@
 		}
 		return Limited, 0
 	}
-	if wait := s.rate.wait(now, rate, d.instances, d.random); wait > 0 {
+	if wait := s.rate.wait(now, rate, d.part(rate, 0), d.random); wait > 0 {
 		return reason, wait
 	}
 	return "", 0
--- a/decide/dispatch/rate_limit.go
+++ b/decide/dispatch/rate_limit.go
@@ -1,11 +1,8 @@
 package dispatch
 
 import (
-	"iter"
-	"maps"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/banyanfront/banyanfront/decide/grants"
@@ -103,17 +100,21 @@
 	s.limit = namedLimit{limit.RequestsPerSecond, limit.RequestsPerSecond, now}
 }
 
-// Limits returns the limits that the servers have named.
-func (d *Dispatcher) Limits() []Limit { return d.limitsOf(maps.Values(d.servers)) }
-
-// LimitsOf returns the limits that the servers of a service have named.
-func (d *Dispatcher) LimitsOf(service string) []Limit {
-	return d.limitsOf(slices.Values(d.byService[service]))
+// LimitedServers returns the number of servers of a service that name a limit.
+func (d *Dispatcher) LimitedServers(service string) int {
+	limited := 0
+	for _, s := range d.byService[service] {
+		if s.limit.requestsPerSecond > 0 {
+			limited++
+		}
+	}
+	return limited
 }
 
-func (d *Dispatcher) limitsOf(servers iter.Seq[*server]) []Limit {
+// Limits returns the limits that the servers have named.
+func (d *Dispatcher) Limits() []Limit {
 	var limits []Limit
-	for s := range servers {
+	for _, s := range d.servers {
 		if s.limit.requestsPerSecond > 0 {
 			limits = append(limits, Limit{s.announcement.Server, s.announcement.StartedAtMillis, s.limit.requestsPerSecond})
 		}
@@ -129,13 +130,13 @@
 	nextAt   time.Time
 }
 
-// wait returns how long the next request must wait, 0 if it may be sent now. rate is that of all instances, in requests per
-// second.
-func (l *rateLimiter) wait(now time.Time, rate float64, instances int, random *rand.Rand) time.Duration {
-	interval := time.Duration(float64(instances) / rate * float64(time.Second))
+// wait returns how long the next request must wait, 0 if it may be sent now. rate is that of all instances and part that of this
+// one, in requests per second.
+func (l *rateLimiter) wait(now time.Time, rate, part float64, random *rand.Rand) time.Duration {
+	interval := time.Duration(float64(time.Second) / part)
 	switch {
 	case l.interval == 0:
-		l.nextAt = now.Add(time.Duration(random.Float64() * float64(instances-1) / rate * float64(time.Second)))
+		l.nextAt = now.Add(time.Duration(random.Float64() * (1/part - 1/rate) * float64(time.Second)))
 	case l.interval != interval && l.nextAt.After(now):
 		l.nextAt = now.Add(time.Duration(float64(l.nextAt.Sub(now)) * float64(interval) / float64(l.interval)))
 	}
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -196,7 +196,7 @@
 	p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) {
 		choice, refusal = d.Pick(now, request)
 		if wanted = d.PermitsWanted(now, request.Service); wanted > 0 {
-			limited = len(d.LimitsOf(request.Service))
+			limited = d.LimitedServers(request.Service)
 		}
 		if refusal != nil && d.AwaitsPermits(now, request.Service) {
 			answered = p.awaitPermits(request.Service)
@@ -230,19 +230,15 @@
 	})
 }
 
-// connectionLimit returns this instance's share of the connections that a server of the service accepts, 0 for no limit.
-// It counts one instance more than is known, because one that has just started connects to servers before the others have
-// been notified of it.
+// connectionLimit returns this instance's part of the connections that a server of the service accepts, 0 for no limit.
 func (p *Proxy) connectionLimit(view *View, service string) int {
 	s := view.Table.Service(service)
 	if s == nil || s.MaxConnections <= 0 {
 		return 0
 	}
-	share := 1
-	p.withDispatcher(func(_ time.Time, d *dispatch.Dispatcher) {
-		share = s.MaxConnections / (d.Instances() + 1)
-	})
-	return max(1, share)
+	limit := 0
+	p.withDispatcher(func(_ time.Time, d *dispatch.Dispatcher) { limit = d.ConnectionLimit(s.MaxConnections) })
+	return limit
 }
 
 // readAll reads a body of at most limit bytes. For a longer one it returns the bytes read so far and errTooLong.
