A member that was replaced while it was away asks whether it was removed

A member that hears from no leader now asks; the leader answers only from its list of removed identifiers. TestReplacedVoterWithItsDiskJoinsAgain failed before (no majority in reach).

--- a/internal/directory/rejoin_test.go
+++ b/internal/directory/rejoin_test.go
@@ -17,6 +17,7 @@
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/decide/routes"
 	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/storage"
 	"github.com/banyanfront/banyanfront/internal/storage/faultfs"
 	"github.com/banyanfront/banyanfront/internal/transport"
 )
@@ -251,3 +252,34 @@
 		})
 	}
 }
+
+// Guards against a control instance that answers "no majority" until its next restart: while it was away, a learner replaced it as a
+// voter, and its own log, which is older, still names it as a member.
+func TestReplacedVoterWithItsDiskJoinsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newControlFleet(t, 3)
+		defer f.stopAll()
+		seeds := []string{"a", "b", "c"}
+		f.startFounders(seeds...)
+		time.Sleep(5 * time.Second)
+		f.start("d", emptyDisk(4), false, seeds...)
+		time.Sleep(5 * time.Second)
+		is.NoErr(f.commit(1))
+		lost := f.nodes["c"]
+		if _, leads := lost.member.Leads(); leads {
+			lost = f.nodes["b"]
+		}
+		f.crash(lost)
+		f.waitForVote(f.nodes["d"], 2*rejoinLimit, "learner after the loss of a voter")
+		lost.disk.Restart()
+		is.NoErr(storage.WriteFile(lost.disk, "beside", []byte("kept")))
+		back := f.start(lost.address, lost.disk, false, seeds...)
+		time.Sleep(rejoinLimit)
+		is.NoErr(back.readBarrier(t.Context()))
+		is.NoErr(f.commit(2))
+		kept, err := storage.ReadFile(lost.disk, "beside")
+		is.NoErr(err)
+		is.Equal(string(kept), "kept")
+	})
+}
--- a/internal/groupmember/member.go
+++ b/internal/groupmember/member.go
@@ -142,13 +142,17 @@
 	return len(contents.Records) > 0 || contents.SnapshotIndex > 0, nil
 }
 
-// resetFolder empties the folder and prepares it under a new random member identifier, to found or join a group.
+// resetFolder empties the folder, except for files beside the log, and prepares it under a new random member identifier, to found or
+// join a group.
 func (m *Member) resetFolder() error {
 	names, err := m.fs.List()
 	if err != nil {
 		return err
 	}
 	for _, name := range names {
+		if storage.IsBesideLog(name) {
+			continue
+		}
 		if err := m.fs.Remove(name); err != nil && !errors.Is(err, os.ErrNotExist) {
 			return err
 		}
@@ -226,8 +230,13 @@
 		}
 	}
 	m.sendReports()
-	if r := m.replica.Load(); r != nil && r.Status().Members.Find(consensus.ID(m.id.Load())) == nil {
-		m.requestJoin()
+	if r := m.replica.Load(); r != nil {
+		// The log of a member that was away may be older than its removal, which only the others can tell it then.
+		status := r.Status()
+		inGroup := status.Members.Find(consensus.ID(m.id.Load())) != nil
+		if !inGroup || status.Leader == 0 {
+			m.requestJoin(inGroup)
+		}
 	}
 }
 
@@ -340,7 +349,8 @@
 	}
 }
 
-func (m *Member) requestJoin() {
+// requestJoin asks the leader to admit this member or, if it is in the group by its own log, whether the group has removed it.
+func (m *Member) requestJoin(inGroup bool) {
 	addresses := map[string]bool{}
 	for _, v := range m.config.Voters {
 		addresses[v.Address] = true
@@ -349,7 +359,7 @@
 	delete(addresses, m.config.Address)
 	for address := range addresses {
 		if session := m.sessions.Session(address); session != nil {
-			_ = session.Send(&protocol.Join{Member: protocol.Member(m.self())}) // repeated at the next tick
+			_ = session.Send(&protocol.Join{Member: protocol.Member(m.self()), InGroup: inGroup}) // repeated at the next tick
 		}
 	}
 }
@@ -385,12 +395,14 @@
 			}
 			return
 		}
-		go m.admit(session, bootstrap.Member(message.Member))
+		go m.answerJoin(session, message)
 	}
 }
 
-// admit adds a joiner, whose data folder is new. It does nothing unless this member leads.
-func (m *Member) admit(session transport.Session, joiner bootstrap.Member) {
+// answerJoin adds a joiner, whose data folder is new, or tells it that the group has removed it. It does nothing unless this member
+// leads.
+func (m *Member) answerJoin(session transport.Session, request *protocol.Join) {
+	joiner := bootstrap.Member(request.Member)
 	r := m.replica.Load()
 	if _, leads := m.Leads(); !leads {
 		return
@@ -406,10 +418,13 @@
 	}
 	if slices.Contains(members.Removed, consensus.ID(joiner.ID)) {
 		if status.Commit == status.Last { // the removal is committed
-			_ = session.Send(&protocol.Join{Member: protocol.Member(joiner), Removed: true}) // repeated with each join request
+			_ = session.Send(&protocol.Join{Member: request.Member, Removed: true}) // repeated with each join request
 		}
 		return
 	}
+	if request.InGroup {
+		return // this member's view may be the older one
+	}
 	admission := m.config.Admit(joiner, members, m.Silence(time.Now()))
 	if admission.Refuse {
 		return
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -282,11 +282,13 @@
 	Pledge  uint64   `cbor:"4,keyasint,omitempty"` // only coordinator whose list may contain the sender; see package bootstrap
 }
 
-// Join asks the agreement group to admit a voter whose data folder is new.
+// Join asks the agreement group to admit a voter whose data folder is new, or whether the group has removed the sender.
 type Join struct {
 	Member Member `cbor:"1,keyasint"`
 	// Removed is set in the leader's answer to a member that the group has removed permanently.
 	Removed bool `cbor:"2,keyasint,omitempty"`
+	// InGroup is set by a member that belongs to the group by its own log and hears from no leader.
+	InGroup bool `cbor:"3,keyasint,omitempty"`
 }
 
 // DataCentres carries data centre records that are not in the replicated log yet.
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 )
 
 // DefaultSegmentBytes is the size at which a new segment is started. Compaction removes whole segments.
@@ -287,6 +288,9 @@
 	return writeFile(fsys, filePrefix+name, encodeBlob(magicFile, 0, data))
 }
 
+// IsBesideLog reports whether a file of a data folder was written by WriteFile.
+func IsBesideLog(name string) bool { return strings.HasPrefix(name, filePrefix) }
+
 // ReadFile returns the data of a file that WriteFile has written, and an error that is os.ErrNotExist if there is none.
 func ReadFile(fsys FS, name string) ([]byte, error) {
 	b, err := fsys.ReadFile(filePrefix + name)
