A request that crashes servers is known to all services among which its traffic is split

What was known of a whole request was kept by service, so it crashed three servers of each. A tracker now finds whole requests by their digest alone; evidence that others are answered is still that of the service whose server ended. TestHarmfulRequestIsKnownToAllServices failed before.

--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -65,12 +65,22 @@
 	StartedAtMillis int64  `cbor:"2,keyasint"`
 }
 
-// Key identifies a part of prompts at the engines of one service.
+// Key identifies a part of prompts at the engines of one service. For a whole request, which is known by its digest whatever service it
+// is sent to, Service is the last one whose server ended.
 type Key struct {
 	Service string
 	Part    string
 }
 
+// index returns the key by which a tracker finds what it knows of a part: a route may split its traffic among services, and a request
+// that crashes the servers of one is kept from those of the others.
+func (k Key) index() Key {
+	if isRequest(k.Part) {
+		k.Service = ""
+	}
+	return k
+}
+
 // requestPrefix distinguishes whole requests from parts of prompts, whose names are hexadecimal.
 const requestPrefix = "request:"
 
@@ -116,7 +126,7 @@
 
 // Tracker holds the suspected and the sound parts. It is not safe for concurrent use.
 type Tracker struct {
-	suspicions map[Key]*Suspicion
+	suspicions map[Key]*Suspicion   // by Key.index
 	beganAt    map[string]time.Time // newest answer begun on any part, by service
 	// sound holds when an answer has last begun on a part; soundBefore is the generation before it, dropped as a whole.
 	sound, soundBefore map[Key]time.Time
@@ -172,7 +182,7 @@
 	var together []string // put into quarantine by the same end
 	for _, part := range parts {
 		key := Key{service, part}
-		s := t.suspicions[key]
+		s := t.find(key)
 		if s != nil && s.InForce(at) && containsAll(parts, s.With) {
 			t.explain(s, engine)
 		}
@@ -180,6 +190,7 @@
 			continue
 		}
 		s = t.suspicion(key)
+		s.Service = service
 		news = append(news, part)
 		s.addEngine(engine)
 		if s.InForce(at) { // without those of With: this part alone is at fault
@@ -193,11 +204,11 @@
 		}
 	}
 	for _, part := range together {
-		t.suspicions[Key{service, part}].With = slices.DeleteFunc(slices.Clone(together), func(other string) bool { return other == part })
+		t.find(Key{service, part}).With = slices.DeleteFunc(slices.Clone(together), func(other string) bool { return other == part })
 	}
 	quarantined = append(quarantined, together...)
 	for _, part := range quarantined {
-		s := t.suspicions[Key{service, part}]
+		s := t.find(Key{service, part})
 		t.explain(s, s.Engines...)
 	}
 	return news, quarantined
@@ -250,20 +261,23 @@
 // clearPartners lifts the suspicion from the parts that were suspected together with one that is now known to be at fault.
 func (t *Tracker) clearPartners(s *Suspicion) {
 	for _, partner := range s.With {
-		delete(t.suspicions, Key{s.Service, partner})
+		delete(t.suspicions, Key{s.Service, partner}.index())
 	}
 	s.With = nil
 }
 
+// find returns the suspicion of a part, nil if there is none.
+func (t *Tracker) find(key Key) *Suspicion { return t.suspicions[key.index()] }
+
 // suspicion returns the suspicion of a part, a new one if there is none.
 func (t *Tracker) suspicion(key Key) *Suspicion {
-	s := t.suspicions[key]
+	s := t.find(key)
 	if s == nil {
 		if len(t.suspicions) >= maxParts {
 			t.dropOldest()
 		}
 		s = &Suspicion{Key: key, AnsweredBefore: !t.soundAt(key).IsZero()}
-		t.suspicions[key] = s
+		t.suspicions[key.index()] = s
 	}
 	return s
 }
@@ -312,20 +326,20 @@
 
 // lift records that a part is sound. It returns the suspicion that there was, nil if there was none.
 func (t *Tracker) lift(at time.Time, key Key) *Suspicion {
-	s := t.suspicions[key]
+	s := t.find(key)
 	if s == nil && isRequest(key.Part) {
 		return nil
 	}
 	if len(t.sound) >= maxSound {
 		t.sound, t.soundBefore = make(map[Key]time.Time, maxSound), t.sound
 	}
-	t.sound[key] = at
+	t.sound[key.index()] = at
 	if s == nil {
 		return nil
 	}
-	delete(t.suspicions, key)
+	delete(t.suspicions, key.index())
 	for _, partner := range s.With {
-		if other := t.suspicions[Key{key.Service, partner}]; other != nil {
+		if other := t.find(Key{s.Service, partner}); other != nil {
 			other.With = slices.DeleteFunc(slices.Clone(other.With), func(part string) bool { return part == key.Part })
 		}
 	}
@@ -334,17 +348,17 @@
 
 // soundAt returns when an answer has last begun on a part, the zero time if none is recorded.
 func (t *Tracker) soundAt(key Key) time.Time {
-	if at, ok := t.sound[key]; ok {
+	if at, ok := t.sound[key.index()]; ok {
 		return at
 	}
-	return t.soundBefore[key]
+	return t.soundBefore[key.index()]
 }
 
 // IsSound reports whether answers have begun on all of the parts lately, other than the whole request, and none is suspected.
 func (t *Tracker) IsSound(now time.Time, service string, parts []string) bool {
 	for _, part := range parts {
 		key := Key{service, part}
-		if t.suspicions[key] != nil {
+		if t.find(key) != nil {
 			return false
 		}
 		if at := t.soundAt(key); !isRequest(part) && (at.IsZero() || now.Sub(at) > soundFor) {
@@ -364,7 +378,7 @@
 		return "", 0
 	}
 	for _, part := range parts {
-		if s := t.suspicions[Key{service, part}]; s != nil && s.InForce(now) && containsAll(parts, s.With) {
+		if s := t.find(Key{service, part}); s != nil && s.InForce(now) && containsAll(parts, s.With) {
 			return part, s.QuarantinedUntil.Sub(now)
 		}
 	}
@@ -462,7 +476,7 @@
 
 // Get returns a copy of the suspicion of a part.
 func (t *Tracker) Get(service, part string) (Suspicion, bool) {
-	s := t.suspicions[Key{service, part}]
+	s := t.find(Key{service, part})
 	if s == nil {
 		return Suspicion{}, false
 	}
@@ -477,7 +491,7 @@
 		case s.InForce(now):
 		case s.Quarantines > 0 && (s.Ends >= s.endsNeeded() || s.UnansweredEnds > s.endsNeeded()):
 			s.Ends, s.UnansweredEnds = s.endsNeeded()-1, s.endsNeeded()
-			released = append(released, key)
+			released = append(released, s.Key)
 		case now.Sub(s.LastEndAt) > forgetAfter && now.Sub(s.QuarantinedUntil) > maxQuarantine:
 			delete(t.suspicions, key)
 		}
@@ -495,6 +509,6 @@
 		}
 	}
 	if oldest != nil {
-		delete(t.suspicions, oldest.Key)
+		delete(t.suspicions, oldest.index())
 	}
 }
--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -27,7 +27,11 @@
 func begun(t *Tracker, seconds float64, parts ...string) { t.RecordBegun(at(seconds), "s", parts) }
 
 func quarantined(t *Tracker, seconds float64, parts ...string) string {
-	part, _ := t.Quarantined(at(seconds), "s", parts)
+	return quarantinedAt(t, seconds, "s", parts...)
+}
+
+func quarantinedAt(t *Tracker, seconds float64, service string, parts ...string) string {
+	part, _ := t.Quarantined(at(seconds), service, parts)
 	return part
 }
 
--- a/decide/quarantine/request_test.go
+++ b/decide/quarantine/request_test.go
@@ -79,6 +79,25 @@
 	is.True(quarantined(tracker, until+2*firstRequestQuarantine.Seconds(), RequestPart("bad")) != "")
 }
 
+// Guards against a request that crashes the servers of each of the services among which its route splits the traffic.
+func TestHarmfulRequestIsKnownToAllServices(t *testing.T) {
+	is := is.New(t)
+	tracker, part := New(), RequestPart("bad")
+	for n, service := range []string{"v1", "v2", "v1"} {
+		_, q := tracker.RecordEnd(at(float64(n)), 50*time.Millisecond, service, engine(n), []string{part})
+		is.Equal(len(q) > 0, n == 2)
+		is.True(!tracker.IsSound(at(float64(n)), "v3", []string{part}))
+	}
+	is.Equal(quarantinedAt(tracker, 3, "v2", part), part)
+	other := New()
+	s, _ := tracker.Get("v2", part)
+	other.Merge(at(3), s)
+	is.Equal(quarantinedAt(other, 3, "v3", part), part)
+	is.Equal(len(tracker.RecordBegun(at(4), "v3", []string{part})), 1)
+	is.Equal(quarantinedAt(tracker, 5, "v1", part), "")
+	is.True(tracker.IsSound(at(6), "v1", []string{part}))
+}
+
 // Guards against memory that grows with requests of which no two are alike.
 func TestAnsweredRequestsLeaveNothing(t *testing.T) {
 	is := is.New(t)
