Copies of a request that crash servers together need one more end, a second later

Copies of one request that are open at several servers may crash all of them within milliseconds; since the copies were sent before the first end, these ends count as one, and two more such waves passed before the quarantine. One more end a second or more later now suffices if three servers have ended under the request without an answer to it. A popular sound request whose servers fail together once is not affected (TestRequestOpenAtServersThatEndTogether). TestCopiesOfRequestThatEndServersTogether failed before.

--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -228,8 +228,12 @@
 	if s.UnansweredEnds > 0 && !s.isApart(at, sentAt, s.LastUnansweredAt) {
 		return separate && s.Ends >= s.endsNeeded()
 	}
+	again := s.UnansweredEnds > 0 && at.Sub(s.LastUnansweredAt) >= minEndsApart
 	s.UnansweredEnds++
 	s.LastUnansweredAt = at
+	if isRequest(s.Part) && again && len(s.Engines) > endsToQuarantine { // copies of it were open at several ends that count as one
+		s.UnansweredEnds = max(s.UnansweredEnds, s.endsNeeded()+moreEndsUnanswered)
+	}
 	return separate && s.Ends >= s.endsNeeded() ||
 		s.UnansweredEnds >= s.endsNeeded()+moreEndsUnanswered && (isRequest(s.Part) || t.isRare(s.Key))
 }
--- a/decide/quarantine/request_test.go
+++ b/decide/quarantine/request_test.go
@@ -36,6 +36,23 @@
 	is.True(endOf(tracker, 2, 0.05, 2, "bad"))
 }
 
+// Guards against a request of which several copies are open at once: the ends under them may have a common cause, but not those a second
+// later under a copy that was sent then.
+func TestCopiesOfRequestThatEndServersTogether(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for n := range 3 {
+		is.True(!endOf(tracker, 0.02*float64(n), 0.05, n, "bad"))
+	}
+	is.True(endOf(tracker, 3.5, 0.05, 3, "bad"))
+	is.Equal(len(tracker.Expire(at(4.5+firstRequestQuarantine.Seconds()))), 1)
+	is.True(endOf(tracker, 6+firstRequestQuarantine.Seconds(), 0.05, 4, "bad"))
+
+	tracker = New()
+	endOf(tracker, 0, 0.05, 1, "sound")
+	is.True(!endOf(tracker, 3.5, 0.05, 2, "sound")) // two servers only, and nothing is answered in between
+}
+
 // Guards against sound requests that are refused as servers end together: in a data centre that loses power, a request that many
 // send is open at each of them.
 func TestRequestOpenAtServersThatEndTogether(t *testing.T) {
