A control instance that stands in for another grants half of the permits

A control instance that is cut off from other data centres is still asked by the entry instances of its own, while the others ask the next one: each granted 0.9 of each limit, 1.8 times the limit together where 1.5 and 5 requests are tolerated. Entry instances now remember for 30 s which control instances they no longer reach, and tell the one that they ask for how many it stands in; it grants half for each. Cost: while a control instance is dark, half of the limit is used.

--- a/internal/directory/server_limits.go
+++ b/internal/directory/server_limits.go
@@ -47,8 +47,18 @@
 	transport.TrySend(s, message)
 }
 
-// maxWantedPermits limits what one request for permits costs.
-const maxWantedPermits = 256
+const (
+	// maxWantedPermits limits what one request for permits costs.
+	maxWantedPermits = 256
+	// maxStandsInFor is the most control instances for which another one may stand in: more are not in reach of any entry instance.
+	maxStandsInFor = 4
+)
+
+// grantsKey identifies a granter. Permits in place of another control instance, which may still grant to others, are counted apart.
+type grantsKey struct {
+	service     string
+	standsInFor int
+}
 
 // serviceGrants grants the permits of a service.
 type serviceGrants struct {
@@ -67,34 +77,35 @@
 
 // grantPermits answers an entry instance that asks for permits. All of them ask the same control instance for a service.
 func (d *Directory) grantPermits(now time.Time, s transport.Session, m *protocol.PermitRequest) {
-	g := d.grants[m.Service]
+	key := grantsKey{m.Service, min(max(m.StandsInFor, 0), maxStandsInFor)}
+	g := d.grants[key]
 	if g == nil {
 		g = &serviceGrants{Granter: grants.New()}
-		d.grants[m.Service] = g
+		d.grants[key] = g
 	}
 	g.askedAt = now
 	if now.Sub(g.updatedAt) >= grantsUpdateInterval {
 		g.updatedAt = now
-		d.updateGrants(now, m.Service, g)
+		d.updateGrants(now, key, g)
 	}
 	servers, retryAfter := g.Grant(now, min(max(m.Wanted, 0), maxWantedPermits))
 	metrics.GetOrCreateCounter("banyanfront_permits_granted_total").Add(len(servers))
 	transport.TrySend(s, &protocol.Permits{Service: m.Service, Servers: servers, RetryAfterMS: retryAfter.Milliseconds(), Outdated: g.known < m.Limited})
 }
 
-// updateGrants gives a granter the limits of those servers of a service that can be used.
-func (d *Directory) updateGrants(now time.Time, service string, g *serviceGrants) {
+// updateGrants gives a granter the limits of those servers of its service that can be used.
+func (d *Directory) updateGrants(now time.Time, key grantsKey, g *serviceGrants) {
 	var limits []grants.Limit
 	g.known = 0
 	evacuated := d.State().Evacuated
 	for server, l := range d.serverLimits {
 		record := d.servers.Get(server)
-		if record == nil || record.Service != service || record.StartedAtMillis != l.StartedAtMillis {
+		if record == nil || record.Service != key.service || record.StartedAtMillis != l.StartedAtMillis {
 			continue
 		}
 		g.known++
 		if record.State == registry.Ready && !slices.Contains(evacuated, record.DataCentre) {
-			limits = append(limits, grants.Limit{Server: server, RequestsPerSecond: l.RequestsPerSecond})
+			limits = append(limits, grants.Limit{Server: server, RequestsPerSecond: l.RequestsPerSecond * grants.DeputyRatio(key.standsInFor)})
 		}
 	}
 	g.Update(now, limits)
@@ -102,6 +113,6 @@
 
 // expireServerLimits drops the limits of servers that are gone.
 func (d *Directory) expireServerLimits(now time.Time) {
-	maps.DeleteFunc(d.grants, func(_ string, g *serviceGrants) bool { return now.Sub(g.askedAt) > grantsExpiry })
+	maps.DeleteFunc(d.grants, func(_ grantsKey, g *serviceGrants) bool { return now.Sub(g.askedAt) > grantsExpiry })
 	maps.DeleteFunc(d.serverLimits, func(server string, _ protocol.ServerLimit) bool { return d.servers.Get(server) == nil })
 }
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -67,6 +67,7 @@
 	newestSession       transport.Session // session that reported newestIndex
 	lastAnnouncementsAt time.Time
 	limitsSentAt        time.Time            // to a control instance that lacked some
+	lostControls        map[string]time.Time // control instances without a session, by address, with the time at which it was lost
 	loadsReceivedAt     map[string]time.Time // last loads of each lock-step group, by controlstate.GroupKey
 }
 
@@ -81,6 +82,7 @@
 		sessions:   map[transport.Session]*protocol.ControlInstances{},
 
 		loadsReceivedAt: map[string]time.Time{},
+		lostControls:    map[string]time.Time{},
 		permitsAnswered: map[string]chan struct{}{},
 	}
 	f.pool = transport.NewPool(func(address string) transport.ConnectFunc {
@@ -233,6 +235,7 @@
 	f.post(func(now time.Time) {
 		log.WithField("peer", s.Peer().Instance).Info("session with a control instance opened")
 		f.sessions[s] = &protocol.ControlInstances{}
+		f.recordControl(now, s, true)
 		f.updateGranting()
 		f.requestState(now)
 		f.parts.mu.Lock()
@@ -250,9 +253,10 @@
 	if st != transport.StateClosed {
 		return
 	}
-	f.post(func(time.Time) {
+	f.post(func(now time.Time) {
 		log.WithField("peer", s.Peer().Instance).Warn("session with a control instance lost")
 		delete(f.sessions, s)
+		f.recordControl(now, s, false)
 		f.updateGranting()
 	})
 }
--- a/internal/edge/server_limits.go
+++ b/internal/edge/server_limits.go
@@ -8,9 +8,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/banyanfront/banyanfront/decide/dispatch"
+	"github.com/banyanfront/banyanfront/decide/grants"
 	"github.com/banyanfront/banyanfront/internal/backendhttp"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
@@ -73,20 +73,45 @@
 
 // requestPermits asks the control instance that grants for a service: all entry instances that reach the same ones ask the same.
 func (f *fleetState) requestPermits(service string, wanted, limited int) {
-	f.post(func(time.Time) {
-		var granter transport.Session
-		lowest := uint64(math.MaxUint64)
+	f.post(func(now time.Time) {
+		controls := make([]grants.Control, 0, len(f.sessions)+len(f.lostControls))
 		for session := range f.sessions {
-			if hash := xxhash.Sum64String(service + "/" + string(session.Peer().Instance)); granter == nil || hash < lowest {
-				granter, lowest = session, hash
-			}
+			controls = append(controls, grants.Control{Address: session.Peer().Address})
+		}
+		for address, lostAt := range f.lostControls {
+			controls = append(controls, grants.Control{Address: address, LostAt: lostAt})
 		}
-		if granter != nil {
-			transport.TrySend(granter, &protocol.PermitRequest{Service: service, Wanted: wanted, Limited: limited})
+		granter, standsInFor := grants.ChooseGranter(now, service, controls)
+		for session := range f.sessions {
+			if session.Peer().Address == granter {
+				transport.TrySend(session, &protocol.PermitRequest{Service: service, Wanted: wanted, Limited: limited, StandsInFor: standsInFor})
+				return
+			}
 		}
 	})
 }
 
+// recordControl records that a session with a control instance was opened or lost.
+func (f *fleetState) recordControl(now time.Time, s transport.Session, open bool) {
+	address := s.Peer().Address
+	delete(f.lostControls, address)
+	if open {
+		return
+	}
+	for other := range f.sessions {
+		if other.Peer().Address == address { // the session was replaced
+			return
+		}
+	}
+	if len(f.lostControls) >= maxLostControls {
+		clear(f.lostControls)
+	}
+	f.lostControls[address] = now
+}
+
+// maxLostControls limits the control instances that are remembered after they were lost.
+const maxLostControls = 64
+
 // applyPermits passes permits to the dispatcher, and sends the limits to a control instance that does not know all of them.
 func (f *fleetState) applyPermits(now time.Time, s transport.Session, m *protocol.Permits) {
 	f.mu.Lock()
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -370,6 +370,8 @@
 	Service string `cbor:"1,keyasint"`
 	Wanted  int    `cbor:"2,keyasint"`
 	Limited int    `cbor:"3,keyasint"` // servers of the service that name a limit, as far as the entry instance knows
+	// StandsInFor is the number of control instances which the receiver stands in for and which may still grant to others.
+	StandsInFor int `cbor:"4,keyasint,omitempty"`
 }
 
 // Permits answers PermitRequest.
