--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -155,10 +155,10 @@
 	defer flush.Stop()
 	rosterTick := time.NewTicker(rosterInterval)
 	defer rosterTick.Stop()
-	var background sync.WaitGroup
-	background.Go(func() { d.groups.run(ctx) })
-	background.Go(func() { d.quarantines.run(ctx) })
-	defer background.Wait()
+	go d.quarantines.run(ctx) // is not waited for: a stalled disk must not delay the stop
+	var groups sync.WaitGroup
+	groups.Go(func() { d.groups.run(ctx) })
+	defer groups.Wait()
 	for {
 		select {
 		case <-ctx.Done():
