Stand-in: a crash closes the listener, and another stand-in starts

Now all connections and the listener are closed, and a stand-in without the state of the first starts after the down time. The test checks that connections are refused meanwhile.

--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -23,7 +23,7 @@
 	cold := flags.DurationLong("cold", 0, "time for which the engine bears only a little load after its start")
 	rateLimit := flags.Float64Long("rate-limit", 0, "limit of requests a second that each answer names, 0 for none")
 	crashOn := flags.StringLong("crash-on", "", "`TEXT` in a request's body that crashes the stand-in")
-	down := flags.DurationLong("down", 2*time.Second, "time for which the stand-in answers nothing after such a crash")
+	down := flags.DurationLong("down", 2*time.Second, "time from such a crash to the next start")
 	run := func(kind string, handler func() http.Handler) func(context.Context, []string) error {
 		return func(ctx context.Context, args []string) error {
 			if len(args) > 0 {
@@ -32,7 +32,7 @@
 			ctx, cancel := process.SignalContext(ctx)
 			defer cancel()
 			fmt.Printf("stand-in %s listens on %s\n", kind, *listen)
-			return standin.Run(ctx, *listen, standin.WithTrouble(handler(), standin.Trouble{RateLimit: *rateLimit, CrashOn: *crashOn, Down: *down}))
+			return standin.RunTroubled(ctx, *listen, handler, standin.Trouble{RateLimit: *rateLimit, CrashOn: *crashOn, Down: *down})
 		}
 	}
 	return &ff.Command{
--- a/internal/standin/trouble.go
+++ b/internal/standin/trouble.go
@@ -6,9 +6,9 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
+	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
@@ -18,7 +18,7 @@
 	RateLimit float64
 	// CrashOn is a text; a request whose body has it crashes the stand-in as it begins to run. Default empty: none.
 	CrashOn string
-	// Down is how long the stand-in answers nothing after a crash. Default 0.
+	// Down is the time from a crash to the next start. Default 0.
 	Down time.Duration
 }
 
@@ -26,35 +26,31 @@
 type troubled struct {
 	http.Handler
 	trouble Trouble
-
-	mu        sync.Mutex
-	running   context.Context // ends with a crash
-	crash     context.CancelFunc
-	downUntil time.Time
+	crashed context.CancelFunc
 }
 
-// WithTrouble returns a stand-in that serves like h, with trouble.
-func WithTrouble(h http.Handler, trouble Trouble) http.Handler {
-	t := &troubled{Handler: h, trouble: trouble}
-	t.running, t.crash = context.WithCancel(context.Background())
-	return t
+// RunTroubled serves stand-ins with trouble on a TCP address until the context ends: after a crash, which closes all connections and
+// the listener, another one starts.
+func RunTroubled(ctx context.Context, address string, newHandler func() http.Handler, trouble Trouble) error {
+	for {
+		running, crash := context.WithCancel(ctx)
+		err := Run(running, address, &troubled{newHandler(), trouble, crash})
+		crash()
+		if err != nil || !process.Sleep(ctx, trouble.Down) {
+			return err
+		}
+	}
 }
 
-// ServeHTTP implements http.Handler. A crash closes the connections of all open requests.
+// ServeHTTP implements http.Handler.
 func (t *troubled) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	t.mu.Lock()
-	running, down := t.running, time.Now().Before(t.downUntil)
-	t.mu.Unlock()
-	if down {
-		panic(http.ErrAbortHandler)
-	}
 	if t.trouble.CrashOn != "" {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
 		if bytes.Contains(body, []byte(t.trouble.CrashOn)) {
-			t.end()
+			t.crashed()
 			panic(http.ErrAbortHandler)
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
@@ -62,20 +58,5 @@
 	if t.trouble.RateLimit > 0 {
 		w.Header().Set(platform.HeaderRateLimit, strconv.FormatFloat(t.trouble.RateLimit, 'f', -1, 64))
 	}
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
-	defer context.AfterFunc(running, cancel)()
-	t.Handler.ServeHTTP(w, r.WithContext(ctx))
-	if running.Err() != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// end crashes the stand-in.
-func (t *troubled) end() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.crash()
-	t.running, t.crash = context.WithCancel(context.Background())
-	t.downUntil = time.Now().Add(t.trouble.Down)
+	t.Handler.ServeHTTP(w, r)
 }
--- a/internal/standin/trouble_test.go
+++ b/internal/standin/trouble_test.go
@@ -1,10 +1,15 @@
 package standin
 
 import (
+	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
-	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -13,42 +18,64 @@
 	"github.com/banyanfront/banyanfront/platform"
 )
 
-// Guards against a stand-in that does not play its trouble: it names its limit, ends all open requests as one crashes it, and is back
-// after its down time.
+// Guards against a stand-in that does not play its trouble: it names its limit; a crash ends all open requests, after which the machine
+// refuses connections, as banyanfront tells a crash from a broken connection by that; and the next one knows nothing of the first.
 func TestTroubledStandIn(t *testing.T) {
 	is := is.New(t)
-	const down = 100 * time.Millisecond
+	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := reserved.Addr().String()
+	is.NoErr(reserved.Close())
+	var starts atomic.Int64
 	begun := make(chan struct{})
-	server := httptest.NewServer(WithTrouble(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/slow" {
-			close(begun)
-			<-r.Context().Done()
-		}
-	}), Trouble{RateLimit: 2.5, CrashOn: "bad", Down: down}))
-	defer server.Close()
-	send := func(path, body string) (*http.Response, error) {
-		request, err := http.NewRequest(http.MethodPost, server.URL+path, io.NopCloser(strings.NewReader(body))) // not sent again
-		is.NoErr(err)
-		return (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	newHandler := func() http.Handler {
+		start := strconv.FormatInt(starts.Add(1), 10)
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/slow" {
+				close(begun)
+				<-r.Context().Done()
+			}
+			w.Header().Set("Start", start)
+		})
 	}
-	response, err := send("/x", "good")
-	is.NoErr(err)
-	is.NoErr(response.Body.Close())
-	is.Equal(response.Header.Get(platform.HeaderRateLimit), "2.5")
+	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error)
+	const down = 300 * time.Millisecond
+	go func() {
+		ended <- RunTroubled(ctx, address, newHandler, Trouble{RateLimit: 2.5, CrashOn: "bad", Down: down})
+	}()
+	send := func(path, body string) (http.Header, error) {
+		request, err := http.NewRequest(http.MethodPost, "http://"+address+path, io.NopCloser(strings.NewReader(body))) // not sent again
+		is.NoErr(err)
+		response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+		if err != nil {
+			return nil, err
+		}
+		return response.Header, response.Body.Close()
+	}
+	awaitAnswer := func() http.Header {
+		for {
+			if header, err := send("/x", "good"); err == nil {
+				return header
+			}
+			time.Sleep(down / 20)
+		}
+	}
+	header := awaitAnswer()
+	is.Equal(header.Get(platform.HeaderRateLimit), "2.5")
+	is.Equal(header.Get("Start"), "1")
+	slow := make(chan error)
 	go func() {
 		_, err := send("/slow", "good")
-		ended <- err
+		slow <- err
 	}()
 	<-begun
 	_, err = send("/x", "a bad one")
 	is.True(err != nil)
-	is.True(<-ended != nil)
-	for start := time.Now(); ; time.Sleep(down / 10) {
-		if response, err = send("/x", "good"); err == nil {
-			is.NoErr(response.Body.Close())
-			break
-		}
-		is.True(time.Since(start) < 10*time.Second)
-	}
+	is.True(<-slow != nil)
+	_, err = net.Dial("tcp", address)
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
+	is.Equal(awaitAnswer().Get("Start"), "2")
+	stop()
+	is.NoErr(<-ended)
 }
