--- /dev/null
+++ b/internal/edge/server_limits_test.go
@@ -0,0 +1,70 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/decide/grants"
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+// controlSession is a session with a control instance; it records the requests for permits.
+type controlSession struct {
+	transport.Session
+	address  string
+	requests []*protocol.PermitRequest
+}
+
+func (s *controlSession) Peer() protocol.Hello { return protocol.Hello{Address: s.address} }
+
+func (s *controlSession) Send(m protocol.Message) error {
+	if request, ok := m.(*protocol.PermitRequest); ok {
+		s.requests = append(s.requests, request)
+	}
+	return nil
+}
+
+// Guards against two control instances that each grant all permits of a service: an entry instance that asks another one than before says
+// so, and no longer once it reaches the first again, also if a new session has replaced the lost one.
+func TestEntryInstanceTellsDeputyThatItStandsIn(t *testing.T) {
+	is := is.New(t)
+	f := newFleetState(Config{})
+	runEvents := func() {
+		for len(f.events) > 0 {
+			(<-f.events)(time.Now())
+		}
+	}
+	first, second := &controlSession{address: "a"}, &controlSession{address: "b"}
+	if address, _ := grants.ChooseGranter(time.Now(), "s", []grants.Control{{Address: "a"}, {Address: "b"}}); address == "b" {
+		first, second = second, first
+	}
+	ask := func() {
+		f.requestPermits("s", 1, 1)
+		runEvents()
+	}
+	for _, s := range []transport.Session{first, second} {
+		f.SessionOpened(s)
+	}
+	runEvents()
+	ask()
+	is.Equal(len(first.requests), 1)
+	is.Equal(first.requests[0].StandsInFor, 0)
+
+	f.StateChanged(first, transport.StateClosed)
+	runEvents()
+	ask()
+	is.Equal(len(second.requests), 1)
+	is.Equal(second.requests[0].StandsInFor, 1)
+
+	again, replacing := &controlSession{address: first.address}, &controlSession{address: first.address}
+	f.SessionOpened(again)
+	f.SessionOpened(replacing)
+	f.StateChanged(again, transport.StateClosed)
+	runEvents()
+	ask()
+	is.Equal(len(replacing.requests), 1)
+	is.Equal(replacing.requests[0].StandsInFor, 0)
+}
