A control instance grants half to all while it stands in for another one

What callers could see: with a control instance cut off, entry instances that start during the cut asked the next one for all permits, beside those that asked it for half, and beside the permits that the one cut off grants on its side: 2.25 times 0.9 of a limit. Cause: permits in place of another control instance were counted apart from the others, and an instance that had never reached a control instance did not count it as lost. Now a control instance has one count for a service, at the lowest ratio that an asker has named in the last 2 s, and an entry instance counts control instances as lost to which it gets no session within 1 s.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -82,7 +82,7 @@
 	servers             *registry.Registry
 	promptParts         *quarantine.Tracker             // kept for entry instances that start, and to relay each report once
 	serverLimits        map[string]protocol.ServerLimit // by server; kept like promptParts
-	grants              map[grantsKey]*serviceGrants
+	grants              map[string]*serviceGrants
 	unsent              map[string]bool // servers with an announcement not yet sent to the entry instances
 	unsentChange        bool            // one of those changes the server's recorded state
 	entrySessions       map[transport.Session]bool
@@ -106,7 +106,7 @@
 		servers:         registry.New(MaxMissedAnnouncements * config.AnnounceInterval),
 		promptParts:     quarantine.New(),
 		serverLimits:    map[string]protocol.ServerLimit{},
-		grants:          map[grantsKey]*serviceGrants{},
+		grants:          map[string]*serviceGrants{},
 		unsent:          map[string]bool{},
 		entrySessions:   map[transport.Session]bool{},
 		rankSessions:    map[transport.Session]bool{},
--- a/internal/directory/server_limits.go
+++ b/internal/directory/server_limits.go
@@ -52,20 +52,32 @@
 	maxWantedPermits = 256
 	// maxStandsInFor is the most control instances for which another one may stand in: more are not in reach of any entry instance.
 	maxStandsInFor = 4
+	// standsInForHold is how long a number of them holds after it was last named: entry instances without requests do not ask.
+	standsInForHold = 2 * grants.PermitLifetime
 )
 
-// grantsKey identifies a granter. Permits in place of another control instance, which may still grant to others, are counted apart.
-type grantsKey struct {
-	service     string
-	standsInFor int
-}
-
 // serviceGrants grants the permits of a service.
 type serviceGrants struct {
 	*grants.Granter
 	known     int // servers with a limit
 	updatedAt time.Time
 	askedAt   time.Time
+	// standsInFor is the highest number of control instances that an entry instance has named lately. Others may not know that these may
+	// still grant to somebody.
+	standsInFor   int
+	standsInForAt time.Time // when it was last named
+}
+
+// recordStandsInFor records for how many control instances an entry instance asks for permits here.
+func (g *serviceGrants) recordStandsInFor(now time.Time, standsInFor int) {
+	standsInFor = min(max(standsInFor, 0), maxStandsInFor)
+	if standsInFor < g.standsInFor && now.Sub(g.standsInForAt) <= standsInForHold {
+		return
+	}
+	if standsInFor != g.standsInFor {
+		g.updatedAt = time.Time{} // the limits have changed
+	}
+	g.standsInFor, g.standsInForAt = standsInFor, now
 }
 
 const (
@@ -77,16 +89,16 @@
 
 // grantPermits answers an entry instance that asks for permits. All of them ask the same control instance for a service.
 func (d *Directory) grantPermits(now time.Time, s transport.Session, m *protocol.PermitRequest) {
-	key := grantsKey{m.Service, min(max(m.StandsInFor, 0), maxStandsInFor)}
-	g := d.grants[key]
+	g := d.grants[m.Service]
 	if g == nil {
 		g = &serviceGrants{Granter: grants.New()}
-		d.grants[key] = g
+		d.grants[m.Service] = g
 	}
 	g.askedAt = now
+	g.recordStandsInFor(now, m.StandsInFor)
 	if now.Sub(g.updatedAt) >= grantsUpdateInterval {
 		g.updatedAt = now
-		d.updateGrants(now, key, g)
+		d.updateGrants(now, m.Service, g)
 	}
 	servers, retryAfter := g.Grant(now, min(max(m.Wanted, 0), maxWantedPermits))
 	metrics.GetOrCreateCounter("banyanfront_permits_granted_total").Add(len(servers))
@@ -94,18 +106,18 @@
 }
 
 // updateGrants gives a granter the limits of those servers of its service that can be used.
-func (d *Directory) updateGrants(now time.Time, key grantsKey, g *serviceGrants) {
+func (d *Directory) updateGrants(now time.Time, service string, g *serviceGrants) {
 	var limits []grants.Limit
 	g.known = 0
 	evacuated := d.State().Evacuated
 	for server, l := range d.serverLimits {
 		record := d.servers.Get(server)
-		if record == nil || record.Service != key.service || record.StartedAtMillis != l.StartedAtMillis {
+		if record == nil || record.Service != service || record.StartedAtMillis != l.StartedAtMillis {
 			continue
 		}
 		g.known++
 		if record.State == registry.Ready && !slices.Contains(evacuated, record.DataCentre) {
-			limits = append(limits, grants.Limit{Server: server, RequestsPerSecond: l.RequestsPerSecond * grants.DeputyRatio(key.standsInFor)})
+			limits = append(limits, grants.Limit{Server: server, RequestsPerSecond: l.RequestsPerSecond * grants.DeputyRatio(g.standsInFor)})
 		}
 	}
 	g.Update(now, limits)
@@ -113,6 +125,6 @@
 
 // expireServerLimits drops the limits of servers that are gone.
 func (d *Directory) expireServerLimits(now time.Time) {
-	maps.DeleteFunc(d.grants, func(_ grantsKey, g *serviceGrants) bool { return now.Sub(g.askedAt) > grantsExpiry })
+	maps.DeleteFunc(d.grants, func(_ string, g *serviceGrants) bool { return now.Sub(g.askedAt) > grantsExpiry })
 	maps.DeleteFunc(d.serverLimits, func(server string, _ protocol.ServerLimit) bool { return d.servers.Get(server) == nil })
 }
--- a/internal/directory/server_limits_test.go
+++ b/internal/directory/server_limits_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/banyanfront/banyanfront/decide/grants"
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
@@ -125,3 +126,37 @@
 		is.True(granted >= 4*4*3/4)
 	})
 }
+
+// Guards against a control instance that grants all permits of a service besides those in place of another one: entry instances that never
+// reached the other, as they started while it was cut off, do not know that it may still grant to others.
+func TestControlInstanceGrantsHalfToAllWhileItStandsIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, d := startOneControl(t)
+		defer f.stopAll()
+		const limit = 10.0
+		var receivers []*limitsReceiver
+		var sessions []transport.Session
+		for range 2 {
+			r := &limitsReceiver{limits: map[string]float64{}}
+			receivers, sessions = append(receivers, r), append(sessions, f.connectEntry(d, "entry", r))
+		}
+		d.HandleAnnouncement(registry.Announcement{Server: "i-1", Service: "s", Address: "10.0.1.1:1", StartedAtMillis: 7, Sequence: 1})
+		is.NoErr(sessions[0].Send(&protocol.ServerLimits{Limits: []protocol.ServerLimit{{Server: "i-1", StartedAtMillis: 7, RequestsPerSecond: limit}}}))
+		grantedIn := func(window time.Duration, standsInFor ...int) float64 {
+			granted := 0
+			for end := time.Now().Add(window); time.Now().Before(end); {
+				for i, n := range standsInFor {
+					is.NoErr(sessions[i].Send(&protocol.PermitRequest{Service: "s", Wanted: 2, Limited: 1, StandsInFor: n}))
+					time.Sleep(10 * time.Millisecond)
+					granted += len(receivers[i].lastPermits().Servers)
+				}
+			}
+			return float64(granted)
+		}
+		other := 4 * limit * grants.UsedRatio // what the other control instance may grant meanwhile
+		is.True(other+grantedIn(4*time.Second, 0, 1) <= 1.5*4*limit+5)
+		time.Sleep(standsInForHold)
+		is.True(grantedIn(4*time.Second, 0, 0) >= 4*limit*3/4) // once none says so any more
+	})
+}
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -67,6 +67,7 @@
 	newestSession       transport.Session // session that reported newestIndex
 	lastAnnouncementsAt time.Time
 	limitsSentAt        time.Time            // to a control instance that lacked some
+	controlsKnownAt     map[string]time.Time // since when the addresses of control instances are known
 	lostControls        map[string]time.Time // control instances without a session, by address, with the time at which it was lost
 	loadsReceivedAt     map[string]time.Time // last loads of each lock-step group, by controlstate.GroupKey
 }
@@ -82,6 +83,7 @@
 		sessions:   map[transport.Session]*protocol.ControlInstances{},
 
 		loadsReceivedAt: map[string]time.Time{},
+		controlsKnownAt: map[string]time.Time{},
 		lostControls:    map[string]time.Time{},
 		permitsAnswered: map[string]chan struct{}{},
 	}
@@ -138,6 +140,7 @@
 		}
 	}
 	f.pool.Set(f.controlAddresses())
+	f.recordUnreached(now)
 	f.updateInstanceCount(now)
 	f.requestState(now)
 	f.parts.mu.Lock()
--- a/internal/edge/server_limits.go
+++ b/internal/edge/server_limits.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"maps"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -109,6 +111,30 @@
 	f.lostControls[address] = now
 }
 
+// recordUnreached records control instances as lost to which no session could be opened since they became known: they may grant permits to
+// others, as in a cut during which this instance has started.
+func (f *fleetState) recordUnreached(now time.Time) {
+	reached := map[string]bool{}
+	for session := range f.sessions {
+		reached[session.Peer().Address] = true
+	}
+	known := f.controlAddresses()
+	maps.DeleteFunc(f.controlsKnownAt, func(address string, _ time.Time) bool { return !slices.Contains(known, address) })
+	for _, address := range known {
+		knownAt, ok := f.controlsKnownAt[address]
+		if !ok {
+			f.controlsKnownAt[address] = now
+			continue
+		}
+		if _, lost := f.lostControls[address]; !lost && !reached[address] && now.Sub(knownAt) > unreachedAfter {
+			f.lostControls[address] = knownAt
+		}
+	}
+}
+
+// unreachedAfter is the time in which a session with a control instance is usually opened.
+const unreachedAfter = time.Second
+
 // maxLostControls limits the control instances that are remembered after they were lost.
 const maxLostControls = 64
 
--- a/internal/edge/server_limits_test.go
+++ b/internal/edge/server_limits_test.go
@@ -68,3 +68,32 @@
 	is.Equal(len(replacing.requests), 1)
 	is.Equal(replacing.requests[0].StandsInFor, 0)
 }
+
+// Guards against an entry instance that starts during a cut and asks a control instance for all permits, as it has never reached the one
+// that grants to the others.
+func TestEntryInstanceStandsInForControlInstancesItNeverReached(t *testing.T) {
+	is := is.New(t)
+	f := newFleetState(Config{Seeds: []string{"a", "b"}})
+	start := time.Now()
+	runEvents := func(now time.Time) {
+		for len(f.events) > 0 {
+			(<-f.events)(now)
+		}
+	}
+	deputy := "b"
+	if granter, _ := grants.ChooseGranter(start, "s", []grants.Control{{Address: "a"}, {Address: "b"}}); granter == "b" {
+		deputy = "a"
+	}
+	s := &controlSession{address: deputy}
+	f.SessionOpened(s)
+	runEvents(start)
+	standsInForAfter := func(age time.Duration) int {
+		f.recordUnreached(start.Add(age))
+		f.requestPermits("s", 1, 1)
+		runEvents(start.Add(age))
+		return s.requests[len(s.requests)-1].StandsInFor
+	}
+	is.Equal(standsInForAfter(0), 0) // the session with it is still being opened
+	is.Equal(standsInForAfter(unreachedAfter+time.Second), 1)
+	is.Equal(standsInForAfter(time.Minute), 0) // it is gone
+}
