Only an answer of the server itself ends the limit that it has named

Cause: any response without Server-Limit but a rejection was taken for the end of the need. TestUnsealedResponseDoesNotEndALimit failed before (0 limits instead of 1) and passes.

--- a/internal/edge/server_limits.go
+++ b/internal/edge/server_limits.go
@@ -30,8 +30,9 @@
 			return
 		}
 		requestsPerSecond = max(parsed, dispatch.MinLimit)
-	} else if response.Status == http.StatusMisdirectedRequest || response.Header.Get(platform.HeaderNotRun) != "" {
-		return // a rejection need not name the limit
+	} else if response.Status == http.StatusMisdirectedRequest || response.Header.Get(platform.HeaderNotRun) != "" ||
+		response.Header.Get(platform.HeaderSeal) == "" {
+		return // a rejection, or what is no answer of the server, need not name the limit
 	}
 	var limit dispatch.Limit
 	news := false
--- a/internal/edge/server_limits_test.go
+++ b/internal/edge/server_limits_test.go
@@ -1,14 +1,18 @@
 package edge
 
 import (
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/banyanfront/banyanfront/decide/dispatch"
 	"github.com/banyanfront/banyanfront/decide/grants"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
+	"github.com/banyanfront/banyanfront/platform"
 )
 
 // controlSession is a session with a control instance; it records the requests for permits.
@@ -97,3 +101,34 @@
 	is.Equal(standsInForAfter(unreachedAfter+time.Second), 1)
 	is.Equal(standsInForAfter(time.Minute), 0) // it is gone
 }
+
+// Guards against a limit that is taken for over after a response that is not the server's answer, as it bears no seal: the server still
+// names its limit in each answer.
+func TestUnsealedResponseDoesNotEndALimit(t *testing.T) {
+	is := is.New(t)
+	p, url := startProxy(t)
+	sealed := atomic.Bool{}
+	b := startBackend(t, func(w http.ResponseWriter, _ *http.Request, _ int) {
+		if !sealed.Load() {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set(platform.HeaderRateLimit, "50.0")
+		respondSealed(w, http.StatusOK, "ok")
+	})
+	p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) { d.SetServers(now, announced("z", b)) })
+	limits := func() (n int) {
+		p.withDispatcher(func(_ time.Time, d *dispatch.Dispatcher) { n = len(d.Limits()) })
+		return n
+	}
+	sealed.Store(true)
+	_, _, _, err := send(t, url, "/safe/x")
+	is.NoErr(err)
+	is.Equal(limits(), 1)
+	sealed.Store(false)
+	time.Sleep(100 * time.Millisecond) // the rate permits the next request
+	status, _, _, err := send(t, url, "/safe/x")
+	is.NoErr(err)
+	is.True(status >= http.StatusInternalServerError)
+	is.Equal(limits(), 1)
+}
