Send copies of a suspected request one at a time over all entry instances

What callers could see: copies of a harmful request that come at once crash their servers together. Cause: between the third end and the quarantine nothing bounds the copies, a sum over instances that do not see each other. Now each copy needs a permit from the control instance that grants for it (decide/grants, the mechanism of limits that servers name), one a second; the others are refused with the time of the next as Retry-After. An answer lifts the suspicion as before. TestCopiesOfASuspectedRequestAreSentOneAtATime failed before (more than 3 servers ended) and passes.

--- a/decide/dispatch/permits.go
+++ b/decide/dispatch/permits.go
@@ -12,8 +12,8 @@
 // (package grants), and use their part only while none answers.
 
 const (
-	// permitTimeout is the time without an answer to a request for permits after which the instance uses its part of the limits.
-	permitTimeout = 300 * time.Millisecond
+	// PermitTimeout is the time without an answer to a request for permits after which the instance uses its part of the limits.
+	PermitTimeout = 300 * time.Millisecond
 	// minPermitInterval is the minimum interval of requests for permits while not all are granted, and permitIntervalPerInstance
 	// what each instance adds to it: so much of the control instance's time is used at most, however many ask.
 	minPermitInterval         = 100 * time.Millisecond
@@ -40,7 +40,7 @@
 // usesPermits reports whether requests to the servers of a service that name a limit need permits.
 func (d *Dispatcher) usesPermits(now time.Time, service string) bool {
 	p := d.permitDemand[service]
-	return d.granting && (p == nil || p.unansweredSince.IsZero() || now.Sub(p.unansweredSince) <= permitTimeout)
+	return d.granting && (p == nil || p.unansweredSince.IsZero() || now.Sub(p.unansweredSince) <= PermitTimeout)
 }
 
 // noteDemand counts a choice for a service of which a server names a limit.
@@ -61,7 +61,7 @@
 	}
 	age, interval := now.Sub(p.requestedAt), d.permitInterval()
 	unanswered := !p.unansweredSince.IsZero()
-	if unanswered && age <= permitTimeout || !unanswered && !p.granted && age < interval {
+	if unanswered && age <= PermitTimeout || !unanswered && !p.granted && age < interval {
 		return 0
 	}
 	stock := 0
--- a/decide/grants/grants.go
+++ b/decide/grants/grants.go
@@ -22,6 +22,17 @@
 	backlogWindow = time.Second
 )
 
+// TrialInterval is the interval of permits for the copies of a request that are sent one at a time.
+const TrialInterval = time.Second
+
+// NewTrials returns a granter for the copies of a request that are sent one at a time, by all entry instances together. The first is
+// permitted at once. ratio is the part of the permits that is granted, see DeputyRatio.
+func NewTrials(now time.Time, request string, ratio float64) *Granter {
+	g := New()
+	g.Update(now.Add(-time.Duration(float64(TrialInterval)/ratio)), []Limit{{request, ratio / (UsedRatio * TrialInterval.Seconds())}})
+	return g
+}
+
 // Limit is the requests a second that a server takes.
 type Limit struct {
 	Server            string
--- a/decide/quarantine/request_test.go
+++ b/decide/quarantine/request_test.go
@@ -53,6 +53,25 @@
 	is.True(!endOf(tracker, 3.5, 0.05, 2, "sound")) // two servers only, and nothing is answered in between
 }
 
+// Guards against copies of a request that crash a server each while it is not in quarantine yet, and against a sound one of which the copies
+// are still sent one at a time after an answer.
+func TestCopiesAreTriedOneAtATime(t *testing.T) {
+	is := is.New(t)
+	tracker, part := New(), RequestPart("bad")
+	for n := range 3 {
+		is.Equal(tracker.TrialRequest(at(1), []string{"a0", part}), "")
+		endOf(tracker, 0.02*float64(n), 0.05, n, "bad")
+	}
+	is.Equal(tracker.TrialRequest(at(1), []string{"a0", part}), part)
+	is.Equal(tracker.TrialRequest(at(1), []string{"a0", RequestPart("other")}), "")
+	begun(tracker, 2, part)
+	is.Equal(tracker.TrialRequest(at(3), []string{part}), "")
+	for n := range 4 {
+		endOf(tracker, 4+1.5*float64(n), 0.05, 10+n, "bad")
+	}
+	is.Equal(tracker.TrialRequest(at(10), []string{part}), "") // in quarantine
+}
+
 // Guards against sound requests that are refused as servers end together: in a data centre that loses power, a request that many
 // send is open at each of them.
 func TestRequestOpenAtServersThatEndTogether(t *testing.T) {
--- a/internal/directory/server_limits_test.go
+++ b/internal/directory/server_limits_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/banyanfront/banyanfront/decide/grants"
+	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
@@ -160,3 +161,35 @@
 		is.True(grantedIn(4*time.Second, 0, 0) >= 4*limit*3/4) // once none says so any more
 	})
 }
+
+// Guards against copies of a suspected request that several entry instances are permitted to send at once.
+func TestControlInstancePermitsOneCopyOfARequestAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, d := startOneControl(t)
+		defer f.stopAll()
+		var receivers []*limitsReceiver
+		var sessions []transport.Session
+		for range 4 {
+			r := &limitsReceiver{limits: map[string]float64{}}
+			receivers, sessions = append(receivers, r), append(sessions, f.connectEntry(d, "entry", r))
+		}
+		permitted := func(request string) (n int) {
+			for _, s := range sessions {
+				is.NoErr(s.Send(&protocol.PermitRequest{Service: quarantine.RequestPart(request), Wanted: 1}))
+			}
+			time.Sleep(10 * time.Millisecond)
+			for _, r := range receivers {
+				m := r.lastPermits()
+				is.True(len(m.Servers) == 1 || m.RetryAfterMS > 0)
+				n += len(m.Servers)
+			}
+			return n
+		}
+		is.Equal(permitted("a"), 1)
+		is.Equal(permitted("a"), 0)
+		is.Equal(permitted("b"), 1)
+		time.Sleep(grants.TrialInterval)
+		is.Equal(permitted("a"), 1)
+	})
+}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -120,6 +120,9 @@
 // means no limit. It returns a refusal if no server was chosen, and neither an attempt nor a refusal if the attempt
 // failed.
 func (c *call) startAttempt(header http.Header, headTimeout time.Duration) (*attempt, *dispatch.Refusal) {
+	if refusal := c.awaitTrial(); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := c.proxy.quarantineRefusal(c); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -54,6 +54,7 @@
 	dispatcher *dispatch.Dispatcher
 	// permitsAnswered is closed when a request for permits of a service is answered.
 	permitsAnswered map[string]chan struct{}
+	trials          map[string]*trial // open ones, by request
 	parts           promptParts
 
 	// Accessed only by the goroutine of run.
@@ -86,6 +87,7 @@
 		controlsKnownAt: map[string]time.Time{},
 		lostControls:    map[string]time.Time{},
 		permitsAnswered: map[string]chan struct{}{},
+		trials:          map[string]*trial{},
 	}
 	f.pool = transport.NewPool(func(address string) transport.ConnectFunc {
 		return config.Dial(address, config.Hello, f)
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -44,6 +44,16 @@
 	started int
 	ends    int
 	reading atomic.Int32 // requests that have arrived and are never answered
+	// crashAfter is the time, in nanoseconds, for which a request for harmfulPath runs before its engine ends, and fixed makes it a sound one.
+	crashAfter atomic.Int64
+	fixed      atomic.Bool
+}
+
+// harmfulRequest returns what stands for a request for harmfulPath, as send sends it.
+func harmfulRequest(p *Proxy) []string {
+	r := httptest.NewRequest(http.MethodPost, harmfulPath, nil)
+	r.Host = "h.example"
+	return []string{quarantine.RequestPart((&call{proxy: p, r: r, organisation: "o", body: []byte("body")}).digest())}
 }
 
 type fleetEngine struct {
@@ -94,7 +104,8 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
 	w.Header().Set(platform.HeaderSeal, "seal")
-	if r.URL.Path == harmfulPath {
+	if r.URL.Path == harmfulPath && !f.fixed.Load() {
+		time.Sleep(time.Duration(f.crashAfter.Load()))
 		f.end(e)
 		panic(http.ErrAbortHandler)
 	}
@@ -185,11 +196,12 @@
 	granter *relayGranter
 }
 
-// relayGranter grants permits for all servers whose limits it was told.
+// relayGranter grants permits for all servers whose limits it was told, and for the copies of one request.
 type relayGranter struct {
 	mu     sync.Mutex
 	limits map[string]grants.Limit
 	grants *grants.Granter
+	trials *grants.Granter
 }
 
 func (s *relaySession) Peer() protocol.Hello { return protocol.Hello{Instance: "control"} }
@@ -206,8 +218,16 @@
 	case *protocol.PermitRequest:
 		s.granter.mu.Lock()
 		defer s.granter.mu.Unlock()
-		s.granter.grants.Update(time.Now(), slices.Collect(maps.Values(s.granter.limits)))
-		servers, retryAfter := s.granter.grants.Grant(time.Now(), m.Wanted)
+		g := s.granter.grants
+		if quarantine.IsRequest(m.Service) {
+			if s.granter.trials == nil {
+				s.granter.trials = grants.NewTrials(time.Now(), m.Service, 1)
+			}
+			g = s.granter.trials
+		} else {
+			g.Update(time.Now(), slices.Collect(maps.Values(s.granter.limits)))
+		}
+		servers, retryAfter := g.Grant(time.Now(), m.Wanted)
 		go s.from.MessageReceived(s, &protocol.Permits{Service: m.Service, Servers: servers, RetryAfterMS: retryAfter.Milliseconds()})
 		return nil
 	default:
@@ -290,6 +310,77 @@
 	is.True(refused >= 8)
 }
 
+// Guards against copies of a request that come at all entry instances at once, after copies that were open together have ended their
+// servers: these ends may have a common cause, so the request is not in quarantine, and each copy would end another server. Once an answer
+// to one has begun, all are served.
+func TestCopiesOfASuspectedRequestAreSentOneAtATime(t *testing.T) {
+	is := is.New(t)
+	proxies, urls := startRelayedProxies(t, 4)
+	f := startEngineFleet(t, 12, proxies...)
+	f.crashAfter.Store(int64(100 * time.Millisecond))
+	sendCopies := func(n int) (statuses []int) {
+		var sending sync.WaitGroup
+		statuses = make([]int, n)
+		for i := range n {
+			sending.Go(func() {
+				status, header, _, _ := send(t, urls[i%4], harmfulPath)
+				if statuses[i] = status; status == http.StatusServiceUnavailable && header.Get(platform.HeaderRetryAfter) == "" {
+					t.Error("refused without a Retry-After")
+				}
+			})
+		}
+		sending.Wait()
+		return statuses
+	}
+	sendCopies(8)
+	first := f.endCount()
+	is.True(first >= 3)
+	for _, p := range proxies {
+		is.True(p.quarantineRefusal(&call{service: "s", parts: func() []string { return harmfulRequest(p) }}) == nil)
+	}
+	time.Sleep(1200 * time.Millisecond)
+	statuses := sendCopies(12)
+	is.True(f.endCount()-first <= 3)
+	is.True(slices.Contains(statuses, http.StatusServiceUnavailable))
+}
+
+// Guards against a sound request that is refused for long because its copies were open at servers that ended together.
+func TestSuspectedRequestIsServedOnceItIsAnswered(t *testing.T) {
+	is := is.New(t)
+	proxies, urls := startRelayedProxies(t, 2)
+	f := startEngineFleet(t, 4, proxies...)
+	f.fixed.Store(true)
+	part := harmfulRequest(proxies[0])[0]
+	for _, p := range proxies {
+		p.MessageReceived(nil, &protocol.PromptParts{Service: "s", Suspected: []protocol.PartSuspicion{{Part: part, Ends: 1, UnansweredEnds: 1,
+			Engines: []quarantine.Engine{{Server: "x"}, {Server: "y"}, {Server: "z"}}}}})
+	}
+	time.Sleep(50 * time.Millisecond)
+	for n := range 4 {
+		status, _, _, err := send(t, urls[n%2], harmfulPath)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Guards against a sound request that is refused while no control instance permits it.
+func TestSuspectedRequestIsServedWhileNoControlInstanceAnswers(t *testing.T) {
+	is := is.New(t)
+	p, url := startProxy(t)
+	running := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { defer close(running); p.run(ctx) }()
+	defer func() { cancel(); <-running }()
+	f := startEngineFleet(t, 2, p)
+	f.fixed.Store(true)
+	p.applyPromptParts(time.Now(), &protocol.PromptParts{Service: "s", Suspected: []protocol.PartSuspicion{{Part: harmfulRequest(p)[0], Ends: 1,
+		UnansweredEnds: 1, Engines: []quarantine.Engine{{Server: "x"}, {Server: "y"}, {Server: "z"}}}}}, false)
+	status, _, _, err := send(t, url, harmfulPath)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+}
+
 // Guards against a sound request that fails since it was open at a server which ended for another reason: it is sent on.
 func TestSoundRequestIsSentOnWhenItsServerEnds(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/server_limits.go
+++ b/internal/edge/server_limits.go
@@ -74,7 +74,8 @@
 	return answered
 }
 
-// requestPermits asks the control instance that grants for a service: all entry instances that reach the same ones ask the same.
+// requestPermits asks the control instance that grants for a service, or for the copies of a request: all entry instances that reach the
+// same ones ask the same.
 func (f *fleetState) requestPermits(service string, wanted, limited int) {
 	f.post(func(now time.Time) {
 		controls := make([]grants.Control, 0, len(f.sessions)+len(f.lostControls))
@@ -142,6 +143,7 @@
 // applyPermits passes permits to the dispatcher, and sends the limits to a control instance that does not know all of them.
 func (f *fleetState) applyPermits(now time.Time, s transport.Session, m *protocol.Permits) {
 	f.mu.Lock()
+	f.answerTrial(m)
 	f.dispatcher.RecordPermits(now, m.Service, m.Servers, time.Duration(m.RetryAfterMS)*time.Millisecond)
 	if answered := f.permitsAnswered[m.Service]; answered != nil {
 		close(answered)
