--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/experts"
@@ -24,10 +25,6 @@
 	// upkeepInterval is the interval at which the sessions are updated to the known control instances.
 	upkeepInterval   = time.Second
 	eventQueueLength = 1024
-	// preparePollInterval is the interval for polling whether a preparation is complete. Polling is free on this machine.
-	preparePollInterval = 40 * time.Millisecond
-	// prepareTimeout ends the polling: the coordinator aborts a change whose preparation takes longer.
-	prepareTimeout = 10 * time.Second
 	// inventoryInterval is the number of reports after which one goes to all control instances, from the first
 	// inventoryRanks ranks of a group, so that every instance knows which groups exist.
 	inventoryInterval = 16
@@ -57,6 +54,7 @@
 
 	sessions  map[transport.Session]*protocol.ControlInstances // last roster received over each session
 	reports   int                                              // reports read so far
+	orders    singleflight.Group                               // orders that the engine has not answered yet
 	demand    demandReader
 	reachable bool // the engine answered the last report request
 	// heldSent is the session, epoch and map version for which the held experts were last sent, and the number of the report.
@@ -231,48 +229,6 @@
 	return err.Error()
 }
 
-// executeOrder sends an order to the engine and reports the result over the session that it came from.
-func (p *rankProcess) executeOrder(session transport.Session, m *protocol.RankOrder) {
-	o := m.Order
-	if m.Map != nil {
-		lists, err := experts.DecodeRankLists(m.Map)
-		if err != nil {
-			log.WithError(err).WithField("group", m.Group).Error("order not given to the engine")
-			return
-		}
-		o.Map = lists
-	}
-	result, err := p.engine.Order(context.Background(), o)
-	if o.Operation == experts.OrderPrepare && result == experts.OrderAccepted {
-		go p.awaitPrepared(session, m.Group, o)
-	}
-	o.Map = nil
-	log.WithFields(log.Fields{"group": m.Group, "operation": string(o.Operation), "version": o.Version, "step": o.Step,
-		"epoch": o.Epoch, "result": int(result), "error": errorText(err)}).Info("order given to the engine")
-	if err := session.Send(&protocol.RankDone{Group: m.Group, Order: o, Result: result}); err != nil {
-		log.WithError(err).Debug("result of an order not sent; the coordinator repeats the order")
-	}
-}
-
-// awaitPrepared repeats a preparation order until it is complete, because reports show completion only with a lag.
-func (p *rankProcess) awaitPrepared(session transport.Session, group string, order experts.RankOrder) {
-	o := order
-	o.Map = nil
-	for end := time.Now().Add(prepareTimeout); time.Now().Before(end); {
-		time.Sleep(preparePollInterval)
-		result, err := p.engine.Order(context.Background(), order)
-		if result == experts.OrderAccepted || result == experts.OrderUnanswered {
-			continue
-		}
-		log.WithFields(log.Fields{"group": group, "version": o.Version, "result": int(result), "error": errorText(err)}).
-			Debug("preparation has ended")
-		if err := session.Send(&protocol.RankDone{Group: group, Order: o, Result: result}); err != nil {
-			log.WithError(err).Debug("end of a preparation not sent; the reports include it")
-		}
-		return
-	}
-}
-
 // SessionOpened implements transport.Handler.
 func (p *rankProcess) SessionOpened(s transport.Session) {
 	p.post(func() { p.sessions[s] = &protocol.ControlInstances{} })
--- a/internal/rank/rank_test.go
+++ b/internal/rank/rank_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"os"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -192,3 +195,108 @@
 	_, err := experts.DecodeRankLists([]byte{9})
 	is.True(errors.Is(err, experts.ErrMalformedRankLists))
 }
+
+// unreliableEngine leaves orders unanswered until it has got a number of them. It reports a preparation as complete copyTime after that.
+type unreliableEngine struct {
+	fakeEngine
+	mu         sync.Mutex
+	unanswered int
+	received   int
+	copyTime   time.Duration
+	preparedAt time.Time
+}
+
+func (e *unreliableEngine) Order(ctx context.Context, o experts.RankOrder) (experts.OrderResult, error) {
+	e.mu.Lock()
+	e.received++
+	lost := e.received <= e.unanswered
+	if !lost && e.preparedAt.IsZero() {
+		e.preparedAt = time.Now().Add(e.copyTime)
+	}
+	e.mu.Unlock()
+	if lost {
+		select {
+		case <-ctx.Done():
+		case <-time.After(400 * time.Millisecond): // as platform.EngineClient
+		}
+		return experts.OrderUnanswered, errors.New("no answer")
+	}
+	if o.Operation == experts.OrderPrepare {
+		return experts.OrderAccepted, nil
+	}
+	return experts.OrderDone, nil
+}
+
+func (e *unreliableEngine) ordersReceived() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.received
+}
+
+func (e *unreliableEngine) Report(context.Context) (*platform.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := &platform.EngineReport{RankReport: experts.RankReport{Epoch: 1, Open: true}}
+	if !e.preparedAt.IsZero() && !time.Now().Before(e.preparedAt) {
+		r.Prepared = 4
+	}
+	return r, nil
+}
+
+// Guards against a lock-step group that stands still at a held step because orders to its engines get no answer: each is repeated at
+// once on the engine's machine, not only when the coordinator sends it again.
+func TestUnansweredOrderIsRepeatedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _, sessions := newTestProcess(0, 1)
+		e := &unreliableEngine{unanswered: 4}
+		p.engine = e
+		start := time.Now()
+		order := &protocol.RankOrder{Group: "g", Order: experts.RankOrder{Operation: experts.OrderArm, Version: 4, Step: 9, Epoch: 1}}
+		var again sync.WaitGroup
+		again.Go(func() { // sent again by the coordinator meanwhile: it is not repeated twice
+			time.Sleep(50 * time.Millisecond)
+			p.executeOrder(sessions["b"], order)
+		})
+		p.executeOrder(sessions["a"], order)
+		is.True(time.Since(start) <= 100*time.Millisecond)
+		again.Wait()
+		is.Equal(e.ordersReceived(), 5)
+		for _, address := range []string{"a", "b"} {
+			is.Equal(len(sessions[address].sent), 1)
+			is.Equal(sessions[address].sent[0].(*protocol.RankDone).Result, experts.OrderDone)
+		}
+	})
+}
+
+// Guards against an engine that is sent an order for ever, and against a coordinator that is not told that there is no answer.
+func TestOrderWithoutAnAnswerEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _, sessions := newTestProcess(0, 1)
+		e := &unreliableEngine{unanswered: 1000}
+		p.engine = e
+		p.executeOrder(sessions["a"], &protocol.RankOrder{Group: "g", Order: experts.RankOrder{Operation: experts.OrderHold, Step: 9, Epoch: 1}})
+		is.Equal(sessions["a"].sent[0].(*protocol.RankDone).Result, experts.OrderUnanswered)
+		received := e.ordersReceived()
+		time.Sleep(time.Second)
+		is.Equal(e.ordersReceived(), received)
+	})
+}
+
+// Guards against a change of map that waits for a lost order although the experts are copied: the end of the preparation is read from the
+// engine's reports.
+func TestEndOfAPreparationIsReadFromReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _, sessions := newTestProcess(0, 1)
+		e := &unreliableEngine{copyTime: 160 * time.Millisecond}
+		p.engine = e
+		start := time.Now()
+		p.executeOrder(sessions["a"], &protocol.RankOrder{Group: "g", Order: experts.RankOrder{Operation: experts.OrderPrepare, Version: 4, Epoch: 1}})
+		is.True(time.Since(start) <= 240*time.Millisecond)
+		is.Equal(e.ordersReceived(), 1)
+		is.Equal(len(sessions["a"].sent), 2)
+		is.Equal(sessions["a"].sent[1].(*protocol.RankDone).Result, experts.OrderDone)
+	})
+}
