Send requests with a suspected rare part of a prompt one at a time

Cause: as with copies of a request, nothing bounded the requests between the ends that are known and the quarantine. They need the same permits now. Parts that more than 5 in 100 recent requests have are not limited: they are open at any engine that ends. TestRequestsWithASuspectedPartAreSentOneAtATime failed before and passes.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -72,7 +72,7 @@
 	GroupClosed Reason = "group_closed" // the lock-step group has lost a rank
 	Tried       Reason = "tried"        // the remaining servers were already tried for this request
 	NoBudget    Reason = "no_budget"    // the retry budget of the service is exhausted
-	Suspected   Reason = "suspected"    // servers have ended under copies of the request, which are sent one at a time
+	Suspected   Reason = "suspected"    // servers have ended with requests like it, which are sent one at a time
 	Quarantined Reason = "quarantined"  // a part of the prompt crashes engines, see package quarantine
 )
 
--- a/decide/grants/grants.go
+++ b/decide/grants/grants.go
@@ -22,14 +22,14 @@
 	backlogWindow = time.Second
 )
 
-// TrialInterval is the interval of permits for the copies of a request that are sent one at a time.
+// TrialInterval is the interval of permits for suspected requests, which are sent one at a time.
 const TrialInterval = time.Second
 
-// NewTrials returns a granter for the copies of a request that are sent one at a time, by all entry instances together. The first is
-// permitted at once. ratio is the part of the permits that is granted, see DeputyRatio.
-func NewTrials(now time.Time, request string, ratio float64) *Granter {
+// NewTrials returns a granter for suspected requests that are sent one at a time, by all entry instances together. The first is permitted
+// at once. ratio is the part of the permits that is granted, see DeputyRatio.
+func NewTrials(now time.Time, key string, ratio float64) *Granter {
 	g := New()
-	g.Update(now.Add(-time.Duration(float64(TrialInterval)/ratio)), []Limit{{request, ratio / (UsedRatio * TrialInterval.Seconds())}})
+	g.Update(now.Add(-time.Duration(float64(TrialInterval)/ratio)), []Limit{{key, ratio / (UsedRatio * TrialInterval.Seconds())}})
 	return g
 }
 
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -75,7 +75,7 @@
 // index returns the key by which a tracker finds what it knows of a part: a route may split its traffic among services, and a request
 // that crashes the servers of one is kept from those of the others.
 func (k Key) index() Key {
-	if IsRequest(k.Part) {
+	if isRequest(k.Part) {
 		k.Service = ""
 	}
 	return k
@@ -87,8 +87,8 @@
 // RequestPart returns the part that stands for all repeats of a request, given a digest of what they have in common.
 func RequestPart(digest string) string { return requestPrefix + digest }
 
-// IsRequest reports whether a part stands for a whole request.
-func IsRequest(part string) bool { return strings.HasPrefix(part, requestPrefix) }
+// isRequest reports whether a part stands for a whole request.
+func isRequest(part string) bool { return strings.HasPrefix(part, requestPrefix) }
 
 // Suspicion is what is known of a suspected part.
 type Suspicion struct {
@@ -161,7 +161,7 @@
 	}
 	c.total++
 	for _, part := range parts {
-		if !IsRequest(part) {
+		if !isRequest(part) {
 			c.byPart[part]++
 		}
 	}
@@ -232,9 +232,9 @@
 		s.recurred = s.recurred || s.UnansweredEnds > 0 && at.Sub(s.LastUnansweredAt) >= minEndsApart
 		s.UnansweredEnds++
 		s.LastUnansweredAt = at
-		enough = enough || s.UnansweredEnds >= needed && (IsRequest(s.Part) || t.isRare(s.Key))
+		enough = enough || s.UnansweredEnds >= needed && (isRequest(s.Part) || t.isRare(s.Key))
 	}
-	if IsRequest(s.Part) && s.recurred && len(s.Engines) >= needed { // copies of it were open at ends that count as one
+	if isRequest(s.Part) && s.recurred && len(s.Engines) >= needed { // copies of it were open at ends that count as one
 		s.UnansweredEnds = max(s.UnansweredEnds, needed)
 		return true
 	}
@@ -244,7 +244,7 @@
 // isApart reports whether an end has another cause than an earlier one, unless both are due to the part. Engines that fail together
 // have a common cause, but not if the request was sent to the second one after the end of the first.
 func (s *Suspicion) isApart(at, sentAt, earlier time.Time) bool {
-	if IsRequest(s.Part) {
+	if isRequest(s.Part) {
 		return sentAt.After(earlier)
 	}
 	return at.Sub(earlier) >= minEndsApart
@@ -253,7 +253,7 @@
 // quarantine begins the next quarantine of the part.
 func (s *Suspicion) quarantine(at time.Time) {
 	first := firstQuarantine
-	if IsRequest(s.Part) {
+	if isRequest(s.Part) {
 		first = firstRequestQuarantine
 	}
 	s.QuarantinedUntil = at.Add(min(first<<min(s.Quarantines, 16), maxQuarantine))
@@ -297,7 +297,7 @@
 // explain records that engines ended because of a quarantined part, and clears the other parts of these ends. A whole request
 // explains nothing: a sound one that was sent from engine to engine together with the one at fault would clear that.
 func (t *Tracker) explain(cause *Suspicion, engines ...Engine) {
-	if IsRequest(cause.Part) {
+	if isRequest(cause.Part) {
 		return
 	}
 	if len(t.explained) >= maxExplained {
@@ -334,7 +334,7 @@
 // lift records that a part is sound. It returns the suspicion that there was, nil if there was none.
 func (t *Tracker) lift(at time.Time, key Key) *Suspicion {
 	s := t.find(key)
-	if s == nil && IsRequest(key.Part) {
+	if s == nil && isRequest(key.Part) {
 		return nil
 	}
 	if len(t.sound) >= maxSound {
@@ -368,7 +368,7 @@
 		if t.find(key) != nil {
 			return false
 		}
-		if at := t.soundAt(key); !IsRequest(part) && (at.IsZero() || now.Sub(at) > soundFor) {
+		if at := t.soundAt(key); !isRequest(part) && (at.IsZero() || now.Sub(at) > soundFor) {
 			return false
 		}
 	}
@@ -392,23 +392,36 @@
 	return "", 0
 }
 
-// TrialRequest returns the whole request among the parts if as many servers have ended under it as put a request into quarantine, but together:
-// they may have had a common cause, or crashed under copies of the request. Empty if there is none.
-func (t *Tracker) TrialRequest(now time.Time, parts []string) string {
+// Trial returns the key under which requests with the parts are sent one at a time by all processes together, empty if they are not limited.
+// That is so if as many servers have ended with one of the parts as put it into quarantine, but too close to each other: they may have
+// had another cause in common, or crashed under several of these requests. A part that many requests have is not limited: it was open
+// at servers that ended for another reason, too.
+func (t *Tracker) Trial(now time.Time, service string, parts []string) string {
 	if len(t.suspicions) == 0 {
 		return ""
 	}
 	for _, part := range parts {
-		if !IsRequest(part) {
+		key := Key{service, part}
+		s := t.find(key)
+		if s == nil || s.InForce(now) {
 			continue
 		}
-		if s := t.find(Key{Part: part}); s != nil && !s.InForce(now) && len(s.Engines) >= s.endsNeeded()+moreEndsUnanswered {
-			return part
+		switch {
+		case isRequest(part) && len(s.Engines) >= s.endsNeeded()+moreEndsUnanswered:
+			return trialPrefix + part
+		case !isRequest(part) && len(s.Engines) >= s.endsNeeded() && t.isRare(key):
+			return trialPrefix + service + "/" + part
 		}
 	}
 	return ""
 }
 
+// trialPrefix distinguishes the keys of trials from the names of services.
+const trialPrefix = "trial:"
+
+// IsTrial reports whether a key comes from Tracker.Trial.
+func IsTrial(key string) bool { return strings.HasPrefix(key, trialPrefix) }
+
 // Merge adds a suspicion of another process. It reports whether that is news, and whether it puts the part into quarantine.
 func (t *Tracker) Merge(now time.Time, other Suspicion) (news, quarantined bool) {
 	explained := !other.InForce(now) && !slices.ContainsFunc(other.Engines, func(e Engine) bool { return !t.explained[e] })
--- a/decide/quarantine/request_test.go
+++ b/decide/quarantine/request_test.go
@@ -59,17 +59,39 @@
 	is := is.New(t)
 	tracker, part := New(), RequestPart("bad")
 	for n := range 3 {
-		is.Equal(tracker.TrialRequest(at(1), []string{"a0", part}), "")
+		is.Equal(tracker.Trial(at(1), "s", []string{"a0", part}), "")
 		endOf(tracker, 0.02*float64(n), 0.05, n, "bad")
 	}
-	is.Equal(tracker.TrialRequest(at(1), []string{"a0", part}), part)
-	is.Equal(tracker.TrialRequest(at(1), []string{"a0", RequestPart("other")}), "")
+	trial := tracker.Trial(at(1), "s", []string{"a0", part})
+	is.True(IsTrial(trial))
+	is.Equal(tracker.Trial(at(1), "other", []string{part}), trial) // whatever service it is sent to
+	is.Equal(tracker.Trial(at(1), "s", []string{"a0", RequestPart("other")}), "")
 	begun(tracker, 2, part)
-	is.Equal(tracker.TrialRequest(at(3), []string{part}), "")
+	is.Equal(tracker.Trial(at(3), "s", []string{part}), "")
 	for n := range 4 {
 		endOf(tracker, 4+1.5*float64(n), 0.05, 10+n, "bad")
 	}
-	is.Equal(tracker.TrialRequest(at(10), []string{part}), "") // in quarantine
+	is.Equal(tracker.Trial(at(10), "s", []string{part}), "") // in quarantine
+}
+
+// Guards against requests with a rare part that crash an engine each before their ends count separately, and against a part that many
+// requests have, and that was open at engines which ended together, being limited.
+func TestRequestsWithASuspectedPartAreTriedOneAtATime(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	for n := range 200 {
+		tracker.RecordRequest(at(0.01*float64(n)), "s", []string{"common", fmt.Sprint("own", n)})
+	}
+	tracker.RecordRequest(at(2), "s", []string{"common", "rare"})
+	for n := range 2 {
+		is.Equal(tracker.Trial(at(3), "s", []string{"common", "rare"}), "")
+		end(tracker, 2+0.1*float64(n), n, "common", "rare")
+	}
+	is.True(IsTrial(tracker.Trial(at(3), "s", []string{"common", "rare"})))
+	is.Equal(tracker.Trial(at(3), "s", []string{"common", "own1"}), "")
+	is.Equal(tracker.Trial(at(3), "other", []string{"rare"}), "")
+	begun(tracker, 4, "rare")
+	is.Equal(tracker.Trial(at(5), "s", []string{"rare"}), "")
 }
 
 // Guards against sound requests that are refused as servers end together: in a data centre that loses power, a request that many
--- a/internal/directory/server_limits.go
+++ b/internal/directory/server_limits.go
@@ -93,14 +93,14 @@
 	g := d.grants[m.Service]
 	if g == nil {
 		g = &serviceGrants{Granter: grants.New()}
-		if quarantine.IsRequest(m.Service) {
+		if quarantine.IsTrial(m.Service) {
 			g.Granter = grants.NewTrials(now, m.Service, grants.DeputyRatio(min(max(m.StandsInFor, 0), maxStandsInFor)))
 		}
 		d.grants[m.Service] = g
 	}
 	g.askedAt = now
 	g.recordStandsInFor(now, m.StandsInFor)
-	if !quarantine.IsRequest(m.Service) && now.Sub(g.updatedAt) >= grantsUpdateInterval {
+	if !quarantine.IsTrial(m.Service) && now.Sub(g.updatedAt) >= grantsUpdateInterval {
 		g.updatedAt = now
 		d.updateGrants(now, m.Service, g)
 	}
--- a/internal/directory/server_limits_test.go
+++ b/internal/directory/server_limits_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -174,9 +175,17 @@
 			r := &limitsReceiver{limits: map[string]float64{}}
 			receivers, sessions = append(receivers, r), append(sessions, f.connectEntry(d, "entry", r))
 		}
+		tracker := quarantine.New()
+		trial := func(request string) string {
+			parts := []string{quarantine.RequestPart(request)}
+			for n := range 3 {
+				tracker.RecordEnd(time.Now(), time.Second, "s", quarantine.Engine{Server: fmt.Sprint(n)}, parts)
+			}
+			return tracker.Trial(time.Now(), "s", parts)
+		}
 		permitted := func(request string) (n int) {
 			for _, s := range sessions {
-				is.NoErr(s.Send(&protocol.PermitRequest{Service: quarantine.RequestPart(request), Wanted: 1}))
+				is.NoErr(s.Send(&protocol.PermitRequest{Service: trial(request), Wanted: 1}))
 			}
 			time.Sleep(10 * time.Millisecond)
 			for _, r := range receivers {
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -54,7 +54,7 @@
 	dispatcher *dispatch.Dispatcher
 	// permitsAnswered is closed when a request for permits of a service is answered.
 	permitsAnswered map[string]chan struct{}
-	trials          map[string]*trial // open ones, by request
+	trials          map[string]*trial // open ones, by the key of quarantine.Tracker.Trial
 	parts           promptParts
 
 	// Accessed only by the goroutine of run.
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -196,7 +196,7 @@
 	granter *relayGranter
 }
 
-// relayGranter grants permits for all servers whose limits it was told, and for the copies of one request.
+// relayGranter grants permits for all servers whose limits it was told, and for one trial.
 type relayGranter struct {
 	mu     sync.Mutex
 	limits map[string]grants.Limit
@@ -219,7 +219,7 @@
 		s.granter.mu.Lock()
 		defer s.granter.mu.Unlock()
 		g := s.granter.grants
-		if quarantine.IsRequest(m.Service) {
+		if quarantine.IsTrial(m.Service) {
 			if s.granter.trials == nil {
 				s.granter.trials = grants.NewTrials(time.Now(), m.Service, 1)
 			}
@@ -344,6 +344,34 @@
 	is.True(slices.Contains(statuses, http.StatusServiceUnavailable))
 }
 
+// Guards against requests with a part under which engines end that come many a second: ends within a second of each other count as one,
+// so that each would end an engine until then.
+func TestRequestsWithASuspectedPartAreSentOneAtATime(t *testing.T) {
+	is := is.New(t)
+	proxies, urls := startRelayedProxies(t, 4)
+	f := startEngineFleet(t, 12, proxies...)
+	for _, p := range proxies {
+		for n := range 400 {
+			p.parts.recordRequest(&call{arrived: time.Now(), service: "s", promptParts: []string{"a0", fmt.Sprint("own", n)}})
+		}
+	}
+	refused := 0
+	for n := range 40 {
+		status, header, _, _ := send(t, urls[n%4], "/stream/x", prompt(n, "a0", harmfulPart)...)
+		if status == http.StatusServiceUnavailable {
+			refused++
+			is.True(header.Get(platform.HeaderRetryAfter) != "")
+		}
+		status, _, body, err := send(t, urls[n%4], "/stream/x", prompt(100+n, "a0", fmt.Sprint("c", n))...)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, eventsText(1, 3))
+		time.Sleep(30 * time.Millisecond)
+	}
+	is.True(f.endCount() <= 5)
+	is.True(refused >= 30)
+}
+
 // Guards against a sound request that is refused for long because its copies were open at servers that ended together.
 func TestSuspectedRequestIsServedOnceItIsAnswered(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/server_limits.go
+++ b/internal/edge/server_limits.go
@@ -74,8 +74,8 @@
 	return answered
 }
 
-// requestPermits asks the control instance that grants for a service, or for the copies of a request: all entry instances that reach the
-// same ones ask the same.
+// requestPermits asks the control instance that grants for a service, or for a trial: all entry instances that reach the same ones ask
+// the same.
 func (f *fleetState) requestPermits(service string, wanted, limited int) {
 	f.post(func(now time.Time) {
 		controls := make([]grants.Control, 0, len(f.sessions)+len(f.lostControls))
--- a/internal/edge/trials.go
+++ b/internal/edge/trials.go
@@ -8,29 +8,30 @@
 	"github.com/banyanfront/banyanfront/internal/protocol"
 )
 
-// Servers that end together under copies of a request do not put it into quarantine: they may have had another cause in common. Until the
-// next end or answer decides, all entry instances together send one copy at a time. Each needs a permit of a control instance.
+// Servers that end together do not put the requests that were open there, or parts of their prompts, into quarantine: they may have had
+// another cause in common. Until the next end or answer decides, all entry instances together send one copy of such a request, or one request
+// with such a part, at a time. Each needs a permit of a control instance.
 
-// trial is a request for a permit to send a copy of a suspected request.
+// trial is a request for a permit to send a suspected request.
 type trial struct {
 	answered   chan struct{} // closed once the permit is granted or refused
 	permits    int
 	retryAfter time.Duration
 }
 
-// awaitTrial waits until the call may be sent if its copies are sent one at a time. It returns a refusal if another copy is sent first.
+// awaitTrial waits until the call may be sent if requests like it are sent one at a time. It returns a refusal if another one is sent first.
 func (c *call) awaitTrial() *dispatch.Refusal {
 	p := c.proxy
 	parts := p.parts.suspectParts(c)
 	p.parts.mu.Lock()
-	request := p.parts.tracker.TrialRequest(time.Now(), parts)
+	key := p.parts.tracker.Trial(time.Now(), c.service, parts)
 	p.parts.mu.Unlock()
-	if request == "" {
+	if key == "" {
 		return nil
 	}
-	t, first := p.openTrial(request)
+	t, first := p.openTrial(key)
 	if first {
-		p.requestPermits(request, 1, 0)
+		p.requestPermits(key, 1, 0)
 	}
 	timer := time.NewTimer(dispatch.PermitTimeout)
 	defer timer.Stop()
@@ -39,36 +40,36 @@
 	case <-timer.C:
 	case <-c.ctx.Done():
 	}
-	permitted, retryAfter := p.takeTrial(request, t, first)
+	permitted, retryAfter := p.takeTrial(key, t, first)
 	if permitted {
 		return nil
 	}
-	c.lastError = "servers have ended under copies of " + request + "; another one is sent first"
+	c.lastError = "servers have ended with requests like this one, which are sent one at a time: " + key
 	return &dispatch.Refusal{Reason: dispatch.Suspected, RetryAfter: max(retryAfter, grants.TrialInterval)}
 }
 
-// openTrial returns the open trial of a request, and whether it is new.
-func (f *fleetState) openTrial(request string) (t *trial, isNew bool) {
+// openTrial returns the open trial under a key, and whether it is new.
+func (f *fleetState) openTrial(key string) (t *trial, isNew bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if t = f.trials[request]; t != nil {
+	if t = f.trials[key]; t != nil {
 		return t, false
 	}
 	t = &trial{answered: make(chan struct{})}
-	f.trials[request] = t
+	f.trials[key] = t
 	return t, true
 }
 
 // takeTrial reports whether a call may be sent: it has got the permit, or has asked for it first while no control instance answers.
 // Otherwise it returns the time until the next permit, 0 if unknown.
-func (f *fleetState) takeTrial(request string, t *trial, first bool) (permitted bool, retryAfter time.Duration) {
+func (f *fleetState) takeTrial(key string, t *trial, first bool) (permitted bool, retryAfter time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	select {
 	case <-t.answered:
 	default:
 		if first {
-			delete(f.trials, request)
+			delete(f.trials, key)
 		}
 		return first, 0
 	}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -365,9 +365,10 @@
 	RequestsPerSecond float64 `cbor:"3,keyasint"` // 0 for no limit
 }
 
-// PermitRequest asks a control instance for permits: requests that may be sent to those servers of a service that name a limit.
+// PermitRequest asks a control instance for permits: requests that may be sent to those servers of a service that name a limit, or
+// suspected requests that are sent one at a time.
 type PermitRequest struct {
-	Service string `cbor:"1,keyasint"`
+	Service string `cbor:"1,keyasint"` // or the key of a trial, see quarantine.Tracker.Trial
 	Wanted  int    `cbor:"2,keyasint"`
 	Limited int    `cbor:"3,keyasint"` // servers of the service that name a limit, as far as the entry instance knows
 	// StandsInFor is the number of control instances which the receiver stands in for and which may still grant to others.
