Agents keep the limit that their server names

What callers could see: a server with an agent that names Server-Limit got all requests that came, from all entry instances together. All requests to the server pass its agent, so the agent takes permits from a granter of its own (decide/grants), and refuses the others as not run, with the time in which they can be served. Parsing the limit moves to decide/grants.

--- a/decide/dispatch/rate_limit.go
+++ b/decide/dispatch/rate_limit.go
@@ -20,10 +20,6 @@
 	lapseRequests = 4
 )
 
-// MinLimit is used for a server that names a lower limit, in requests a second: without a request, nothing would show that the
-// limit has ended.
-const MinLimit = 0.2
-
 // Limit is the requests a second that one incarnation of a server takes from all entry instances together.
 type Limit struct {
 	Server            string
--- a/decide/dispatch/rate_limit_test.go
+++ b/decide/dispatch/rate_limit_test.go
@@ -281,7 +281,7 @@
 	d := dispatcher(1, false)
 	older, _ := d.Pick(start, Request{Service: "s"})
 	named, _ := d.Pick(start, Request{Service: "s"})
-	_, news := d.RecordLimit(start.Add(time.Second), named, MinLimit)
+	_, news := d.RecordLimit(start.Add(time.Second), named, grants.MinLimit)
 	is.True(news)
 	_, news = d.RecordLimit(start.Add(time.Second), older, 0)
 	is.True(!news)
@@ -290,7 +290,7 @@
 	for ; refusal != nil; later, refusal = d.Pick(now, Request{Service: "s"}) {
 		is.Equal(refusal.Reason, Limited)
 		now = now.Add(100 * time.Millisecond)
-		is.True(now.Sub(start) < 2*time.Duration(float64(time.Second)/MinLimit))
+		is.True(now.Sub(start) < 2*time.Duration(float64(time.Second)/grants.MinLimit))
 	}
 	_, news = d.RecordLimit(now.Add(time.Millisecond), later, 0)
 	is.True(news)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"math"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/apex/log"
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/decide/grants"
 	"github.com/banyanfront/banyanfront/decide/limits"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
@@ -73,6 +75,7 @@
 
 	mu           sync.Mutex
 	limiter      *limits.Limiter
+	namedLimit   grants.NamedLimit // by the backend server, in its responses
 	down         bool
 	failedProbes int // consecutive
 	refused      uint64
@@ -160,24 +163,55 @@
 	log.WithField("running", a.attempts.running()).Error("drain timed out: running requests are aborted; raise drainTimeout")
 }
 
-// admit takes a slot for an attempt and returns "", or returns the reason why the attempt may not run now.
-func (a *Agent) admit(now time.Time) (limits.Ticket, string) {
+// refusal says why an attempt may not run now, and when it may be tried on this server again.
+type refusal struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+// admit takes a slot for an attempt, or returns why the attempt may not run now.
+func (a *Agent) admit(now time.Time) (limits.Ticket, *refusal) {
 	if a.drainingOrWithdrawn() {
-		return limits.Ticket{}, "the backend server is leaving: choose another one"
+		return limits.Ticket{}, &refusal{"the backend server is leaving: choose another one", refusedRetryAfter}
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.down {
 		a.refused++
-		return limits.Ticket{}, "the backend server does not answer: choose another one"
+		return limits.Ticket{}, &refusal{"the backend server does not answer: choose another one", refusedRetryAfter}
+	}
+	if admitted, retryAfter := a.namedLimit.Admit(now); !admitted {
+		a.refused++
+		return limits.Ticket{}, &refusal{"the backend server has named a limit of requests a second: choose another one", retryAfter}
 	}
-	ticket, refusal := a.limiter.Admit(now)
+	ticket, refused := a.limiter.Admit(now)
 	a.reportLowerLimit()
-	if refusal != limits.Admitted {
+	if refused != limits.Admitted {
 		a.refused++
-		return limits.Ticket{}, "the backend server is at its limit (" + refusal.String() + "): choose another one"
+		return limits.Ticket{}, &refusal{"the backend server is at its limit (" + refused.String() + "): choose another one", refusedRetryAfter}
+	}
+	return ticket, nil
+}
+
+// recordNamedLimit records the limit that the server named in its response to a request sent at a time, or that it named none.
+func (a *Agent) recordNamedLimit(sentAt time.Time, status int, header http.Header) {
+	requestsPerSecond := 0.0
+	if text := header.Get(headerServerLimit); text != "" {
+		parsed, ok := grants.ParseLimit(text)
+		if !ok {
+			log.WithField("value", text).Warn("the backend server names a limit that is no number")
+			return
+		}
+		requestsPerSecond = parsed
+	} else if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		return // a rejection need not name the limit
+	}
+	a.mu.Lock()
+	changed := a.namedLimit.Record(time.Now(), sentAt, requestsPerSecond)
+	a.mu.Unlock()
+	if changed {
+		log.WithField("requestsPerSecond", requestsPerSecond).Info("the backend server has begun or ceased to name a limit of requests; 0 is none")
 	}
-	return ticket, ""
 }
 
 // drainingOrWithdrawn reports whether the server must not accept new attempts.
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -30,6 +30,9 @@
 	headerOrganisation   = "X-Organisation"
 )
 
+// headerServerLimit is the header of responses in which a backend server in need names the requests a second that it takes from all callers.
+const headerServerLimit = "Server-Limit"
+
 // dialTimeout limits connecting to the backend server, which is on the same instance.
 const dialTimeout = 2 * time.Second
 
--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -50,10 +50,10 @@
 		}
 		return protocol.End{Outcome: protocol.OutcomeRunning, Reason: "the attempt was received before: inquire about it"}
 	}
-	ticket, reason := a.admit(time.Now())
-	if reason != "" {
+	ticket, refused := a.admit(time.Now())
+	if refused != nil {
 		a.attempts.finish(record, protocol.OutcomeNotRun, answer{}, time.Now())
-		return notRun(reason)
+		return notRunYet(refused)
 	}
 	run := execution{agent: a, stream: st, open: open, ticket: &ticket, started: time.Now()}
 	end := run.run()
@@ -69,8 +69,10 @@
 	return end
 }
 
-func notRun(reason string) protocol.End {
-	return protocol.End{Outcome: protocol.OutcomeNotRun, Reason: reason, RetryAfterMS: refusedRetryAfter.Milliseconds()}
+func notRun(reason string) protocol.End { return notRunYet(&refusal{reason, refusedRetryAfter}) }
+
+func notRunYet(r *refusal) protocol.End {
+	return protocol.End{Outcome: protocol.OutcomeNotRun, Reason: r.reason, RetryAfterMS: r.retryAfter.Milliseconds()}
 }
 
 // execution is one admitted attempt.
@@ -96,6 +98,7 @@
 		return e.classifyError(res.err, res.sent)
 	}
 	defer res.Body.Close()
+	e.agent.recordNamedLimit(e.started, res.StatusCode, res.Header)
 	e.answer.kept = e.open.Key != ""
 	e.offset = e.open.ResumeFrom
 	headers := answerHeaders(res.Header)
--- a/internal/agent/report_test.go
+++ b/internal/agent/report_test.go
@@ -170,9 +170,9 @@
 // growLimit simulates requests with a short time to first token, so that the limit grows.
 func growLimit(a *Agent) {
 	for range 400 {
-		ticket, refusal := a.admit(time.Now())
+		ticket, refused := a.admit(time.Now())
 		time.Sleep(100 * time.Millisecond)
-		if refusal == "" {
+		if refused == nil {
 			a.recordFirstToken(&ticket, 50*time.Millisecond)
 			a.recordFinished(&ticket, limits.Done)
 		}
--- a/internal/edge/server_limits.go
+++ b/internal/edge/server_limits.go
@@ -2,10 +2,8 @@
 
 import (
 	"maps"
-	"math"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,12 +22,12 @@
 func (p *Proxy) recordServerLimit(choice *dispatch.Choice, response *backendhttp.Response) {
 	requestsPerSecond := 0.0
 	if text := response.Header.Get(platform.HeaderRateLimit); text != "" {
-		parsed, err := strconv.ParseFloat(text, 64)
-		if err != nil || math.IsNaN(parsed) || math.IsInf(parsed, 0) || parsed < 0 {
+		parsed, ok := grants.ParseLimit(text)
+		if !ok {
 			log.WithFields(log.Fields{"server": choice.Server.Server, "value": text}).Warn("the server names a limit that is no number")
 			return
 		}
-		requestsPerSecond = max(parsed, dispatch.MinLimit)
+		requestsPerSecond = parsed
 	} else if response.Status == http.StatusMisdirectedRequest || response.Header.Get(platform.HeaderNotRun) != "" ||
 		response.Header.Get(platform.HeaderSeal) == "" {
 		return // a rejection, or what is no answer of the server, need not name the limit
