--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -32,9 +33,10 @@
 	// abandonOneIn makes a caller abandon one in this many streams before their end.
 	abandonOneIn = 20
 	// harmfulOneIn makes one in this many streams have the harmful part in its prompt, and one in this many safe requests the
-	// harmful one; subjects is the number of different
-	// parts that others share.
+	// harmful one, and copiesOneIn makes one in this many of the latter come at all entry instances at once; subjects is the number of
+	// different parts that others share.
 	harmfulOneIn = 25
+	copiesOneIn  = 4
 	subjects     = 40
 	// readinessInterval is the interval of the balancer's readiness checks. After readinessFailures failed checks in a row it
 	// sends an entry instance no new connections.
@@ -144,27 +146,56 @@
 
 // sendRequest sends one request and returns the extra pause before the next one, which a refusal gives in Retry-After.
 func (c *caller) sendRequest(ctx context.Context, client *http.Client, entry *instance) time.Duration {
-	c.sent++
 	route := c.routes[c.random.IntN(len(c.routes))]
-	r := &request{id: fmt.Sprintf("%s-%d", c.name, c.sent), route: route, entry: entry.settings.Instance}
-	path, body := "x", fmt.Sprintf("body of %s", r.id)
+	r := c.newRequest(route, entry)
+	path, body, header := "x", fmt.Sprintf("body of %s", r.id), http.Header{}
 	if route.Kind == routes.Safe && c.ledger.hasHarmfulRequest() && c.random.IntN(harmfulOneIn) == 0 {
+		if c.random.IntN(copiesOneIn) == 0 {
+			c.sendCopies(ctx, route)
+		}
 		r.harmful, path, body = true, harmfulRequestPath, harmfulRequestBody
 	}
+	abandon := false
+	if route.Kind == routes.Stream {
+		part := c.ledger.harmfulPart()
+		r.harmful = part != "" && c.random.IntN(harmfulOneIn) == 0
+		header.Set(platform.HeaderPrompt, c.prompt(r, part))
+		abandon = c.random.IntN(abandonOneIn) == 0
+	}
+	return c.exchange(ctx, client, entry, r, path, body, header, abandon)
+}
+
+func (c *caller) newRequest(route *routes.Route, entry *instance) *request {
+	c.sent++
+	return &request{id: fmt.Sprintf("%s-%d", c.name, c.sent), route: route, entry: entry.settings.Instance}
+}
+
+// sendCopies sends the harmful request to all entry instances at once.
+func (c *caller) sendCopies(ctx context.Context, route *routes.Route) {
+	var copies sync.WaitGroup
+	for _, entry := range c.balancer.inRotation() {
+		r := c.newRequest(route, entry)
+		r.harmful = true
+		copies.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			c.exchange(ctx, client, entry, r, harmfulRequestPath, harmfulRequestBody, http.Header{}, false)
+		})
+	}
+	copies.Wait()
+}
+
+// exchange sends a request and checks the answer. It returns the extra pause before the next one, which a refusal gives in Retry-After.
+func (c *caller) exchange(ctx context.Context, client *http.Client, entry *instance, r *request, path, body string, header http.Header, abandon bool) time.Duration {
 	// The caller waits a little longer than the deadline that it sends, so that it receives an answer sent at the deadline.
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout+connectTimeout)
 	defer cancel()
-	httpRequest, err := newHTTPRequest(ctx, entry, route.PathPrefix+path, r.id, body)
+	httpRequest, err := newHTTPRequest(ctx, entry, r.route.PathPrefix+path, r.id, body)
 	if err != nil {
 		c.ledger.recordViolation("SOAK", "a request cannot be built: %v", err)
 		return meanRequestPause
 	}
+	maps.Copy(httpRequest.Header, header)
 	httpRequest.Header.Set(platform.HeaderDeadline, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
-	if route.Kind == routes.Stream {
-		part := c.ledger.harmfulPart()
-		r.harmful = part != "" && c.random.IntN(harmfulOneIn) == 0
-		httpRequest.Header.Set(platform.HeaderPrompt, c.prompt(r, part))
-	}
 	c.ledger.recordSent(r)
 	response, err := client.Do(httpRequest)
 	if err != nil {
@@ -173,8 +204,8 @@
 	}
 	defer func() { _ = response.Body.Close() }() // the body has been read
 	switch status := response.StatusCode; {
-	case status == http.StatusOK && route.Kind == routes.Stream:
-		c.ledger.recordEnd(r, c.readStream(ctx, r, response, c.random.IntN(abandonOneIn) == 0), status)
+	case status == http.StatusOK && r.route.Kind == routes.Stream:
+		c.ledger.recordEnd(r, c.readStream(ctx, r, response, abandon), status)
 	case status == http.StatusOK:
 		c.ledger.recordEnd(r, c.readPlain(ctx, r, response, plainAnswer(r.id, []byte(body))), status)
 	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests, status == http.StatusRequestTimeout,
