--- a/decide/grants/grants.go
+++ b/decide/grants/grants.go
@@ -3,6 +3,9 @@
 // The limit of a server holds for the sum over all instances. A fixed part for each is next to nothing where many instances
 // share a low limit, and what one does not use the others lack. So the instances ask for permits when they have requests, and
 // one process grants for a service: at most the rate of each server, and no more than a second's worth is ever unused.
+//
+// Two other bounds are kept by the same permits: suspected requests are sent one at a time by all instances together (NewTrials), and an agent
+// through which all requests to its server pass grants to itself (NamedLimit).
 package grants
 
 import (
