Do not limit parts of prompts that were answered before

What callers would see: as many engines of a large service crash at once, requests with a part that was open at four of them and that few requests have would be refused until the next answer on it is known everywhere. Cause: the limit on requests with a suspected part looked at the number of ends and the frequency of the part only. A part that engines crash on is never answered. TestRequestsWithASuspectedPartAreTriedOneAtATime failed before.

--- a/decide/quarantine/request_test.go
+++ b/decide/quarantine/request_test.go
@@ -75,7 +75,7 @@
 }
 
 // Guards against requests with a rare part that crash an engine each before their ends count separately, and against a part that many
-// requests have, and that was open at engines which ended together, being limited.
+// requests have, or that was answered before, being limited since it was open at engines which ended together.
 func TestRequestsWithASuspectedPartAreTriedOneAtATime(t *testing.T) {
 	is := is.New(t)
 	tracker := New()
@@ -92,6 +92,10 @@
 	is.Equal(tracker.Trial(at(3), "other", []string{"rare"}), "")
 	begun(tracker, 4, "rare")
 	is.Equal(tracker.Trial(at(5), "s", []string{"rare"}), "")
+	for n := range endsIfAnswered {
+		end(tracker, 6+0.1*float64(n), 10+n, "rare")
+	}
+	is.Equal(tracker.Trial(at(7), "s", []string{"rare"}), "")
 }
 
 // Guards against sound requests that are refused as servers end together: in a data centre that loses power, a request that many
