--- a/internal/directory/server_limits_test.go
+++ b/internal/directory/server_limits_test.go
@@ -53,6 +53,15 @@
 	return r.permits[len(r.permits)-1]
 }
 
+// connectLimitsReceivers opens sessions of n entry instances to a control instance.
+func connectLimitsReceivers(f *controlFleet, d *controlNode, n int) (receivers []*limitsReceiver, sessions []transport.Session) {
+	for range n {
+		r := &limitsReceiver{limits: map[string]float64{}}
+		receivers, sessions = append(receivers, r), append(sessions, f.connectEntry(d, "entry", r))
+	}
+	return receivers, sessions
+}
+
 // Guards against entry instances that do not learn the limit which a server has named to another one, also those that start
 // later, and against limits that are kept after their server has gone.
 func TestEntryInstancesLearnLimitsOfServers(t *testing.T) {
@@ -101,12 +110,7 @@
 		is := is.New(t)
 		f, d := startOneControl(t)
 		defer f.stopAll()
-		var receivers []*limitsReceiver
-		var sessions []transport.Session
-		for range 3 {
-			r := &limitsReceiver{limits: map[string]float64{}}
-			receivers, sessions = append(receivers, r), append(sessions, f.connectEntry(d, "entry", r))
-		}
+		receivers, sessions := connectLimitsReceivers(f, d, 3)
 		d.HandleAnnouncement(registry.Announcement{Server: "i-1", Service: "s", Address: "10.0.1.1:1", StartedAtMillis: 7, Sequence: 1})
 		ask := func(i int) *protocol.Permits {
 			is.NoErr(sessions[i].Send(&protocol.PermitRequest{Service: "s", Wanted: 2, Limited: 1}))
@@ -137,12 +141,7 @@
 		f, d := startOneControl(t)
 		defer f.stopAll()
 		const limit = 10.0
-		var receivers []*limitsReceiver
-		var sessions []transport.Session
-		for range 2 {
-			r := &limitsReceiver{limits: map[string]float64{}}
-			receivers, sessions = append(receivers, r), append(sessions, f.connectEntry(d, "entry", r))
-		}
+		receivers, sessions := connectLimitsReceivers(f, d, 2)
 		d.HandleAnnouncement(registry.Announcement{Server: "i-1", Service: "s", Address: "10.0.1.1:1", StartedAtMillis: 7, Sequence: 1})
 		is.NoErr(sessions[0].Send(&protocol.ServerLimits{Limits: []protocol.ServerLimit{{Server: "i-1", StartedAtMillis: 7, RequestsPerSecond: limit}}}))
 		grantedIn := func(window time.Duration, standsInFor ...int) float64 {
@@ -169,12 +168,7 @@
 		is := is.New(t)
 		f, d := startOneControl(t)
 		defer f.stopAll()
-		var receivers []*limitsReceiver
-		var sessions []transport.Session
-		for range 4 {
-			r := &limitsReceiver{limits: map[string]float64{}}
-			receivers, sessions = append(receivers, r), append(sessions, f.connectEntry(d, "entry", r))
-		}
+		receivers, sessions := connectLimitsReceivers(f, d, 4)
 		tracker := quarantine.New()
 		trial := func(request string) string {
 			parts := []string{quarantine.RequestPart(request)}
