Tell orders apart by fields that do not run together

The key under which a rank process repeats an order once at a time joined group and epoch without a separator, so that epoch 11 of group g and epoch 1 of group g1 had the same.

--- a/internal/rank/orders.go
+++ b/internal/rank/orders.go
@@ -43,8 +43,7 @@
 		}
 		o.Map = lists
 	}
-	key := fmt.Sprint(m.Group, o.Epoch, o.Operation, o.Version, o.Step)
-	shared, _, _ := p.orders.Do(key, func() (any, error) { return p.giveOrder(o), nil })
+	shared, _, _ := p.orders.Do(orderKey(m.Group, &o), func() (any, error) { return p.giveOrder(o), nil })
 	answer := shared.(orderAnswer)
 	o.Map = nil
 	log.WithFields(log.Fields{"group": m.Group, "operation": string(o.Operation), "version": o.Version, "step": o.Step,
@@ -58,6 +57,11 @@
 	}
 }
 
+// orderKey identifies an order: no two have the same operation, version and step in one epoch of a group.
+func orderKey(group string, o *experts.RankOrder) string {
+	return fmt.Sprintf("%s/%d/%s/%d/%d", group, o.Epoch, o.Operation, o.Version, o.Step)
+}
+
 // giveOrder sends an order to the engine, and again until it is answered.
 func (p *rankProcess) giveOrder(o experts.RankOrder) orderAnswer {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -19,8 +19,7 @@
 )
 
 const (
-	// reportInterval is the interval between two reports. Reports of engines lag by about 200 ms: a shorter interval gains
-	// nothing.
+	// reportInterval is the interval between two reports. The coordinator of a group receives as many from each rank.
 	reportInterval = 120 * time.Millisecond
 	// upkeepInterval is the interval at which the sessions are updated to the known control instances.
 	upkeepInterval   = time.Second
