--- a/internal/rank/rank_test.go
+++ b/internal/rank/rank_test.go
@@ -306,6 +306,8 @@
 // Guards against two orders that are taken for one, as their fields run together.
 func TestOrdersOfOtherGroupsAreToldApart(t *testing.T) {
 	is := is.New(t)
-	arm := func(epoch uint64) *experts.RankOrder { return &experts.RankOrder{Operation: experts.OrderArm, Version: 4, Step: 9, Epoch: epoch} }
+	arm := func(epoch uint64) *experts.RankOrder {
+		return &experts.RankOrder{Operation: experts.OrderArm, Version: 4, Step: 9, Epoch: epoch}
+	}
 	is.True(orderKey("g", arm(11)) != orderKey("g1", arm(1)))
 }
