--- a/internal/directory/server_limits.go
+++ b/internal/directory/server_limits.go
@@ -71,7 +71,6 @@
 
 // recordStandsInFor records for how many control instances an entry instance asks for permits here.
 func (g *serviceGrants) recordStandsInFor(now time.Time, standsInFor int) {
-	standsInFor = min(max(standsInFor, 0), maxStandsInFor)
 	if standsInFor < g.standsInFor && now.Sub(g.standsInForAt) <= standsInForHold {
 		return
 	}
@@ -90,16 +89,17 @@
 
 // grantPermits answers an entry instance that asks for permits. All of them ask the same control instance for a service.
 func (d *Directory) grantPermits(now time.Time, s transport.Session, m *protocol.PermitRequest) {
+	standsInFor := min(max(m.StandsInFor, 0), maxStandsInFor)
 	g := d.grants[m.Service]
 	if g == nil {
 		g = &serviceGrants{Granter: grants.New()}
 		if quarantine.IsTrial(m.Service) {
-			g.Granter = grants.NewTrials(now, m.Service, grants.DeputyRatio(min(max(m.StandsInFor, 0), maxStandsInFor)))
+			g.Granter = grants.NewTrials(now, m.Service, grants.DeputyRatio(standsInFor))
 		}
 		d.grants[m.Service] = g
 	}
 	g.askedAt = now
-	g.recordStandsInFor(now, m.StandsInFor)
+	g.recordStandsInFor(now, standsInFor)
 	if !quarantine.IsTrial(m.Service) && now.Sub(g.updatedAt) >= grantsUpdateInterval {
 		g.updatedAt = now
 		d.updateGrants(now, m.Service, g)
