Edge: look at suspicions under one lock, and ask one function whether a control instance is reached

The limit on suspected requests had added two more locks and a second copy of the same reading to each attempt, also while nothing is suspected; recordUnreached had written the search for a session again. No behaviour changed.

--- a/internal/edge/prompt_parts.go
+++ b/internal/edge/prompt_parts.go
@@ -60,12 +60,26 @@
 	return c.parts()
 }
 
+// withSuspicions calls f with the parts of a call while holding the lock, unless nothing is suspected.
+func (p *promptParts) withSuspicions(c *call, f func(now time.Time, t *quarantine.Tracker, parts []string)) {
+	p.mu.Lock()
+	suspicions := p.tracker.HasSuspicions()
+	p.mu.Unlock()
+	if !suspicions {
+		return
+	}
+	parts := c.parts() // may digest the request
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(time.Now(), p.tracker, parts)
+}
+
 // quarantineRefusal returns the refusal of a call with a quarantined part, nil if it has none.
 func (p *Proxy) quarantineRefusal(c *call) *dispatch.Refusal {
-	parts := p.parts.suspectParts(c)
-	p.parts.mu.Lock()
-	defer p.parts.mu.Unlock()
-	part, remaining := p.parts.tracker.Quarantined(time.Now(), c.service, parts)
+	part, remaining := "", time.Duration(0)
+	p.parts.withSuspicions(c, func(now time.Time, t *quarantine.Tracker, parts []string) {
+		part, remaining = t.Quarantined(now, c.service, parts)
+	})
 	if part == "" {
 		return nil
 	}
--- a/internal/edge/server_limits.go
+++ b/internal/edge/server_limits.go
@@ -100,10 +100,8 @@
 	if open {
 		return
 	}
-	for other := range f.sessions {
-		if other.Peer().Address == address { // the session was replaced
-			return
-		}
+	if f.reaches(address) { // the session was replaced
+		return
 	}
 	if len(f.lostControls) >= maxLostControls {
 		clear(f.lostControls)
@@ -111,13 +109,19 @@
 	f.lostControls[address] = now
 }
 
+// reaches reports whether there is a session with the control instance at an address.
+func (f *fleetState) reaches(address string) bool {
+	for session := range f.sessions {
+		if session.Peer().Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // recordUnreached records control instances as lost to which no session could be opened since they became known: they may grant permits to
 // others, as in a cut during which this instance has started.
 func (f *fleetState) recordUnreached(now time.Time) {
-	reached := map[string]bool{}
-	for session := range f.sessions {
-		reached[session.Peer().Address] = true
-	}
 	known := f.controlAddresses()
 	maps.DeleteFunc(f.controlsKnownAt, func(address string, _ time.Time) bool { return !slices.Contains(known, address) })
 	for _, address := range known {
@@ -126,7 +130,7 @@
 			f.controlsKnownAt[address] = now
 			continue
 		}
-		if _, lost := f.lostControls[address]; !lost && !reached[address] && now.Sub(knownAt) > unreachedAfter {
+		if _, lost := f.lostControls[address]; !lost && now.Sub(knownAt) > unreachedAfter && !f.reaches(address) {
 			f.lostControls[address] = knownAt
 		}
 	}
--- a/internal/edge/trials.go
+++ b/internal/edge/trials.go
@@ -5,6 +5,7 @@
 
 	"github.com/banyanfront/banyanfront/decide/dispatch"
 	"github.com/banyanfront/banyanfront/decide/grants"
+	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 )
 
@@ -21,11 +22,8 @@
 
 // awaitTrial waits until the call may be sent if requests like it are sent one at a time. It returns a refusal if another one is sent first.
 func (c *call) awaitTrial() *dispatch.Refusal {
-	p := c.proxy
-	parts := p.parts.suspectParts(c)
-	p.parts.mu.Lock()
-	key := p.parts.tracker.Trial(time.Now(), c.service, parts)
-	p.parts.mu.Unlock()
+	p, key := c.proxy, ""
+	p.parts.withSuspicions(c, func(now time.Time, t *quarantine.Tracker, parts []string) { key = t.Trial(now, c.service, parts) })
 	if key == "" {
 		return nil
 	}
