--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -169,16 +169,24 @@
 	retryAfter time.Duration
 }
 
+// refuse returns a refusal with the usual time.
+func refuse(reason string) *refusal { return &refusal{reason, refusedRetryAfter} }
+
+// end returns the end of an attempt that was refused.
+func (r *refusal) end() protocol.End {
+	return protocol.End{Outcome: protocol.OutcomeNotRun, Reason: r.reason, RetryAfterMS: r.retryAfter.Milliseconds()}
+}
+
 // admit takes a slot for an attempt, or returns why the attempt may not run now.
 func (a *Agent) admit(now time.Time) (limits.Ticket, *refusal) {
 	if a.drainingOrWithdrawn() {
-		return limits.Ticket{}, &refusal{"the backend server is leaving: choose another one", refusedRetryAfter}
+		return limits.Ticket{}, refuse("the backend server is leaving: choose another one")
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.down {
 		a.refused++
-		return limits.Ticket{}, &refusal{"the backend server does not answer: choose another one", refusedRetryAfter}
+		return limits.Ticket{}, refuse("the backend server does not answer: choose another one")
 	}
 	if admitted, retryAfter := a.namedLimit.Admit(now); !admitted {
 		a.refused++
@@ -188,7 +196,7 @@
 	a.reportLowerLimit()
 	if refused != limits.Admitted {
 		a.refused++
-		return limits.Ticket{}, &refusal{"the backend server is at its limit (" + refused.String() + "): choose another one", refusedRetryAfter}
+		return limits.Ticket{}, refuse("the backend server is at its limit (" + refused.String() + "): choose another one")
 	}
 	return ticket, nil
 }
--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -53,7 +53,7 @@
 	ticket, refused := a.admit(time.Now())
 	if refused != nil {
 		a.attempts.finish(record, protocol.OutcomeNotRun, answer{}, time.Now())
-		return notRunYet(refused)
+		return refused.end()
 	}
 	run := execution{agent: a, stream: st, open: open, ticket: &ticket, started: time.Now()}
 	end := run.run()
@@ -69,11 +69,7 @@
 	return end
 }
 
-func notRun(reason string) protocol.End { return notRunYet(&refusal{reason, refusedRetryAfter}) }
-
-func notRunYet(r *refusal) protocol.End {
-	return protocol.End{Outcome: protocol.OutcomeNotRun, Reason: r.reason, RetryAfterMS: r.retryAfter.Milliseconds()}
-}
+func notRun(reason string) protocol.End { return refuse(reason).end() }
 
 // execution is one admitted attempt.
 type execution struct {
