--- a/review/cases/cases.go
+++ b/review/cases/cases.go
@@ -215,3 +215,61 @@
 	}
 	return fmt.Sprintf("EVAC: %d requests reached engines in %s later than %v after its evacuation was acknowledged, and it was not taken back since", late, zone, evacuationBound)
 }
+
+// writeOldHeartbeats sends heartbeats of an engine without the field born, to one control instance after the other.
+func (f *fleet) writeOldHeartbeats(e *engine, stop <-chan struct{}) {
+	for i := 0; ; i++ {
+		body := heartbeat(map[string]any{"service": service, "address": e.address, "zone": e.zone, "version": "v0", "slots": 6,
+			"state": "ready", "cold-remaining-ms": 0, "sequence": time.Now().UnixMilli()})
+		n := i % len(zones)
+		status := post("http://"+f.controlAddress(n)+platform.AnnouncePathOf(e.id), body)
+		f.add("heartbeat of another writer for engine %s, without born: %s answers %d", e.id, f.controls[n].name, status)
+		select {
+		case <-stop:
+			return
+		case <-time.After(announceInterval):
+		}
+	}
+}
+
+// lostLeave: another writer sends heartbeats of an engine without the field born. Then the engine leaves.
+func lostLeave(f *fleet, trouble bool) string {
+	for n := range zones {
+		f.addEngine(n, soundAnswer)
+	}
+	f.configure(3, 20*time.Second, route("order-status", "/cuti104/", routes.Safe, 2))
+	f.awaitService("/cuti104/1")
+	leaving := f.engines[1]
+	if trouble {
+		stop := make(chan struct{})
+		defer close(stop)
+		go f.writeOldHeartbeats(leaving, stop)
+	}
+	time.Sleep(2 * announceInterval)
+	f.add("engine %s reports draining", leaving.id)
+	leaving.mu.Lock()
+	leaving.draining = true
+	leaving.mu.Unlock()
+	if !leaving.sendHeartbeat() {
+		abort("no control instance acknowledges that an engine drains")
+	}
+	acked := time.Now()
+	f.add("acknowledged")
+	time.Sleep(drain + 100*time.Millisecond)
+	since := time.Now()
+	for end := since.Add(6 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		f.call(int(time.Now().UnixNano()/1e7)%len(zones), http.MethodGet, "/cuti104/2", "", 4*time.Second)
+	}
+	leaving.mu.Lock()
+	defer leaving.mu.Unlock()
+	late, last := 0, time.Duration(0)
+	for _, r := range leaving.runs {
+		if r.at.After(since) {
+			late, last = late+1, r.at.Sub(acked)
+		}
+	}
+	if late == 0 {
+		return ""
+	}
+	return fmt.Sprintf("DRAIN: %d requests reached engine %s later than %v after an acknowledgement that it drains, the last one %v after", late, leaving.id, drain, last.Round(time.Millisecond))
+}
--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -37,6 +37,7 @@
 	announceInterval = 1200 * time.Millisecond
 	configApply      = 2 * time.Second // config-apply-ms
 	stableWindow     = 3 * time.Second // stable-window-ms
+	drain            = 2 * time.Second // drain-ms
 	evacuationBound  = 5 * time.Second // evacuation-deadline-ms
 	operatorPatience = time.Second     // a caller of control moves on after a second without a response
 	fleetKey         = "banyanfront-on-the-platform"
@@ -203,6 +204,7 @@
 	cancel   context.CancelFunc
 	mu       sync.Mutex
 	sequence uint64
+	draining bool
 	runs     []run
 }
 
@@ -265,15 +267,7 @@
 	tick := time.NewTicker(announceInterval)
 	defer tick.Stop()
 	for {
-		e.mu.Lock()
-		e.sequence++
-		a := registry.Announcement{Server: e.id, Service: service, Address: e.address, DataCentre: e.zone, Slots: 6, Sequence: e.sequence, StartedAtMillis: e.started.UnixMilli()}
-		e.mu.Unlock()
-		body, err := platform.EncodeAnnouncement(a)
-		if err != nil {
-			return
-		}
-		e.fleet.postToControl(platform.AnnouncePathOf(e.id), body)
+		e.sendHeartbeat()
 		select {
 		case <-ctx.Done():
 			return
@@ -282,6 +276,23 @@
 	}
 }
 
+// sendHeartbeat sends one heartbeat and reports whether it was acknowledged.
+func (e *engine) sendHeartbeat() bool {
+	e.mu.Lock()
+	e.sequence++
+	a := registry.Announcement{Server: e.id, Service: service, Address: e.address, DataCentre: e.zone, Slots: 6, Sequence: e.sequence, StartedAtMillis: e.started.UnixMilli()}
+	if e.draining {
+		a.State = registry.Draining
+	}
+	e.mu.Unlock()
+	body, err := platform.EncodeAnnouncement(a)
+	if err != nil {
+		return false
+	}
+	_, ok := e.fleet.postToControl(platform.AnnouncePathOf(e.id), body)
+	return ok
+}
+
 var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 
 // post sends a body and returns the status of the answer, 0 if none came within the patience of a caller of control.
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -18,6 +18,7 @@
 	"long-answer":       longAnswer,
 	"frozen-control":    frozenControl,
 	"long-refusal":      longRefusal,
+	"lost-leave":        lostLeave,
 }
 
 func main() {
