--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -39,6 +39,7 @@
 	stableWindow     = 3 * time.Second // stable-window-ms
 	drain            = 2 * time.Second // drain-ms
 	evacuationBound  = 5 * time.Second // evacuation-deadline-ms
+	maxStretch       = 5 * time.Second // max-stretch-ms
 	operatorPatience = time.Second     // a caller of control moves on after a second without a response
 	fleetKey         = "banyanfront-on-the-platform"
 	host             = "ficu95.example"
