Agreement: a member takes part again once its disk works

Cause: a failed write or sync stopped the member for the life of its process, while it stayed a voter. Two such members of three are no majority, long after both disks work again.

Change: Store.Resume cuts off what was not synced, removes a segment that could not be started and syncs both before anything is written, so that neither dropped pages nor discarded records are taken for written. The member keeps its state in memory and what it could not persist, and tries the disk four times a second. To the others it was silent, as after a partition.

TestFailedDisk uses faults that last, as a disk that works again is no failed disk.

--- a/internal/account/kinds.go
+++ b/internal/account/kinds.go
@@ -89,7 +89,7 @@
 	MajorityLost:        {event, "no majority of voters", "", "bring a voter back or heal the network; until then orders and notes are refused"},
 	MajorityRegained:    {event, "majority of voters again", MajorityLost, ""},
 	LeaderChanged:       {action, "new leader elected", "", ""},
-	DiskFailed:          {event, "disk failed", "", "free space or replace the disk, then restart the instance; it does not vote until then"},
+	DiskFailed:          {event, "disk failed", "", "free space, or replace a disk that keeps failing; the instance does not vote until its disk works"},
 	DiskRecovered:       {event, "disk works again", DiskFailed, ""},
 	KeysFull:            {event, "no room for key records", "", "find out which organisation sends so many orders; room returns as records reach 24 h"},
 	KeysFree:            {event, "room for key records again", KeysFull, ""},
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -18,7 +18,10 @@
 	node    *consensus.Node
 	store   *storage.Store
 	window  *dedupWindow
-	failure error // first storage failure; the member votes and acknowledges nothing after it
+	failure error // why the member votes and acknowledges nothing, nil while it does
+	// unsaved is the Ready that could not be persisted; it is processed once the disk works again. nil if there is none.
+	unsaved    *consensus.Ready
+	nextResume time.Time // when to try the failed disk again
 
 	pending      map[string]*proposal // proposals without a result, by identifier
 	lastSequence uint64               // sequence number of the newest proposal
@@ -110,7 +113,7 @@
 
 // tick advances the node's clock and retries overdue proposals and reads.
 func (d *driver) tick(now time.Time) {
-	if d.failure != nil {
+	if d.failure != nil && !d.resume(now) {
 		return
 	}
 	d.node.Tick(now)
@@ -154,27 +157,33 @@
 		}
 		d.send(r.EarlyMessages)
 		if err := d.persist(&r); err != nil {
+			d.unsaved = &r
 			d.fail(err)
 			return
 		}
-		d.send(r.Messages)
-		if r.Snapshot != nil {
-			if err := d.restoreState(r.Snapshot); err != nil {
-				d.fail(err)
-				return
-			}
-		}
-		for i := range r.Committed {
-			d.apply(&r.Committed[i])
-		}
-		if r.Snapshot != nil || len(r.Committed) > 0 {
-			d.completeFromSnapshot(r.Snapshot)
-			d.onApply(d.applied)
+		d.finish(&r)
+	}
+}
+
+// finish processes a Ready that was persisted.
+func (d *driver) finish(r *consensus.Ready) {
+	d.send(r.Messages)
+	if r.Snapshot != nil {
+		if err := d.restoreState(r.Snapshot); err != nil {
+			d.fail(err)
+			return
 		}
-		d.handleReplies(&r)
-		d.node.Advance(&r)
-		d.compact()
 	}
+	for i := range r.Committed {
+		d.apply(&r.Committed[i])
+	}
+	if r.Snapshot != nil || len(r.Committed) > 0 {
+		d.completeFromSnapshot(r.Snapshot)
+		d.onApply(d.applied)
+	}
+	d.handleReplies(r)
+	d.node.Advance(r)
+	d.compact()
 }
 
 func (d *driver) send(messages []consensus.Message) {
@@ -286,7 +295,29 @@
 	return d.store.Compact(first)
 }
 
-// fail stops the member: it no longer votes, acknowledges or replies. The process continues to run.
+// resumeInterval is the interval at which a failed disk is tried again.
+const resumeInterval = 250 * time.Millisecond
+
+// resume lets the member take part again if its disk works again. To the other members it was silent, as after a
+// partition: it has kept its state in memory, and has sent nothing that depends on what was not persisted.
+func (d *driver) resume(now time.Time) bool {
+	if d.store.Err() == nil || now.Before(d.nextResume) {
+		return false // the failure is not the disk's, or the disk was tried recently
+	}
+	d.nextResume = now.Add(resumeInterval)
+	if d.store.Resume() != nil || d.unsaved != nil && d.persist(d.unsaved) != nil {
+		return false
+	}
+	d.options.Logf("agreement member %x takes part again, its disk works: it had stopped for %v", d.id, d.failure)
+	unsaved := d.unsaved
+	d.failure, d.unsaved = nil, nil
+	if unsaved != nil {
+		d.finish(unsaved)
+	}
+	return d.failure == nil
+}
+
+// fail stops the member until resume succeeds: it no longer votes, acknowledges or replies. The process continues to run.
 func (d *driver) fail(err error) {
 	d.failure = err
 	d.options.Logf("agreement member %x stopped, the process goes on: %v", d.id, err)
--- a/internal/replica/member_test.go
+++ b/internal/replica/member_test.go
@@ -37,7 +37,7 @@
 			_, folders, replicas, leader := startWithLeader(t, Options{})
 			for i, r := range replicas {
 				if r == leader {
-					folders[i].FailAt(1+operation/2, fault) // the first operation is a write, the second a sync
+					folders[i].FailFrom(1+operation/2, fault) // the first operation is a write, the second a sync
 				}
 			}
 			_, _, err := leader.Propose(within(3*time.Second), "a", nil)
@@ -56,6 +56,36 @@
 	}
 }
 
+// Guards against disks that fail for a while, one after the other, and leave no majority for good: each member takes part
+// again once its disk works, with what it held before.
+func TestDisksThatFailInTurn(t *testing.T) {
+	for operation, fault := range []faultfs.Fault{faultfs.NoSpace, faultfs.ShortWrite, faultfs.FailedSync} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			_, folders, replicas, _ := startWithLeader(t, Options{})
+			for round := range 2 * len(replicas) {
+				failed := replicas[round%len(replicas)]
+				folder := folders[round%len(replicas)]
+				folder.FailFrom(1+operation/2, fault)
+				for _, r := range replicas {
+					if r != failed {
+						_, _, err := r.Propose(within(5*time.Second), fmt.Sprint(round, r.Status().ID), nil)
+						is.NoErr(err)
+					}
+				}
+				time.Sleep(time.Second)
+				folder.Repair()
+				time.Sleep(2 * time.Second)
+				is.NoErr(failed.Status().Failure)
+				is.NoErr(failed.ReadBarrier(within(time.Second)))
+				_, result, err := failed.Propose(within(3*time.Second), fmt.Sprint("own", round), nil)
+				is.NoErr(err)
+				is.Equal(binary.BigEndian.Uint64(result), uint64(3*(round+1)))
+			}
+		})
+	}
+}
+
 // Guards against a planned stop of the leader that causes an election timeout, and against results after Close.
 func TestCloseTransfersLeadership(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -150,6 +150,11 @@
 		s.after(time.Second, n.start)
 		return
 	}
+	if err != nil && n.fs.Failing() {
+		n.fs.Restart() // the process ends and is started again
+		s.after(time.Second, n.start)
+		return
+	}
 	if err != nil {
 		s.fail("member %x does not start: %v", n.id, err)
 		return
@@ -181,14 +186,18 @@
 	tick()
 }
 
-// flush runs the driver's pending work; a crash of its disk ends the process, which restarts later.
+// flush runs the driver's pending work; a crash of its disk ends the process, which restarts later. A disk that fails
+// for a while ends nothing.
 func (n *simNode) flush() {
 	n.driver.flush(n.sim.clock())
 	if n.driver.failure == nil {
 		return
 	}
 	if !n.fs.Crashed() {
-		n.sim.fail("member %x failed: %v", n.id, n.driver.failure)
+		if n.driver.store.Err() == nil {
+			n.sim.fail("member %x failed: %v", n.id, n.driver.failure)
+		}
+		return
 	}
 	n.crash(time.Duration(n.sim.rand.IntN(2000)) * time.Millisecond)
 }
@@ -243,13 +252,13 @@
 	}
 }
 
-// injectFaults crashes and partitions random instances while injecting is set.
+// injectFaults crashes and partitions random instances, and lets their disks fail for a while, as long as injecting is set.
 func (s *sim) injectFaults() {
 	if !s.injecting {
 		return
 	}
 	a, b := s.randomNode(), s.randomNode()
-	switch s.rand.IntN(6) {
+	switch s.rand.IntN(7) {
 	case 0:
 		a.crash(time.Duration(s.rand.IntN(3000)) * time.Millisecond)
 	case 1:
@@ -265,6 +274,10 @@
 			a.driver.node.TransferLeadership(s.clock(), 0)
 			a.flush()
 		}
+	case 5:
+		faults := []faultfs.Fault{faultfs.NoSpace, faultfs.ShortWrite, faultfs.FailedSync}
+		a.fs.FailFrom(1+s.rand.IntN(40), faults[s.rand.IntN(len(faults))])
+		s.after(time.Duration(s.rand.IntN(4000))*time.Millisecond, a.fs.Repair)
 	default:
 		clear(s.blocked)
 	}
@@ -275,7 +288,7 @@
 	s.injecting, s.loss = false, 0
 	clear(s.blocked)
 	for _, n := range s.nodes {
-		n.fs.FailAt(0, faultfs.None)
+		n.fs.Repair()
 	}
 }
 
--- a/internal/storage/errors.go
+++ b/internal/storage/errors.go
@@ -26,7 +26,7 @@
 	Locked:     "stop the other process that uses this folder, or set another dataFolder",
 	NoFolder:   "create the folder first",
 	Exists:     "use the folder as it is, or choose an empty one",
-	ReadOnly:   "free space or replace the disk, then restart the process",
+	ReadOnly:   "free space, after which the member takes part again by itself; replace a disk that keeps failing",
 	TooLarge:   "split the command",
 	Failed:     "check that the disk is mounted and writable, then restart the process",
 }
--- a/internal/storage/faultfs/faultfs.go
+++ b/internal/storage/faultfs/faultfs.go
@@ -46,6 +46,7 @@
 	operations  int
 	faultAt     int
 	fault       Fault
+	lasting     bool // the fault repeats at each operation after faultAt
 	diskFull    bool
 	crashed     bool
 	locked      bool
@@ -66,7 +67,29 @@
 func (f *FS) FailAt(n int, fault Fault) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.operations, f.faultAt, f.fault = 0, n, fault
+	f.operations, f.faultAt, f.fault, f.lasting = 0, n, fault, false
+}
+
+// FailFrom injects a fault at the n-th modifying operation from now on, and at each later one, until Repair.
+func (f *FS) FailFrom(n int, fault Fault) {
+	f.FailAt(n, fault)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lasting = true
+}
+
+// Repair ends the faults of FailFrom, and frees space after NoSpace.
+func (f *FS) Repair() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.diskFull, f.fault, f.lasting = false, None, false
+}
+
+// Failing reports whether operations fail until Repair.
+func (f *FS) Failing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.diskFull || f.lasting && f.operations >= f.faultAt
 }
 
 // Operations returns the number of modifying operations since FailAt or New.
@@ -112,7 +135,7 @@
 		node.synced = node.data
 	}
 	f.dirStates = []map[string]*inode{maps.Clone(f.files)}
-	f.crashed, f.locked, f.diskFull, f.fault = false, false, false, None
+	f.crashed, f.locked, f.diskFull, f.fault, f.lasting = false, false, false, None, false
 	f.incarnation++
 }
 
@@ -154,7 +177,7 @@
 		return None, ErrCrashed
 	}
 	f.operations++
-	if f.fault != None && f.operations == f.faultAt {
+	if f.fault != None && (f.operations == f.faultAt || f.lasting && f.operations > f.faultAt) {
 		fault := f.fault
 		switch fault {
 		case Crash:
--- a/internal/storage/fs.go
+++ b/internal/storage/fs.go
@@ -1,7 +1,7 @@
 // Package storage manages the data folder of one member: its identity, an append-only log in segments with a checksum for
 // each record, and the newest snapshot. Everything written before Sync or SaveSnapshot returned without error survives a
-// crash. After the first failed write or sync the store is read-only until it is opened again, because the kernel may
-// have dropped the pages that it could not write.
+// crash. After a failed write or sync the store is read-only until Resume, or until it is opened again, because the kernel
+// may have dropped the pages that it could not write.
 package storage
 
 import (
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -201,6 +201,49 @@
 	}
 }
 
+// Guards against a store that stays read-only after its disk works again, and against records lost, confirmed or mixed up
+// when it is resumed: the owner repeats what was not confirmed, and a crash at any later operation keeps what was.
+func TestResumeAfterFailedWrite(t *testing.T) {
+	for _, fault := range []faultfs.Fault{faultfs.NoSpace, faultfs.ShortWrite, faultfs.FailedSync} {
+		for at := 1; at < 60; at++ {
+			for crashAt := 1; crashAt < 40; crashAt += 3 {
+				fsys := faultfs.New(rand.New(rand.NewPCG(uint64(crashAt), uint64(at))))
+				_ = storage.Create(fsys, nil)
+				s, _, err := storage.Open(fsys, small)
+				if err != nil {
+					t.Fatal(err)
+				}
+				var p confirmed
+				fsys.FailAt(at, fault)
+				if scenario(s, &p, 1, 30) == nil {
+					continue
+				}
+				if fault == faultfs.NoSpace {
+					if s.Resume() == nil {
+						t.Fatalf("operation %d: resumed on a full disk", at)
+					}
+					fsys.Repair()
+				}
+				if err := s.Resume(); err != nil {
+					t.Fatalf("fault %d at operation %d: %v", fault, at, err)
+				}
+				fsys.FailAt(crashAt, faultfs.Crash)
+				_ = scenario(s, &p, p.index+1, 60)
+				_ = s.Close()
+				fsys.Restart()
+				s, c, err := storage.Open(fsys, small)
+				if err != nil {
+					t.Fatalf("fault %d at operation %d, crash at %d: %v", fault, at, crashAt, err)
+				}
+				if err := check(c, p); err != nil {
+					t.Fatalf("fault %d at operation %d, crash at %d: %v", fault, at, crashAt, err)
+				}
+				_ = s.Close()
+			}
+		}
+	}
+}
+
 // Guards against undetected damage to synced data: a flipped bit anywhere but in the last synced batch must be refused
 // with file, offset and remedy.
 func TestFlippedBit(t *testing.T) {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -1,8 +1,10 @@
 package storage
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"slices"
 	"strings"
 )
@@ -35,7 +37,9 @@
 	lastState           []byte // last state record, repeated at the start of each segment
 	lastSegmentHasState bool   // while reading: the last segment has a state record
 	syncedBytes         int64  // synced size of the last segment
+	syncedState         []byte // lastState as of the last sync
 	lastIndex           uint64
+	syncedIndex         uint64 // lastIndex as of the last sync
 	failure             error
 	stats               Stats
 }
@@ -114,7 +118,7 @@
 	if err := s.fs.SyncDir(); err != nil {
 		return s.openError(name, err)
 	}
-	s.syncedBytes = last.size
+	s.syncedBytes, s.syncedState, s.syncedIndex = last.size, s.lastState, s.lastIndex
 	if last.version < FormatVersion {
 		return s.startSegment()
 	}
@@ -184,7 +188,7 @@
 	s.stats.Syncs++
 	s.stats.Bytes += uint64(len(s.buffer))
 	seg.size += int64(len(s.buffer))
-	s.syncedBytes = seg.size
+	s.syncedBytes, s.syncedState, s.syncedIndex = seg.size, s.lastState, s.lastIndex
 	// The buffer is reused unless a large batch made it grow beyond 1 MiB.
 	if s.buffer = s.buffer[:0]; cap(s.buffer) > 1<<20 {
 		s.buffer = nil
@@ -229,7 +233,7 @@
 	}
 	for len(s.segments) > 1 && s.segments[0].maxIndex < keepFrom {
 		name := segmentName(s.segments[0].sequence)
-		if err := s.fs.Remove(name); err != nil {
+		if err := s.remove(name); err != nil {
 			return s.makeReadOnly(name, -1, err)
 		}
 		s.segments = s.segments[1:]
@@ -265,12 +269,13 @@
 		if old == newest {
 			continue
 		}
-		if err := s.fs.Remove(snapshotName(old)); err != nil {
+		if err := s.remove(snapshotName(old)); err != nil {
 			return s.makeReadOnly(snapshotName(old), -1, err)
 		}
 	}
 	s.snapshotIndexes = []uint64{newest}
 	s.lastIndex = max(s.lastIndex, index)
+	s.syncedIndex = max(s.syncedIndex, index)
 	return nil
 }
 
@@ -348,6 +353,53 @@
 // Stats returns counters since the store was opened.
 func (s *Store) Stats() Stats { return s.stats }
 
+// Resume makes the store writable again after a failed write or sync, once the disk accepts writes. It returns an error
+// while the disk does not. Everything buffered since the last successful Sync is discarded, because the kernel may hold
+// pages of it that never reach the disk; the owner repeats what it still needs.
+func (s *Store) Resume() error {
+	if s.failure == nil || s.lock == nil { // in use, or closed
+		return s.failure
+	}
+	last := &s.segments[len(s.segments)-1]
+	name, next := segmentName(last.sequence), segmentName(last.sequence+1)
+	if err := s.remove(next); err != nil { // a segment that could not be started
+		return s.openError(next, err)
+	}
+	if err := s.fs.Truncate(name, last.size); err != nil {
+		return s.openError(name, err)
+	}
+	file, err := s.fs.Append(name)
+	if err != nil {
+		return s.openError(name, err)
+	}
+	_ = s.file.Close()
+	s.file = file
+	// Both changes must be durable before the segment grows again: a restart would refuse a next segment that records
+	// another size of this one, and could mix discarded records with new ones.
+	if err := file.Sync(); err != nil {
+		return s.openError(name, err)
+	}
+	if err := s.fs.SyncDir(); err != nil {
+		return s.openError(name, err)
+	}
+	names, err := s.fs.List()
+	if err != nil {
+		return s.openError("", err)
+	}
+	s.snapshotIndexes = fileNumbers(names, snapshotPrefix)
+	s.buffer, s.lastState, s.lastIndex = nil, s.syncedState, s.syncedIndex
+	s.failure = nil
+	return nil
+}
+
+// remove removes a file, if it exists.
+func (s *Store) remove(name string) error {
+	if err := s.fs.Remove(name); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	return nil
+}
+
 // Close closes and unlocks the folder. Records that were not synced are dropped.
 func (s *Store) Close() error {
 	var err error
