Sessions: decode all text that can be encoded; refuse announcements that no peer can read

Cause: the encoder writes any string as CBOR text, the decoder refuses text that is not UTF-8. The identifier was relayed to all entry instances, whose sessions ended at once, again at each reconnection.

Tests: TestTextThatIsNotUTF8 failed before for messages and commands with text ('cbor: invalid UTF-8 string'), TestForeignAnnouncementsKeepSessions failed before ('200 != 400').

--- a/internal/directory/api.go
+++ b/internal/directory/api.go
@@ -15,6 +15,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/banyanfront/banyanfront/decide/controlstate"
+	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
@@ -67,14 +68,27 @@
 	}
 	announcement, err := platform.DecodeAnnouncement(server, body)
 	if err != nil {
-		log.WithError(err).WithField("server", server).Warn("invalid announcement; no server is added or updated")
-		writeError(w, http.StatusBadRequest, err)
+		refuseAnnouncement(w, server, err)
+		return
+	}
+	a.acceptAnnouncement(w, announcement)
+}
+
+// acceptAnnouncement records an announcement and acknowledges it, unless other instances could not read it.
+func (a *api) acceptAnnouncement(w http.ResponseWriter, announcement registry.Announcement) {
+	if err := announcement.Validate(); err != nil {
+		refuseAnnouncement(w, announcement.Server, err)
 		return
 	}
 	a.HandleAnnouncement(announcement)
 	writeJSON(w, http.StatusOK, []byte("{}"))
 }
 
+func refuseAnnouncement(w http.ResponseWriter, server string, err error) {
+	log.WithError(err).WithField("server", strconv.QuoteToASCII(server)).Warn("invalid announcement; no server is added or updated")
+	writeError(w, http.StatusBadRequest, err)
+}
+
 func (a *api) deregister(w http.ResponseWriter, r *http.Request) {
 	server := chi.URLParam(r, platform.ServerVariable)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
@@ -82,8 +96,7 @@
 		writeError(w, http.StatusBadRequest, err)
 		return
 	}
-	a.HandleAnnouncement(platform.DecodeDeregistration(server, body))
-	writeJSON(w, http.StatusOK, []byte("{}"))
+	a.acceptAnnouncement(w, platform.DecodeDeregistration(server, body))
 }
 
 func (a *api) replaceConfiguration(w http.ResponseWriter, r *http.Request) {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +11,7 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -223,6 +225,66 @@
 	is.Equal(servers[0].Address, "10.0.0.1:80")
 }
 
+// announcementsReceiver records the identifiers of announced servers that an entry instance receives.
+type announcementsReceiver struct {
+	limitsReceiver
+	servers map[string]bool
+	closed  bool
+}
+
+func (r *announcementsReceiver) MessageReceived(_ transport.Session, m protocol.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m, ok := m.(*protocol.RelayedAnnouncements); ok {
+		for _, a := range m.Servers {
+			r.servers[a.Announcement.Server] = true
+		}
+	}
+}
+
+func (r *announcementsReceiver) StateChanged(_ transport.Session, state transport.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = r.closed || state == transport.StateClosed
+}
+
+// Guards against heartbeats of another writer that keep entry instances from learning of servers: with an identifier that is
+// not UTF-8, or with texts so long that no message holds them.
+func TestForeignAnnouncementsKeepSessions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, d := startOneControl(t)
+		defer f.stopAll()
+		handler := (&api{Directory: d.Directory}).handler()
+		post := func(path, body string) int {
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+			return w.Code
+		}
+		body := func(service, address string) string {
+			return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","slots":4,"state":"ready","sequence":1,"born":7}`, service, address)
+		}
+		r := &announcementsReceiver{servers: map[string]bool{}}
+		f.connectEntry(d, "entry", r)
+		is.Equal(post("/v1/instances/ca%F1on-1/heartbeat", body("s", "10.0.0.1:80")), http.StatusBadRequest)
+		is.Equal(post("/v1/instances/ca%F1on-1/deregister", ""), http.StatusBadRequest)
+		for i := range 20 {
+			is.Equal(post(fmt.Sprintf("/v1/instances/long-%d/heartbeat", i), body(strings.Repeat("s", 60<<10), "10.0.0.1:80")), http.StatusBadRequest)
+		}
+		is.Equal(post("/v1/instances/sound/heartbeat", body("s", "10.0.0.2:80")), http.StatusOK)
+		time.Sleep(2 * time.Second)
+		late := &announcementsReceiver{servers: map[string]bool{}}
+		f.connectEntry(d, "late", late)
+		time.Sleep(2 * time.Second)
+		for _, r := range []*announcementsReceiver{r, late} {
+			r.mu.Lock()
+			is.Equal(r.servers, map[string]bool{"sound": true})
+			is.True(!r.closed)
+			r.mu.Unlock()
+		}
+	})
+}
+
 // Guards against an oversized configuration that is unpacked in full.
 func TestUnpackedConfigurationIsBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/directory/kept_quarantines.go
+++ b/internal/directory/kept_quarantines.go
@@ -101,7 +101,7 @@
 	}
 	var content keptQuarantines
 	if err == nil {
-		err = cbor.Unmarshal(data, &content)
+		err = decoder.Unmarshal(data, &content)
 	}
 	if err != nil {
 		log.WithError(err).Warn("the kept quarantines could not be read; requests that crash servers are found anew")
--- a/internal/directory/state_machine.go
+++ b/internal/directory/state_machine.go
@@ -34,7 +34,7 @@
 // Apply implements replica.StateMachine.
 func (m *stateMachine) Apply(index uint64, command []byte) []byte {
 	var c controlstate.Command
-	if err := cbor.Unmarshal(command, &c); err != nil {
+	if err := decoder.Unmarshal(command, &c); err != nil {
 		log.WithError(err).WithField("index", index).Error("an agreed command cannot be read and takes no effect; run the same version on all control instances")
 		return nil
 	}
@@ -71,6 +71,15 @@
 	return nil
 }
 
+// decoder accepts all text that the encoder accepts, such as names sent by servers that are not UTF-8.
+var decoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}()
+
 func encodeCommand(c controlstate.Command) ([]byte, error) { return cbor.Marshal(c) }
 
 // EncodeState encodes a state for a snapshot or for a message to an entry instance.
@@ -79,7 +88,7 @@
 // DecodeState decodes a state encoded by EncodeState.
 func DecodeState(data []byte) (controlstate.State, error) {
 	var s controlstate.State
-	err := cbor.Unmarshal(data, &s)
+	err := decoder.Unmarshal(data, &s)
 	return s, eris.Wrap(err, "agreed state; run the same version on all instances")
 }
 
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -58,6 +58,9 @@
 		MaxMapPairs:      maxPairs,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
+		// Header fields, paths and identifiers come from callers and servers, and need not be UTF-8. The encoder accepts them
+		// as they are.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -77,6 +77,54 @@
 	}
 }
 
+// fillText sets all text of a message, also in lists and nested values.
+func fillText(v reflect.Value, text string) {
+	switch v.Kind() {
+	case reflect.Pointer, reflect.Interface:
+		if !v.IsNil() {
+			fillText(v.Elem(), text)
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fillText(v.Field(i), text)
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			fillText(v.Index(i), text)
+		}
+	case reflect.String:
+		v.SetString(text)
+	}
+}
+
+// Guards against text of a caller or server that the encoder accepts and the peer refuses: the session would end again and
+// again, for all that use it.
+func TestTextThatIsNotUTF8(t *testing.T) {
+	for _, m := range samples() {
+		fillText(reflect.ValueOf(m), "ca\xf1on-1")
+		frame, err := Encode(0, m)
+		if err != nil {
+			t.Fatalf("%T: %v", m, err)
+		}
+		_, decoded, err := Decode(frame)
+		if err != nil {
+			t.Errorf("%T: %v", m, err)
+		} else if !reflect.DeepEqual(decoded, m) {
+			t.Errorf("%T: %+v decoded as %+v", m, m, decoded)
+		}
+	}
+	for _, c := range sampleCommands() {
+		fillText(reflect.ValueOf(c), "ca\xf1on-1")
+		encoded, err := EncodeCommand(c)
+		if err != nil {
+			t.Fatalf("%T: %v", c, err)
+		}
+		if decoded, err := DecodeCommand(encoded); err != nil || !reflect.DeepEqual(decoded, c) {
+			t.Errorf("%T: %+v decoded as %+v: %v", c, c, decoded, err)
+		}
+	}
+}
+
 // Guards against an encoding of Data that differs from that of the CBOR library.
 func TestHandWrittenDataCodecMatchesLibrary(t *testing.T) {
 	is := is.New(t)
--- a/internal/protocol/commands.go
+++ b/internal/protocol/commands.go
@@ -36,6 +36,7 @@
 	decoding, err := cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, MaxNestedLevels: 16, MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16,
+		UTF8: cbor.UTF8DecodeInvalid, // keys of callers need not be UTF-8
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/internal/replica/codec.go
+++ b/internal/replica/codec.go
@@ -14,7 +14,9 @@
 
 var (
 	encoder = must(cbor.CoreDetEncOptions().EncMode())
-	decoder = must(cbor.DecOptions{MaxArrayElements: maxArrayElements, MaxMapPairs: maxMapPairs}.DecMode())
+	// Identifiers of commands may contain text of callers that is not UTF-8. An entry that a member accepted and others
+	// cannot decode would stop the log.
+	decoder = must(cbor.DecOptions{MaxArrayElements: maxArrayElements, MaxMapPairs: maxMapPairs, UTF8: cbor.UTF8DecodeInvalid}.DecMode())
 )
 
 func must[T any](v T, err error) T {
