Edge: check long responses as short ones

Cause: the branch that forwards a long body as it arrives came before the checks of seal, promise and retry.

Change: it is taken where a short body is written. Every other way out closes the connection by one deferred release.

Test: TestLongResponsesAreCheckedAsShortOnes failed before ('200 != 502').

--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -56,14 +56,20 @@
 	}
 	response := a.response
 	c.countedAttempts++
-	body, err := readAll(response.Body, maxBufferedBytes)
-	if errors.Is(err, errTooLong) {
-		c.forwardUnbuffered(a, body)
-		return true
-	}
-	c.release(a, err == nil)
 	c.mayHaveRun = true
 	c.tried = append(c.tried, a.choice.Server.Server)
+	body, err := readAll(response.Body, maxBufferedBytes)
+	unread := errors.Is(err, errTooLong) // the rest of a long body is forwarded as it arrives, if the response may be forwarded
+	if unread {
+		err = nil
+		defer func() {
+			if unread {
+				c.release(a, false)
+			}
+		}()
+	} else {
+		c.release(a, err == nil)
+	}
 	if err != nil {
 		c.lastError = err.Error()
 		c.recordResult(a, "broken off")
@@ -96,6 +102,11 @@
 		return true
 	}
 	c.outcome = "answered"
+	if unread {
+		unread = false
+		c.forwardUnbuffered(a, body)
+		return true
+	}
 	c.writeHead(response, int64(len(body)))
 	if _, err := c.w.Write(body); err != nil {
 		c.outcome, c.lastError = "caller_left", err.Error()
@@ -156,18 +167,34 @@
 // forwardUnbuffered forwards a response that is too long to be buffered, of which prefix was read already. If it is
 // truncated, the caller's connection is aborted.
 func (c *call) forwardUnbuffered(a *attempt, prefix []byte) {
-	response := a.response
-	c.outcome = "answered"
-	c.mayHaveRun = true
-	c.writeHead(response, response.Length)
+	c.writeHead(a.response, a.response.Length)
+	rest := &errorRecorder{r: a.response.Body}
 	_, err := c.w.Write(prefix)
 	if err == nil {
-		_, err = io.Copy(c.w, response.Body)
+		_, err = io.Copy(c.w, rest)
 	}
 	c.release(a, err == nil)
-	c.recordResult(a, strconv.Itoa(response.Status))
-	if err != nil {
-		c.outcome, c.lastError = "broken_off", err.Error()
-		panic(http.ErrAbortHandler)
+	if err == nil {
+		return
+	}
+	c.outcome, c.lastError = "caller_left", err.Error()
+	if rest.err != nil {
+		c.outcome = "broken_off"
+		c.recordBrokenOff(a)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// errorRecorder keeps the error of a reader, to tell it from that of the writer its data is copied to.
+type errorRecorder struct {
+	r   io.Reader
+	err error
+}
+
+func (e *errorRecorder) Read(b []byte) (int, error) {
+	n, err := e.r.Read(b)
+	if err != nil && err != io.EOF {
+		e.err = err
 	}
+	return n, err
 }
--- a/internal/edge/proxy_test.go
+++ b/internal/edge/proxy_test.go
@@ -241,6 +241,63 @@
 	is.True(!strings.Contains(body, "forged"))
 }
 
+// Guards against a length of the body that skips a check: an unsealed success, a refusal without a proof, an error that
+// another server may mend, and a truncated answer must be treated alike however long they are.
+func TestLongResponsesAreCheckedAsShortOnes(t *testing.T) {
+	for _, length := range []int{1, maxBufferedBytes, maxBufferedBytes + 1, 2 * maxBufferedBytes} {
+		is := is.New(t)
+		body := strings.Repeat("x", length)
+		respond := func(status int, seal bool) func(http.ResponseWriter, *http.Request, int) {
+			return func(w http.ResponseWriter, _ *http.Request, _ int) {
+				if seal {
+					respondSealed(w, status, body)
+					return
+				}
+				w.WriteHeader(status)
+				_, _ = io.WriteString(w, body)
+			}
+		}
+		ask := func(path string, backends ...*backend) (int, string, string, error) {
+			_, url := startProxy(t, backends...)
+			status, header, got, err := send(t, url, path)
+			return status, header.Get(platform.HeaderSeal), got, err
+		}
+		status, _, got, err := ask("/unsafe/x", startBackend(t, respond(http.StatusOK, false)))
+		is.NoErr(err)
+		is.Equal(status, http.StatusBadGateway)
+		is.Equal(got, "")
+
+		status, _, _, err = ask("/unsafe/x", startBackend(t, respond(http.StatusServiceUnavailable, true)))
+		is.NoErr(err)
+		is.Equal(status, http.StatusBadGateway)
+
+		status, seal, got, err := ask("/unsafe/x", startBackend(t, respond(http.StatusBadRequest, true)))
+		is.NoErr(err)
+		is.Equal(status, http.StatusBadRequest)
+		is.Equal(seal, "seal")
+		is.True(got == body)
+
+		status, seal, got, err = ask("/safe/x", startBackend(t, respond(http.StatusOK, true)))
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(seal, "seal")
+		is.True(got == body)
+
+		failing, unsealed := startBackend(t, respond(http.StatusInternalServerError, true)), startBackend(t, respond(http.StatusOK, false))
+		_, _, _, err = ask("/safe/x", failing, unsealed)
+		is.NoErr(err)
+		is.Equal(failing.count()+unsealed.count(), 2) // whichever was asked first
+
+		_, _, _, err = ask("/unsafe/x", startBackend(t, func(w http.ResponseWriter, _ *http.Request, _ int) {
+			w.Header().Set("Content-Length", strconv.Itoa(length+1))
+			respondSealed(w, http.StatusOK, body)
+			_ = http.NewResponseController(w).Flush()
+			abort(w)
+		}))
+		is.True(err != nil || length <= maxBufferedBytes) // a short one is known to be truncated before its head is sent
+	}
+}
+
 // events writes events from first to last.
 func events(w http.ResponseWriter, first, last int) {
 	for i := first; i <= last; i++ {
