Control: an overtaken order for a data centre has no effect

An instance that had stood still carried out an order that its sender had repeated elsewhere and followed by another one.

Cause: each arrival of an order was a new command, and the last one in the log won. Without a freeze, an order answered 503 during a cut was proposed again after it.

Change: an order names the newest order for its data centre as a majority confirmed it after the order was received, and has no effect if another one came in between. An order whose sender has left by then is dropped with 503.

--- a/decide/controlstate/controlstate.go
+++ b/decide/controlstate/controlstate.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 )
 
@@ -28,6 +27,17 @@
 type Evacuate struct {
 	DataCentre string `cbor:"1,keyasint"`
 	Evacuated  bool   `cbor:"2,keyasint,omitempty"`
+	// Ordered states that Follows is set. Logs written by earlier releases contain commands without it.
+	Ordered bool `cbor:"3,keyasint,omitempty"`
+	// Follows is State.EvacuationOrder while the sender of this order waited for its acknowledgement. If the data centre has
+	// received another order since, this one was overtaken and has no effect, however late it reaches the log.
+	Follows uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// EvacuationOrder is the log index of the newest order to evacuate or restore a data centre, whether it changed anything or not.
+type EvacuationOrder struct {
+	DataCentre string `cbor:"1,keyasint"`
+	Index      uint64 `cbor:"2,keyasint"`
 }
 
 // GroupKey returns the name of a lock-step group that is unique in the fleet.
@@ -52,6 +62,25 @@
 	Evacuated  []string `cbor:"5,keyasint,omitempty"` // sorted
 	// Coordinators are sorted by group. Entry instances do not need them, so that their changes leave Index as it is.
 	Coordinators []Coordinator `cbor:"6,keyasint,omitempty"`
+	// EvacuationOrders are sorted by data centre.
+	EvacuationOrders []EvacuationOrder `cbor:"7,keyasint,omitempty"`
+}
+
+// EvacuationOrder returns the log index of the newest order for a data centre, 0 if there was none.
+func (s State) EvacuationOrder(dataCentre string) uint64 {
+	if i, ok := s.findEvacuationOrder(dataCentre); ok {
+		return s.EvacuationOrders[i].Index
+	}
+	return 0
+}
+
+func (s State) findEvacuationOrder(dataCentre string) (int, bool) {
+	return slices.BinarySearchFunc(s.EvacuationOrders, dataCentre, func(o EvacuationOrder, name string) int { return cmp.Compare(o.DataCentre, name) })
+}
+
+// Overtaken reports whether a command has no effect because another order for its data centre came first.
+func (s State) Overtaken(c Command) bool {
+	return c.Evacuate != nil && c.Evacuate.Ordered && c.Evacuate.Follows != s.EvacuationOrder(c.Evacuate.DataCentre)
 }
 
 // Coordinator returns the assignment of a group, the zero value if it has none.
@@ -84,6 +113,17 @@
 	return s
 }
 
+// recordOrder returns the state after an order for a data centre.
+func (s State) recordOrder(index uint64, dataCentre string) State {
+	s.EvacuationOrders = slices.Clone(s.EvacuationOrders)
+	i, found := s.findEvacuationOrder(dataCentre)
+	if !found {
+		s.EvacuationOrders = slices.Insert(s.EvacuationOrders, i, EvacuationOrder{DataCentre: dataCentre})
+	}
+	s.EvacuationOrders[i].Index = index
+	return s
+}
+
 // Apply returns the state after a command and whether the command changed it.
 func (s State) Apply(index uint64, c Command) (State, bool) {
 	switch {
@@ -93,17 +133,22 @@
 		}
 		s.Version, s.Body, s.Configured = c.Configure.Version, c.Configure.Body, true
 	case c.Evacuate != nil:
-		if slices.Contains(s.Evacuated, c.Evacuate.DataCentre) == c.Evacuate.Evacuated {
+		if s.Overtaken(c) {
+			return s, false
+		}
+		done := slices.Contains(s.Evacuated, c.Evacuate.DataCentre) == c.Evacuate.Evacuated
+		if done && !c.Evacuate.Ordered {
 			return s, false
 		}
-		evacuated := map[string]bool{c.Evacuate.DataCentre: c.Evacuate.Evacuated}
-		for _, dc := range s.Evacuated {
-			if dc != c.Evacuate.DataCentre {
-				evacuated[dc] = true
-			}
+		s = s.recordOrder(index, c.Evacuate.DataCentre)
+		if done {
+			return s, true
+		}
+		s.Evacuated = slices.DeleteFunc(slices.Clone(s.Evacuated), func(dc string) bool { return dc == c.Evacuate.DataCentre })
+		if c.Evacuate.Evacuated {
+			s.Evacuated = append(s.Evacuated, c.Evacuate.DataCentre)
+			slices.Sort(s.Evacuated)
 		}
-		maps.DeleteFunc(evacuated, func(_ string, out bool) bool { return !out })
-		s.Evacuated = slices.Sorted(maps.Keys(evacuated))
 	case len(c.Coordinate) > 0:
 		return s.assign(index, c.Coordinate), true
 	default:
--- a/decide/controlstate/controlstate_test.go
+++ b/decide/controlstate/controlstate_test.go
@@ -40,6 +40,41 @@
 	is.Equal(s.Index, uint64(4)) // commands without effect do not change the index
 }
 
+// Guards against an order that reaches the log after it was overtaken: repeated elsewhere, answered there, and followed by
+// another order. All interleavings of late copies with the orders that were acknowledged must leave the newest one in force.
+func TestOvertakenOrderHasNoEffect(t *testing.T) {
+	order := func(s State, evacuated bool) Command {
+		return Command{Evacuate: &Evacuate{DataCentre: "a", Evacuated: evacuated, Ordered: true, Follows: s.EvacuationOrder("a")}}
+	}
+	// Each bit of late decides whether the copy of an order that another instance holds is applied before the next order.
+	for orders := range 1 << 5 {
+		for late := range 1 << 10 {
+			s, index := State{}, uint64(0)
+			apply := func(c Command) bool {
+				index++
+				overtaken := s.Overtaken(c)
+				s, _ = s.Apply(index, c)
+				return !overtaken
+			}
+			var held []Command
+			for i := range 5 {
+				evacuated := orders>>i&1 == 1
+				held = append(held, order(s, evacuated)) // received by an instance that stands still from now on
+				for !apply(order(s, evacuated)) {
+				}
+				for j, c := range held {
+					if late>>((i+j)%10)&1 == 1 && apply(c) {
+						t.Fatalf("orders %05b, late %010b: copy %d had an effect after order %d", orders, late, j, i)
+					}
+				}
+				if got := len(s.Evacuated) == 1; got != evacuated {
+					t.Fatalf("orders %05b, late %010b: evacuated %v after order %d", orders, late, got, i)
+				}
+			}
+		}
+	}
+}
+
 // Guards against an assignment that keeps an old lease, and against one that makes entry instances fetch the whole state.
 func TestCoordinatorsAreAssigned(t *testing.T) {
 	is := is.New(t)
--- a/internal/directory/api.go
+++ b/internal/directory/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -166,6 +167,36 @@
 	writeJSON(w, http.StatusOK, body)
 }
 
+// maxOrderAttempts limits how often an order is proposed that others for the same data centre keep overtaking.
+const maxOrderAttempts = 3
+
+// errSenderLeft reports an order whose sender no longer waits. It was received late, and a newer one may have been acknowledged.
+var errSenderLeft = errors.New("the sender of the order has disconnected; the order is not carried out")
+
+// orderEvacuation commits an order to evacuate or restore a data centre. An order that waited here, in a connection's buffer or
+// for a majority, while its sender repeated it elsewhere and sent newer ones has no effect: it names the newest order that
+// was agreed on while its sender still waited.
+func (a *api) orderEvacuation(r *http.Request, dataCentre string, evacuated bool) error {
+	// The server notices that the sender has left only once the body is read.
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxAnnouncementBytes)); err != nil {
+		return err
+	}
+	err := ErrOvertaken
+	for attempt := 0; attempt < maxOrderAttempts && errors.Is(err, ErrOvertaken); attempt++ {
+		state, notReady := a.ConfirmedState(r.Context())
+		if r.Context().Err() != nil {
+			return errSenderLeft
+		}
+		if notReady != nil {
+			return notReady
+		}
+		id := "evacuation/" + dataCentre + "/" + rand.Text()
+		err = a.Propose(r.Context(), id, controlstate.Command{Evacuate: &controlstate.Evacuate{DataCentre: dataCentre, Evacuated: evacuated,
+			Ordered: true, Follows: state.EvacuationOrder(dataCentre)}})
+	}
+	return err
+}
+
 // evacuate handles a request to evacuate a data centre, or to restore it if evacuated is false.
 func (a *api) evacuate(w http.ResponseWriter, r *http.Request, evacuated bool) {
 	dataCentre := chi.URLParam(r, platform.DataCentreVariable)
@@ -173,8 +204,10 @@
 		writeError(w, http.StatusNotFound, errors.New("no data centre has this name; name one of the settings"))
 		return
 	}
-	id := "evacuation/" + dataCentre + "/" + strconv.FormatInt(time.Now().UnixNano(), 36)
-	if !a.commit(w, r, id, controlstate.Command{Evacuate: &controlstate.Evacuate{DataCentre: dataCentre, Evacuated: evacuated}}) {
+	if err := a.orderEvacuation(r, dataCentre, evacuated); err != nil {
+		log.WithError(err).WithFields(log.Fields{"dataCentre": dataCentre, "out": evacuated}).
+			Warn("order for a data centre not committed; its sender is asked to retry")
+		writeError(w, http.StatusServiceUnavailable, err)
 		return
 	}
 	metrics.GetOrCreateCounter(`banyanfront_control_acknowledged_total{change="evacuation"}`).Inc()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,6 +4,7 @@
 package directory
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -417,6 +418,9 @@
 // proposeTimeout limits the wait until a change is committed.
 const proposeTimeout = 3 * time.Second
 
+// ErrOvertaken reports an order that has no effect because another one for the same data centre came first.
+var ErrOvertaken = errors.New("another order for this data centre came first; send the order again if it is still wanted")
+
 // Propose proposes a command and waits until it is applied here. Repeated proposals with the same id take effect once.
 func (d *Directory) Propose(ctx context.Context, id string, c controlstate.Command) error {
 	r := d.member.Replica()
@@ -429,7 +433,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	_, _, err = r.Propose(ctx, id, data)
+	_, result, err := r.Propose(ctx, id, data)
+	if err == nil && bytes.Equal(result, overtakenResult) {
+		return ErrOvertaken
+	}
 	return err
 }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -285,6 +285,66 @@
 	})
 }
 
+// Guards against an order for a data centre that is carried out after a newer one was acknowledged: it waited at an instance
+// that was cut off or stood still, while its sender repeated it elsewhere.
+func TestLateOrderUndoesNoNewerOne(t *testing.T) {
+	const followerCut, leaderCut, senderLeft = "follower cut off", "leader cut off", "sender has left"
+	for _, name := range []string{followerCut, leaderCut, senderLeft} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newControlFleet(t, 3)
+				defer f.stopAll()
+				f.startFounders("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
+				time.Sleep(3 * time.Second)
+				handlers := map[*controlNode]http.Handler{}
+				var frozen, other *controlNode
+				for _, n := range f.nodes {
+					handlers[n] = (&api{n.Directory, map[string]string{"z": "r"}}).handler()
+					if _, leads := n.member.Leads(); leads == (name == leaderCut) {
+						frozen = n
+					} else {
+						other = n
+					}
+				}
+				order := func(n *controlNode, ctx context.Context, what string) int {
+					w := httptest.NewRecorder()
+					handlers[n].ServeHTTP(w, httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/evacuations/z/"+what, nil))
+					return w.Code
+				}
+				acknowledged := func(what string) {
+					t.Helper()
+					for order(other, t.Context(), what) != http.StatusOK {
+						time.Sleep(200 * time.Millisecond)
+					}
+				}
+				acknowledged("begin")
+				left, leave := context.WithTimeout(t.Context(), time.Second)
+				defer leave()
+				sendLate := func() { is.True(order(frozen, left, "finish") != http.StatusOK) }
+				if name != senderLeft {
+					f.setCut(frozen, true)
+					sendLate()
+				}
+				acknowledged("finish")
+				acknowledged("begin")
+				if name == senderLeft {
+					leave()
+					sendLate()
+				}
+				time.Sleep(time.Second)
+				f.setCut(frozen, false)
+				time.Sleep(8 * time.Second)
+				for _, n := range f.nodes {
+					is.Equal(n.State().Evacuated, []string{"z"})
+				}
+				acknowledged("finish")
+				is.Equal(len(other.State().Evacuated), 0)
+			})
+		})
+	}
+}
+
 // Guards against an oversized configuration that is unpacked in full.
 func TestUnpackedConfigurationIsBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/directory/rejoin_test.go
+++ b/internal/directory/rejoin_test.go
@@ -29,6 +29,7 @@
 	mu     sync.Mutex
 	nodes  map[string]*controlNode // running instances, by inner address
 	decode func([]byte) (*routes.Configuration, error)
+	cut    map[string]bool // inner addresses of instances that no other one reaches
 }
 
 // controlNode is a running control instance.
@@ -43,7 +44,7 @@
 const controlFleetKey = "test-fleet-key-0123456789"
 
 func newControlFleet(t *testing.T, voters int) *controlFleet {
-	return &controlFleet{t: t, voters: voters, nodes: map[string]*controlNode{}}
+	return &controlFleet{t: t, voters: voters, nodes: map[string]*controlNode{}, cut: map[string]bool{}}
 }
 
 func emptyDisk(seed uint64) *faultfs.FS { return faultfs.New(rand.New(rand.NewPCG(seed, 1))) }
@@ -87,6 +88,9 @@
 func (f *controlFleet) connect(from *controlNode, address string, hello protocol.Hello, h transport.Handler) (transport.Session, error) {
 	f.mu.Lock()
 	to := f.nodes[address]
+	if f.cut[address] || f.cut[from.address] {
+		to = nil
+	}
 	f.mu.Unlock()
 	if to == nil {
 		return nil, errors.New("connection refused")
@@ -121,6 +125,19 @@
 	return s
 }
 
+// setCut cuts an instance off from all others, or ends that.
+func (f *controlFleet) setCut(n *controlNode, cut bool) {
+	f.mu.Lock()
+	f.cut[n.address] = cut
+	links := slices.Clone(n.links)
+	f.mu.Unlock()
+	if cut {
+		for _, link := range links {
+			link.Reset()
+		}
+	}
+}
+
 // crash ends an instance without handing leadership over.
 func (f *controlFleet) crash(n *controlNode) {
 	f.mu.Lock()
--- a/internal/directory/state_machine.go
+++ b/internal/directory/state_machine.go
@@ -31,6 +31,9 @@
 	return m
 }
 
+// overtakenResult is the result of an order that has no effect because another one came first.
+var overtakenResult = []byte("overtaken")
+
 // Apply implements replica.StateMachine.
 func (m *stateMachine) Apply(index uint64, command []byte) []byte {
 	var c controlstate.Command
@@ -38,7 +41,11 @@
 		log.WithError(err).WithField("index", index).Error("an agreed command cannot be read and takes no effect; run the same version on all control instances")
 		return nil
 	}
-	next, changed := m.state.Load().Apply(index, c)
+	state := m.state.Load()
+	if state.Overtaken(c) {
+		return overtakenResult
+	}
+	next, changed := state.Apply(index, c)
 	if changed {
 		m.state.Store(&next)
 		m.onChange(next)
