Edge: refuse requests that a stopping instance might have to cut

Cause: a stopping instance passed on all it had read, and ended what was open by closing the connections.

Change: what arrives whole after other instances have taken over, with a deadline beyond the end of the grace period, is refused as not run with a short Retry-After. At the end of the grace period each open call gets the response that is true of it before its connection is closed.

--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -33,6 +33,8 @@
 	defaultTimeout = 30 * time.Second
 	// startupRetryAfter is the Retry-After before a configuration has been received: startup takes about a second.
 	startupRetryAfter = time.Second
+	// stoppingRetryAfter is the Retry-After of an instance that stops: others serve its callers already.
+	stoppingRetryAfter = 10 * time.Millisecond
 )
 
 // Config sets the parameters of a Proxy.
@@ -51,14 +53,24 @@
 type Proxy struct {
 	*fleetState
 	client   *backendhttp.Client
-	stopping atomic.Bool
+	stopping atomic.Pointer[stopPlan] // nil until Stop
+	ended    context.Context          // ends with EndCalls
+	endCalls context.CancelFunc
 	cutOff   atomic.Bool // see dispatch.Dispatcher.UpdateCutOff
 	inFlight atomic.Int64
 }
 
+// stopPlan holds the times of a stop.
+type stopPlan struct {
+	lateFrom time.Time // when other instances have taken over the callers
+	end      time.Time // when open calls are ended
+}
+
 // New returns a proxy without a configuration and servers; Run receives them.
 func New(config Config) *Proxy {
-	return &Proxy{fleetState: newFleetState(config), client: backendhttp.NewClient(platform.HeaderRequestID)}
+	p := &Proxy{fleetState: newFleetState(config), client: backendhttp.NewClient(platform.HeaderRequestID)}
+	p.ended, p.endCalls = context.WithCancel(context.Background())
+	return p
 }
 
 // Run applies the updates of the control instances and looks for the return of lost data centres until the context ends.
@@ -70,10 +82,16 @@
 }
 
 // Ready reports whether the proxy accepts new callers.
-func (p *Proxy) Ready() bool { return p.view.Load() != nil && !p.stopping.Load() && !p.cutOff.Load() }
+func (p *Proxy) Ready() bool {
+	return p.view.Load() != nil && p.stopping.Load() == nil && !p.cutOff.Load()
+}
 
-// Stop makes the proxy ask callers to close their connections. Requests that still arrive are served.
-func (p *Proxy) Stop() { p.stopping.Store(true) }
+// Stop makes the proxy ask callers to close their connections. Requests that still arrive are served. Those that arrive
+// whole after lateFrom are refused as not run if they might be unfinished at end.
+func (p *Proxy) Stop(lateFrom, end time.Time) { p.stopping.Store(&stopPlan{lateFrom, end}) }
+
+// EndCalls ends the open calls at once: each gets the final response that is true of it, or has its stream cut.
+func (p *Proxy) EndCalls() { p.endCalls() }
 
 // InFlight returns the number of requests in flight.
 func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
@@ -85,7 +103,7 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
-	if p.stopping.Load() {
+	if p.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{proxy: p, w: w, r: r, id: r.Header.Get(platform.HeaderRequestID), arrived: time.Now(), view: p.view.Load()}
@@ -96,8 +114,14 @@
 	if !c.admit() {
 		return
 	}
+	if plan := p.stopping.Load(); plan != nil && time.Now().After(plan.lateFrom) && c.deadline.After(plan.end) {
+		c.outcome = "refused:stopping"
+		c.respondLocally(http.StatusServiceUnavailable, stoppingRetryAfter)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(p.ended, cancel)()
 	c.ctx = ctx
 	p.withDispatcher(func(_ time.Time, d *dispatch.Dispatcher) { d.RecordRequest(c.arrived, c.service) })
 	p.parts.recordRequest(c)
--- a/internal/edge/proxy_test.go
+++ b/internal/edge/proxy_test.go
@@ -116,7 +116,13 @@
 // send sends a request and returns status, headers and body. A truncated body is an error.
 func send(t *testing.T, url, path string, header ...string) (int, http.Header, string, error) {
 	t.Helper()
-	request, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader("body"))
+	return sendBody(t, strings.NewReader("body"), url, path, header...)
+}
+
+// sendBody is send with a body.
+func sendBody(t *testing.T, body io.Reader, url, path string, header ...string) (int, http.Header, string, error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, url+path, body)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -132,8 +138,8 @@
 		return 0, nil, "", err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return response.StatusCode, response.Header, string(body), err
+	received, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(received), err
 }
 
 // Guards against an instance that rejects valid requests with 404 or 401 because it has only just started.
@@ -298,6 +304,57 @@
 	}
 }
 
+// Guards against a request that is passed on late in a planned stop and cut when the grace period ends: it may have run, though
+// another instance could have served it.
+func TestLateRequestOfAStoppingInstanceIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := startBackend(t, func(w http.ResponseWriter, _ *http.Request, _ int) { respondSealed(w, http.StatusOK, "done") })
+	p, url := startProxy(t, b)
+	for _, stop := range []struct {
+		lateFrom, end time.Duration // from now
+		deadlineMS    string
+		status        int
+	}{
+		{time.Hour, 2 * time.Hour, "8000", http.StatusOK},                       // callers still come
+		{-time.Second, time.Hour, "8000", http.StatusOK},                        // ends before the grace period does
+		{-time.Second, time.Second, "8000", http.StatusServiceUnavailable},      // might not
+		{-2 * time.Second, -time.Second, "8000", http.StatusServiceUnavailable}, // cannot
+	} {
+		before := b.count()
+		body, w := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(w, "first,") // returns once the request has been begun
+			p.Stop(time.Now().Add(stop.lateFrom), time.Now().Add(stop.end))
+			_, _ = io.WriteString(w, "last")
+			_ = w.Close()
+		}()
+		status, header, _, err := sendBody(t, body, url, "/unsafe/x", platform.HeaderDeadline, stop.deadlineMS)
+		is.NoErr(err)
+		is.Equal(status, stop.status)
+		is.Equal(b.count()-before, map[int]int{http.StatusOK: 1}[status])
+		is.Equal(header.Get(platform.HeaderRetryAfter) != "", status != http.StatusOK)
+	}
+}
+
+// Guards against calls that are cut without an answer when the grace period of a planned stop ends.
+func TestCallsGetAnAnswerWhenTheGracePeriodEnds(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan struct{}, 1)
+	b := startBackend(t, func(_ http.ResponseWriter, r *http.Request, _ int) {
+		arrived <- struct{}{}
+		<-r.Context().Done()
+	})
+	p, url := startProxy(t, b)
+	go func() {
+		<-arrived
+		p.EndCalls()
+	}()
+	status, header, _, err := send(t, url, "/unsafe/x")
+	is.NoErr(err)
+	is.Equal(status, http.StatusBadGateway) // it may have run
+	is.Equal(header.Get(platform.HeaderRetryAfter), "")
+}
+
 // events writes events from first to last.
 func events(w http.ResponseWriter, first, last int) {
 	for i := first; i <= last; i++ {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -19,8 +19,10 @@
 	// deregistrationDelay is how long a stopping instance continues to accept connections: the platform's balancer checks
 	// readiness every second, and removes an instance after two failed checks.
 	deregistrationDelay = 2500 * time.Millisecond
-	// stopMargin is the part of the grace period that is reserved for closing after the requests have been cut.
+	// stopMargin is the part of the grace period that is left when the open requests are ended.
 	stopMargin = 300 * time.Millisecond
+	// endTime is how long the requests that are ended have to send their final responses, before their connections are closed.
+	endTime = 150 * time.Millisecond
 	// idleSweepInterval is the interval at which idle connections to servers are closed.
 	idleSweepInterval = time.Second
 )
@@ -68,14 +70,18 @@
 	log.WithFields(log.Fields{"instance": s.Instance, "callers": s.CallersListen, "ready": s.ReadyListen, "seeds": s.SeedControlAddresses()}).
 		Info("entry instance serves")
 	process.ForEachChange(ctx, reloads, func(next *platform.Settings) { proxy.SetSeeds(next.SeedControlAddresses()) })
-	deadline := time.Now().Add(s.StopGrace - stopMargin)
-	proxy.Stop()
+	stopped := time.Now()
+	end := stopped.Add(s.StopGrace - stopMargin)
+	proxy.Stop(stopped.Add(deregistrationDelay), end)
 	log.WithFields(log.Fields{"instance": s.Instance, "open": proxy.InFlight()}).Info("entry instance drains its open requests")
 	time.Sleep(deregistrationDelay)
-	shutdown, cancel := context.WithDeadline(context.Background(), deadline)
+	shutdown, cancel := context.WithDeadline(context.Background(), end.Add(endTime))
 	defer cancel()
+	defer time.AfterFunc(time.Until(end), func() {
+		log.WithField("open", proxy.InFlight()).Error("grace period expired: open requests are ended")
+		proxy.EndCalls()
+	}).Stop()
 	if callers.Shutdown(shutdown) != nil {
-		log.WithField("open", proxy.InFlight()).Error("grace period expired: open requests are cut")
 		callers.Close()
 	}
 	stop()
