Announcements: refuse numbers out of range; bound times in headers

Eight entries with numbers out of range were taken and relayed to all entry instances (negative and huge slots, ranks outside of their group, group sizes up to 2^62, cold times that no duration holds). No crash was shown; a group size that is taken from a rank process sets the length of loops and lists of its coordinator, and is bounded now, too.

Change: registry.Validate checks the ranges. Times in headers are parsed by one function, which accepts no negative or infinite number and bounds the rest: the plain conversion of a huge number differs between x86-64 and arm64.

Test: TestOddAnnouncementsAreRefused failed before for these eight entries ('status 200').

--- a/decide/registry/validate.go
+++ b/decide/registry/validate.go
@@ -2,12 +2,20 @@
 
 import (
 	"fmt"
+	"time"
 	"unicode/utf8"
 )
 
 // maxTextBytes limits each text of an announcement, so that a message with many announcements stays below its size limit.
 const maxTextBytes = 256
 
+// Limits of the numbers of an announcement. Ranks are kept in lists as long as their group is large.
+const (
+	MaxGroupSize     = 4096
+	maxSlots         = 1 << 20
+	maxColdRemaining = 24 * time.Hour
+)
+
 // InvalidError reports an announcement that describes no usable server.
 type InvalidError struct {
 	Field  string
@@ -32,5 +40,18 @@
 	if a.Server == "" {
 		return &InvalidError{"identifier", "is missing; send it in the path"}
 	}
+	switch g := a.Group; {
+	case a.Slots < 0 || a.Slots > maxSlots:
+		return &InvalidError{"slots", fmt.Sprintf("%d is out of range; send 0 to %d", a.Slots, maxSlots)}
+	case a.ColdRemaining < 0 || a.ColdRemaining > maxColdRemaining:
+		return &InvalidError{"remaining cold time", fmt.Sprintf("%v is out of range; send at most %v", a.ColdRemaining, maxColdRemaining)}
+	case g.Name != "" && !ValidRank(g.Rank, g.Size):
+		return &InvalidError{"group", fmt.Sprintf("rank %d of %d is out of range; send at most %d ranks, the first one as 0", g.Rank, g.Size, MaxGroupSize)}
+	}
 	return nil
 }
+
+// ValidRank reports whether a group of the size may exist and has the rank. A size of 0 is unknown.
+func ValidRank(rank, size int) bool {
+	return rank >= 0 && size >= 0 && size <= MaxGroupSize && rank < MaxGroupSize && (rank < size || size == 0)
+}
--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -27,6 +27,8 @@
 	idleTimeoutRatio = 0.7
 	// defaultIdleTimeout applies if the server announces no idle timeout.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout is the idle timeout from which on a server's value is ignored.
+	maxIdleTimeout = time.Hour
 	// maxIdlePerServer is the maximum number of idle connections to one server.
 	maxIdlePerServer = 32
 	// unackedTimeout is how long sent data may stay unacknowledged before the kernel aborts the connection. Without it, a
@@ -238,7 +240,7 @@
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
-		if seconds, err := strconv.ParseFloat(value, 64); err == nil {
+		if seconds, err := strconv.ParseFloat(value, 64); err == nil && seconds >= 0 && seconds < maxIdleTimeout.Seconds() {
 			return time.Duration(idleTimeoutRatio * seconds * float64(time.Second))
 		}
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -285,6 +285,46 @@
 	})
 }
 
+// Guards against an odd entry of another writer among the announcements that ends the processes which read it, or hides the sound
+// ones from them.
+func TestOddAnnouncementsAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, d := startOneControl(t)
+		defer f.stopAll()
+		handler := (&api{Directory: d.Directory}).handler()
+		post := func(id, body string) int {
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/instances/"+id+"/heartbeat", strings.NewReader(body)))
+			return w.Code
+		}
+		const sound = `{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","sequence":1,"born":7,"cold-remaining-ms":0,` +
+			`"group":{"name":"g","epoch":1,"rank":1,"state":"open"},"size":2}`
+		r := &announcementsReceiver{servers: map[string]bool{}}
+		f.connectEntry(d, "entry", r)
+		for i, change := range [][2]string{
+			{`:80"`, `:80000"`}, {`:80"`, `:-1"`}, {`:80"`, `"`}, {`"slots":4`, `"slots":1e400`}, {`"slots":4`, `"slots":-4`},
+			{`"slots":4`, `"slots":9007199254740993`}, {`"sequence":1`, `"sequence":-1`}, {`"sequence":1`, `"sequence":18446744073709551616`},
+			{`"born":7`, `"born":7.5`}, {`"born":7`, `"born":1e30`}, {`-ms":0`, `-ms":1e300`}, {`-ms":0`, `-ms":-1`}, {`-ms":0`, `-ms":1e999`},
+			{`"rank":1`, `"rank":-1`}, {`"rank":1`, `"rank":2`}, {`"size":2`, `"size":4611686018427387904`}, {`"size":2`, `"size":-2`},
+			{`"state":"ready"`, `"state":["ready"]`}, {`"service":"s"`, `"service":null`}, {`"zone":"z"`, `"zone":{}`},
+			{sound, strings.Repeat("[", 60000)}, {sound, strings.Repeat(`{"group":`, 6000)}, {`"size":2`, `"size":` + strings.Repeat("[", 50000)},
+			{sound, "null"}, {sound, "[]"}, {sound, "\xff\xfe"},
+		} {
+			is.True(strings.Contains(sound, change[0]))
+			if got := post(fmt.Sprint("odd-", i), strings.Replace(sound, change[0], change[1], 1)); got != http.StatusBadRequest {
+				t.Errorf("%.40s: status %d", change[1], got)
+			}
+		}
+		is.Equal(post("sound", sound), http.StatusOK)
+		time.Sleep(2 * time.Second)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		is.Equal(r.servers, map[string]bool{"sound": true})
+		is.True(!r.closed)
+	})
+}
+
 // Guards against an order for a data centre that is carried out after a newer one was acknowledged: it waited at an instance
 // that was cut off or stood still, while its sender repeated it elsewhere.
 func TestLateOrderUndoesNoNewerOne(t *testing.T) {
@@ -296,17 +336,29 @@
 				f := newControlFleet(t, 3)
 				defer f.stopAll()
 				f.startFounders("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
-				time.Sleep(3 * time.Second)
+				leader := func() *controlNode {
+					for _, n := range f.nodes {
+						if _, leads := n.member.Leads(); leads {
+							return n
+						}
+					}
+					return nil
+				}
+				for leader() == nil {
+					time.Sleep(100 * time.Millisecond)
+				}
 				handlers := map[*controlNode]http.Handler{}
-				var frozen, other *controlNode
+				var followers []*controlNode
 				for _, n := range f.nodes {
 					handlers[n] = (&api{n.Directory, map[string]string{"z": "r"}}).handler()
-					if _, leads := n.member.Leads(); leads == (name == leaderCut) {
-						frozen = n
-					} else {
-						other = n
+					if n != leader() {
+						followers = append(followers, n)
 					}
 				}
+				frozen, other := followers[0], followers[1]
+				if name == leaderCut {
+					frozen = leader()
+				}
 				order := func(n *controlNode, ctx context.Context, what string) int {
 					w := httptest.NewRecorder()
 					handlers[n].ServeHTTP(w, httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/evacuations/z/"+what, nil))
--- a/internal/directory/groups.go
+++ b/internal/directory/groups.go
@@ -13,6 +13,7 @@
 	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/coordination"
 	"github.com/banyanfront/banyanfront/decide/experts"
+	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/decide/routes"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
@@ -177,7 +178,7 @@
 
 // handleReport processes a report of a rank.
 func (gs *groups) handleReport(now time.Time, s transport.Session, m *protocol.Rank) {
-	if m.Size <= 0 {
+	if m.Size <= 0 || !registry.ValidRank(m.Report.Rank, m.Size) {
 		return
 	}
 	key := controlstate.GroupKey(m.Service, m.Group)
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -199,11 +199,10 @@
 
 // requestedTimeout returns the time until the deadline that the caller set, or the default.
 func requestedTimeout(header http.Header) time.Duration {
-	ms, err := strconv.ParseFloat(header.Get(platform.HeaderDeadline), 64)
-	if err != nil || ms <= 0 || ms > float64(24*time.Hour/time.Millisecond) {
-		return defaultTimeout
+	if timeout, ok := platform.ParseHeaderTime(header.Get(platform.HeaderDeadline), time.Millisecond); ok && timeout > 0 {
+		return timeout
 	}
-	return time.Duration(ms * float64(time.Millisecond))
+	return defaultTimeout
 }
 
 // withDispatcher calls f with the dispatcher while holding the lock: the dispatcher is not safe for concurrent use.
@@ -236,7 +235,7 @@
 func (p *Proxy) recordReport(choice *dispatch.Choice, response *backendhttp.Response) {
 	header := response.Header
 	load := strings.Split(header.Get(platform.HeaderLoad), ",")
-	cold, coldErr := strconv.ParseFloat(header.Get(platform.HeaderColdRemaining), 64)
+	cold, isCold := platform.ParseHeaderTime(header.Get(platform.HeaderColdRemaining), time.Millisecond)
 	p.recordServerLimit(choice, response)
 	p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) {
 		d.RecordActivity(now, choice)
@@ -244,12 +243,12 @@
 			running, err1 := strconv.Atoi(strings.TrimSpace(load[0]))
 			waiting, err2 := strconv.Atoi(strings.TrimSpace(load[1]))
 			slots, err3 := strconv.Atoi(strings.TrimSpace(load[2]))
-			if err1 == nil && err2 == nil && err3 == nil {
+			if err1 == nil && err2 == nil && err3 == nil && min(running, waiting, slots) >= 0 {
 				d.RecordLoad(now, choice, running, waiting, slots)
 			}
 		}
-		if coldErr == nil {
-			d.RecordCold(now, choice, time.Duration(cold*float64(time.Millisecond)))
+		if isCold {
+			d.RecordCold(now, choice, cold)
 		}
 	})
 }
