--- a/decide/registry/validate.go
+++ b/decide/registry/validate.go
@@ -45,6 +45,8 @@
 		return &InvalidError{"slots", fmt.Sprintf("%d is out of range; send 0 to %d", a.Slots, maxSlots)}
 	case a.ColdRemaining < 0 || a.ColdRemaining > maxColdRemaining:
 		return &InvalidError{"remaining cold time", fmt.Sprintf("%v is out of range; send at most %v", a.ColdRemaining, maxColdRemaining)}
+	case a.StartedAtMillis <= 0 && a.State != Deregistered:
+		return &InvalidError{"start of the process", "is missing; send it, so that the newest announcement can be told"}
 	case g.Name != "" && !ValidRank(g.Rank, g.Size):
 		return &InvalidError{"group", fmt.Sprintf("rank %d of %d is out of range; send at most %d ranks, the first one as 0", g.Rank, g.Size, MaxGroupSize)}
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -325,6 +325,25 @@
 	})
 }
 
+// Guards against heartbeats of another writer that lack the start of the process: they replaced the announcements of the server
+// itself, whose own leave was acknowledged and dropped.
+func TestForeignAnnouncementDoesNotHideALeave(t *testing.T) {
+	is := is.New(t)
+	d, server := startSingleInstance(t)
+	announce := func(sequence int, state, born string) int {
+		status, _ := call(t, http.MethodPost, server.URL+"/v1/instances/i1/heartbeat", fmt.Sprintf(
+			`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":%q,"sequence":%d%s}`, state, sequence, born))
+		return status
+	}
+	is.Equal(announce(1, "ready", `,"born":7`), http.StatusOK)
+	is.Equal(announce(1e12, "ready", ""), http.StatusBadRequest)
+	is.Equal(announce(1e12, "ready", `,"born":0`), http.StatusBadRequest)
+	is.Equal(announce(2, "draining", `,"born":7`), http.StatusOK)
+	reply := make(chan registry.Record)
+	d.post(func(time.Time) { reply <- *d.servers.Get("i1") })
+	is.Equal((<-reply).State, registry.Draining)
+}
+
 // Guards against an order for a data centre that is carried out after a newer one was acknowledged: it waited at an instance
 // that was cut off or stood still, while its sender repeated it elsewhere.
 func TestLateOrderUndoesNoNewerOne(t *testing.T) {
