Dispatch: a server that says that it leaves gets no new requests

Nothing read the header.

Change: the word of a server holds for that life of it, whatever the announcements say, also if it is not announced for a while. Choices, retries, resumed streams and trials ask one function. Other servers come first at once; within drain-ms of the word, measured at the arrival of the request, it may still be chosen if no other one can be; after that the request is rejected at once. Idle connections to it are closed.

It is believed only from a response that echoes the request's identifier and is not an unsealed success or 421; from any other response the header is not passed on either. Values other than 1 say nothing. Other machines learn of it by the engine's own draining, as before: a lie that one machine relays to all would cost the engine everywhere.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -21,6 +21,8 @@
 	AnnounceInterval time.Duration
 	// DeregistrationDelay is the time from an instance's first report that it is not ready until it gets no more callers.
 	DeregistrationDelay time.Duration
+	// DrainTime is how long a server that has said that it leaves still takes requests.
+	DrainTime time.Duration
 	// RetryRatio, RetrySlack and RetryWindow are the retry budget of a service over all entry instances: retries in a sliding
 	// window are at most RetryRatio x requests + RetrySlack.
 	RetryRatio  float64
@@ -94,8 +96,9 @@
 	// time between two events of a stream. 0 means no target.
 	Objective       time.Duration
 	MaxEventGap     time.Duration
-	ObjectiveMissed bool // the objective will be missed on any server
-	Again           bool // a choice for the same attempt has found no server
+	ObjectiveMissed bool      // the objective will be missed on any server
+	ArrivedAt       time.Time // when the caller's request arrived here; zero means now
+	Again           bool      // a choice for the same attempt has found no server
 }
 
 // Choice is the server for one attempt. It counts as in flight there until Release.
@@ -153,14 +156,15 @@
 	paths        map[string]*path         // by data centre; none is kept for those with signs of life only
 	cutOffSince  time.Time                // see UpdateCutOff; zero while the instance is not cut off
 	random       *rand.Rand
-	candidates   candidates // of the current choice; kept to reuse its memory
+	wishes       map[string]*wishes // by server
+	candidates   candidates         // of the current choice; kept to reuse its memory
 }
 
 // New returns a dispatcher without servers.
 func New(config Config) *Dispatcher {
 	return &Dispatcher{config: config, servers: map[string]*server{}, byService: map[string][]*server{},
 		evacuated: map[string]bool{}, groups: map[string]*group{}, retryBudgets: map[string]*retryBudget{},
-		permitDemand: map[string]*permitDemand{}, gapsByGroup: map[string]*eventGaps{}, paths: map[string]*path{}, instances: 1, random: rand.New(rand.NewPCG(config.Seed, 0))}
+		permitDemand: map[string]*permitDemand{}, gapsByGroup: map[string]*eventGaps{}, paths: map[string]*path{}, wishes: map[string]*wishes{}, instances: 1, random: rand.New(rand.NewPCG(config.Seed, 0))}
 }
 
 // SetTable replaces the routing configuration.
@@ -205,6 +209,7 @@
 		d.byService[k.Service] = append(d.byService[k.Service], s)
 	}
 	d.servers = servers
+	d.expireWishes(now, servers)
 }
 
 // applyGroupReport closes the group of a rank that reports it broken.
@@ -345,6 +350,9 @@
 	if slices.Contains(request.Tried, s.announcement.Server) {
 		return Tried, minRetryAfter
 	}
+	if reason, wait := d.leavingExclusion(now, s, request); reason != "" {
+		return reason, wait
+	}
 	if since := d.lostSince(s.announcement.DataCentre); !since.IsZero() {
 		return Unreachable, d.unreachableFor(now, since)
 	}
@@ -419,6 +427,9 @@
 	if d.isCold(now, s) {
 		cost++
 	}
+	if d.leaves(s) {
+		cost += leavingCost
+	}
 	if now.Sub(s.announcedAt) > maxMissedAnnouncements*d.config.AnnounceInterval {
 		cost += 10
 	}
--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -460,6 +460,24 @@
 	}
 }
 
+// CloseAfterUse makes the connection of the response unusable for further requests, and closes the idle ones to its server.
+func (r *Response) CloseAfterUse() {
+	r.closeConnection = true
+	r.client.closeIdleTo(r.conn.key)
+}
+
+func (c *Client) closeIdleTo(key string) {
+	c.mu.Lock()
+	var idle []*conn
+	if p := c.pools[key]; p != nil {
+		idle, p.idle = p.idle, nil
+	}
+	c.mu.Unlock()
+	for _, connection := range idle {
+		c.discard(connection)
+	}
+}
+
 // CloseIdle closes connections that have been idle for too long to be reused.
 func (c *Client) CloseIdle(now time.Time) {
 	var stale []*conn
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -127,7 +127,7 @@
 		return nil, refusal
 	}
 	request := dispatch.Request{Service: c.service, Tried: c.tried, Retry: len(c.tried) > 0, Objective: c.route.Objective,
-		MaxEventGap: c.route.LongestPause, ObjectiveMissed: c.objectiveMissed}
+		MaxEventGap: c.route.LongestPause, ObjectiveMissed: c.objectiveMissed, ArrivedAt: c.arrived}
 	choice, refusal, answered := c.proxy.pick(request)
 	if refusal != nil && c.awaitCapacity(refusal, answered) {
 		request.Again = true
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -237,6 +237,7 @@
 	load := strings.Split(header.Get(platform.HeaderLoad), ",")
 	cold, isCold := platform.ParseHeaderTime(header.Get(platform.HeaderColdRemaining), time.Millisecond)
 	p.recordServerLimit(choice, response)
+	p.recordWishes(choice, response)
 	p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) {
 		d.RecordActivity(now, choice)
 		if len(load) == 3 {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -37,6 +37,7 @@
 			Seed:                rand.Uint64(),
 			AnnounceInterval:    s.AnnounceInterval,
 			DeregistrationDelay: deregistrationDelay,
+			DrainTime:           s.DrainTime,
 			RetryRatio:          s.RetryRatio,
 			RetrySlack:          s.RetrySlack,
 			RetryWindow:         s.RetryWindow,
