Dispatch: a server that answers 503 with Retry-After gets no requests for that time

Nothing read the header of an engine's 503.

Change: the time holds for that life of the server, in the function that all choices ask. A later word does not shorten it; of several values the longest counts; 0, negative values, dates and what is no number say nothing; an hour at most. If only such servers remain, requests are rejected at once with the earliest end, spread so that their callers do not return together.

Tests: TestQuietServerGetsNoRequests, TestServerThatWantsNoRequestsGetsNone (new rule; nothing to fail before).

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -71,6 +71,7 @@
 	Full        Reason = "full"         // all servers are at their concurrency limit
 	Cold        Reason = "cold"         // the remaining servers have just started
 	Limited     Reason = "limited"      // the remaining servers have named a limit of their requests, which is used up
+	Quiet       Reason = "quiet"        // the remaining servers have asked for no requests for a while
 	GroupClosed Reason = "group_closed" // the lock-step group has lost a rank
 	Tried       Reason = "tried"        // the remaining servers were already tried for this request
 	NoBudget    Reason = "no_budget"    // the retry budget of the service is exhausted
@@ -311,7 +312,11 @@
 	}
 	best := d.candidates.choose(d.random)
 	if best == nil {
-		refusal.RetryAfter = min(max(refusal.RetryAfter, minRetryAfter), maxRetryAfter)
+		if refusal.Reason == Quiet {
+			refusal.RetryAfter = d.spreadQuiet(max(refusal.RetryAfter, minRetryAfter))
+		} else {
+			refusal.RetryAfter = min(max(refusal.RetryAfter, minRetryAfter), maxRetryAfter)
+		}
 		return nil, refusal
 	}
 	if request.Retry {
@@ -332,12 +337,14 @@
 		return 1
 	case Unreachable:
 		return 2
-	case GroupClosed:
+	case Quiet:
 		return 3
-	case Cold, Limited:
+	case GroupClosed:
 		return 4
-	default:
+	case Cold, Limited:
 		return 5
+	default:
+		return 6
 	}
 }
 
@@ -353,6 +360,9 @@
 	if reason, wait := d.leavingExclusion(now, s, request); reason != "" {
 		return reason, wait
 	}
+	if wait := d.quietFor(now, s); wait > 0 {
+		return Quiet, wait
+	}
 	if since := d.lostSince(s.announcement.DataCentre); !since.IsZero() {
 		return Unreachable, d.unreachableFor(now, since)
 	}
--- a/decide/dispatch/wishes.go
+++ b/decide/dispatch/wishes.go
@@ -13,12 +13,18 @@
 	leavingCost = 100
 	// wishesKeptFor is how long the wishes of a server that is no longer announced are kept: it may have been forgotten by mistake.
 	wishesKeptFor = 10 * time.Minute
+	// maxQuiet limits the time for which a server can ask for no requests. One that still wants none rejects the next request.
+	maxQuiet = time.Hour
+	// Callers refused during that time return over a part of it, at most maxQuietSpread.
+	quietSpreadDivisor = 4
+	maxQuietSpread     = time.Second
 )
 
 // wishes are what one incarnation of a server has asked of this instance.
 type wishes struct {
 	startedAtMillis int64
 	leavingSince    time.Time // zero unless it leaves
+	quietUntil      time.Time // it wants no requests until then
 	knownAt         time.Time // when the incarnation was last announced, or last said something
 }
 
@@ -32,6 +38,32 @@
 	return true
 }
 
+// RecordQuiet records that the server rejected a request and wants no others for a duration. A later word lengthens the time and
+// does not shorten it: the time that an earlier one has named still counts. It reports whether the time has changed.
+func (d *Dispatcher) RecordQuiet(now time.Time, c *Choice, duration time.Duration) bool {
+	w := d.recordWish(now, c)
+	until := now.Add(min(duration, maxQuiet))
+	if w == nil || !until.After(w.quietUntil) {
+		return false
+	}
+	w.quietUntil = until
+	return true
+}
+
+// quietFor returns for how long a server wants no requests, 0 if it takes them.
+func (d *Dispatcher) quietFor(now time.Time, s *server) time.Duration {
+	if w := d.wishesOf(s); w != nil {
+		return max(0, w.quietUntil.Sub(now))
+	}
+	return 0
+}
+
+// spreadQuiet returns the Retry-After of a request that only servers which want none for a duration could take. The callers come
+// back over a while after that, so that their requests do not arrive together.
+func (d *Dispatcher) spreadQuiet(duration time.Duration) time.Duration {
+	return duration + time.Duration(d.random.Float64()*float64(min(duration/quietSpreadDivisor, maxQuietSpread)))
+}
+
 // recordWish returns the wishes of the server of a choice, nil if a later incarnation is known.
 func (d *Dispatcher) recordWish(now time.Time, c *Choice) *wishes {
 	w := d.wishes[c.Server.Server]
@@ -61,7 +93,7 @@
 		switch {
 		case s != nil && s.announcement.StartedAtMillis == w.startedAtMillis:
 			w.knownAt = now
-		case s != nil && s.announcement.StartedAtMillis > w.startedAtMillis, now.Sub(w.knownAt) > wishesKeptFor:
+		case s != nil && s.announcement.StartedAtMillis > w.startedAtMillis, now.Sub(w.knownAt) > wishesKeptFor && now.After(w.quietUntil):
 			delete(d.wishes, id)
 		}
 	}
--- a/decide/dispatch/wishes_test.go
+++ b/decide/dispatch/wishes_test.go
@@ -91,3 +91,34 @@
 	d.SetServers(start.Add(wishesKeptFor+1), nil)
 	is.Equal(len(d.wishes), 0)
 }
+
+// Guards against requests to a server that wants none for a while, against a time that an earlier word has named and a later one
+// shortens, and against callers who are kept waiting, or sent back to come together.
+func TestQuietServerGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	d := dispatcher(2, false)
+	is.True(d.RecordQuiet(start, choiceOf(d, "i0"), 8*time.Second))
+	is.True(!d.RecordQuiet(start.Add(time.Second), choiceOf(d, "i0"), time.Second))
+	at := start.Add(8*time.Second - 1)
+	counts, _ := pickCounts(d, at, 20, Request{Service: "s"})
+	is.Equal(counts, map[string]int{"i1": 20})
+	is.True(d.RecordQuiet(start, choiceOf(d, "i1"), 10*time.Second))
+	earliest, latest := time.Hour, time.Duration(0)
+	for range 200 {
+		_, refusal := d.Pick(start, Request{Service: "s"})
+		is.Equal(refusal.Reason, Quiet)
+		earliest, latest = min(earliest, refusal.RetryAfter), max(latest, refusal.RetryAfter)
+	}
+	is.True(earliest >= 8*time.Second) // the first one that wants work again
+	is.True(latest > earliest+maxQuietSpread/2)
+	is.True(latest <= 8*time.Second+maxQuietSpread)
+	counts, _ = pickCounts(d, start.Add(8*time.Second), 5, Request{Service: "s"})
+	is.Equal(counts, map[string]int{"i0": 5})
+
+	is.True(d.RecordQuiet(start, choiceOf(d, "i0"), 1e9*time.Second))
+	_, refusal := d.Pick(start.Add(8*time.Second), Request{Service: "s"})
+	is.Equal(refusal.Reason, Quiet)
+	d.SetServers(start, announcedAgain(d, start, func(a *registry.Announcement) { a.StartedAtMillis++ }))
+	counts, _ = pickCounts(d, start, 4, Request{Service: "s"})
+	is.Equal(len(counts), 2) // their next lives have asked for nothing
+}
--- a/internal/edge/wishes_test.go
+++ b/internal/edge/wishes_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,3 +56,44 @@
 		})
 	}
 }
+
+// Guards against more than two requests to a server that has asked for none, and against callers who wait for it until their
+// deadline: each kind of Retry-After that a server may send.
+func TestServerThatWantsNoRequestsGetsNone(t *testing.T) {
+	for _, c := range []struct {
+		values []string
+		proved bool // that the request has not run
+		quiet  bool
+	}{
+		{[]string{"30"}, true, true}, {[]string{"30"}, false, true}, {[]string{"12.5"}, true, true}, {[]string{" 30 "}, true, true},
+		{[]string{"1e9"}, true, true}, {[]string{"0", "30", "soon"}, true, true}, {[]string{"0"}, true, false}, {[]string{"-5"}, true, false},
+		{[]string{"NaN"}, true, false}, {[]string{"Inf"}, true, false}, {[]string{"Wed, 21 Oct 2099 07:28:00 GMT"}, true, false}, {nil, true, false},
+	} {
+		t.Run(strings.Join(c.values, "+"), func(t *testing.T) {
+			is := is.New(t)
+			b := startBackend(t, func(w http.ResponseWriter, _ *http.Request, _ int) {
+				for _, v := range c.values {
+					w.Header().Add(platform.HeaderRetryAfter, v)
+				}
+				if c.proved {
+					w.Header().Set(platform.HeaderNotRun, "1")
+				}
+				respondSealed(w, http.StatusServiceUnavailable, "busy")
+			})
+			_, url := startProxy(t, b)
+			for i := range 4 {
+				status, header, _, err := send(t, url, "/once/x")
+				is.NoErr(err)
+				if !c.proved && i == 0 {
+					is.Equal(status, http.StatusBadGateway) // it may have run
+					continue
+				}
+				is.Equal(status, http.StatusServiceUnavailable)
+				after, err := strconv.ParseFloat(header.Get(platform.HeaderRetryAfter), 64)
+				is.NoErr(err)
+				is.Equal(after > 10, c.quiet && i > 0) // the time at which the server wants work again
+			}
+			is.Equal(b.count() == 1, c.quiet)
+		})
+	}
+}
