Group member: try again to reset or found a folder whose disk had failed

Change: the reset is tried at each tick until it succeeds; a founder starts the group that an earlier attempt has written.

Tests: TestReplacedVoterJoinsAgainOnceItsDiskWorks and TestGroupIsFoundedOnceTheDiskWorks failed before ('no majority in reach', the second at fault 4 from operation 8).

--- a/internal/directory/rejoin_test.go
+++ b/internal/directory/rejoin_test.go
@@ -272,7 +272,12 @@
 
 // Guards against a control instance that answers "no majority" until its next restart: while it was away, a learner replaced it as a
 // voter, and its own log, which is older, still names it as a member.
-func TestReplacedVoterWithItsDiskJoinsAgain(t *testing.T) {
+func TestReplacedVoterWithItsDiskJoinsAgain(t *testing.T) { replacedVoterReturns(t, false) }
+
+// Guards against the same if the disk is full when the member learns that it was removed, and works again later.
+func TestReplacedVoterJoinsAgainOnceItsDiskWorks(t *testing.T) { replacedVoterReturns(t, true) }
+
+func replacedVoterReturns(t *testing.T, diskFull bool) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newControlFleet(t, 3)
@@ -291,8 +296,16 @@
 		f.waitForVote(f.nodes["d"], 2*rejoinLimit, "learner after the loss of a voter")
 		lost.disk.Restart()
 		is.NoErr(storage.WriteFile(lost.disk, "beside", []byte("kept")))
+		if diskFull {
+			lost.disk.FailFrom(1, faultfs.NoSpace)
+		}
 		back := f.start(lost.address, lost.disk, false, seeds...)
 		time.Sleep(rejoinLimit)
+		if diskFull {
+			is.True(back.readBarrier(t.Context()) != nil)
+			lost.disk.Repair()
+			time.Sleep(rejoinLimit)
+		}
 		is.NoErr(back.readBarrier(t.Context()))
 		is.NoErr(f.commit(2))
 		kept, err := storage.ReadFile(lost.disk, "beside")
@@ -300,3 +313,26 @@
 		is.Equal(string(kept), "kept")
 	})
 }
+
+// Guards against a group that is never founded because the disk of a founder failed while it was: at each operation, for a while.
+func TestGroupIsFoundedOnceTheDiskWorks(t *testing.T) {
+	for _, fault := range []faultfs.Fault{faultfs.NoSpace, faultfs.ShortWrite, faultfs.FailedSync} {
+		for at := 1; at < 20; at++ {
+			synctest.Test(t, func(t *testing.T) {
+				f := newControlFleet(t, 3)
+				defer f.stopAll()
+				f.startFounders("a", "b", "c")
+				disk := f.nodes["a"].disk
+				disk.FailFrom(at, fault)
+				time.Sleep(5 * time.Second)
+				disk.Repair()
+				time.Sleep(rejoinLimit)
+				for _, n := range f.nodes {
+					if err := n.readBarrier(t.Context()); err != nil {
+						t.Fatalf("fault %d from operation %d: %s: %v", fault, at, n.address, err)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/groupmember/member.go
+++ b/internal/groupmember/member.go
@@ -88,6 +88,7 @@
 
 	// Accessed only by New and Tick.
 	foundingVoter  *bootstrap.Voter   // nil unless the group may still be founded
+	mustReset      bool               // the group has removed this member, whose folder has not been reset yet
 	initialMembers []bootstrap.Member // set when this process founds the group
 }
 
@@ -221,7 +222,7 @@
 func (m *Member) Tick(now time.Time) {
 	m.receiveReports(now)
 	if err := m.rejoinIfRemoved(); err != nil {
-		log.WithError(err).Error("the data folder of a removed member could not be reset; empty it and restart the process")
+		log.WithError(err).Error("the data folder of a removed member could not be reset; free space or check the disk, it is tried again")
 	}
 	if m.foundingVoter != nil {
 		step, members := m.foundingVoter.NextStep(now)
@@ -245,19 +246,24 @@
 func (m *Member) rejoinIfRemoved() error {
 	select {
 	case id := <-m.removals:
-		if id != m.id.Load() {
-			return nil
+		if id != m.id.Load() || m.mustReset {
+			break
+		}
+		log.WithField("member", id).Warn("the group has removed this member; it joins again with an empty data folder")
+		m.mustReset = true
+		if r := m.replica.Swap(nil); r != nil {
+			if err := r.Close(); err != nil {
+				log.WithError(err).Warn("the removed member did not close cleanly")
+			}
 		}
 	default:
-		return nil
 	}
-	log.WithField("member", m.id.Load()).Warn("the group has removed this member; it joins again with an empty data folder")
-	if r := m.replica.Swap(nil); r != nil {
-		if err := r.Close(); err != nil {
-			return err
-		}
+	if !m.mustReset {
+		return nil
 	}
-	return m.resetFolder()
+	err := m.resetFolder() // tried again at the next tick if it fails
+	m.mustReset = err != nil
+	return err
 }
 
 // receiveReports processes the queued reports of other voters.
@@ -284,7 +290,12 @@
 		for _, f := range members {
 			list = append(list, consensus.Member{ID: consensus.ID(f.ID), Address: f.Address})
 		}
-		if err := replica.Bootstrap(m.fs, list); err != nil {
+		// An earlier attempt may have written the group and failed after that.
+		founded, err := belongsToGroup(m.fs)
+		if err == nil && !founded {
+			err = replica.Bootstrap(m.fs, list)
+		}
+		if err != nil {
 			return err
 		}
 		m.initialMembers = members
