Soak: a test writes a rank's state under the group's lock

Cause: TestStepOnTwoMapsIsDetected writes the prepared map of a rank without the group's lock, while the copy begun by its order ends on a timer. If that fires before the test takes the lock again, the detector reports the write.

Change: the test takes the lock for its writes. The product is not concerned, no check is changed.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -162,7 +162,9 @@
 	next := experts.RankLists{{{0, 2, 4, 6, 1}, {1, 3, 5, 7}}, {{0, 2, 4, 6}, {1, 3, 5, 7}}}
 	for rank, r := range g.ranks {
 		is.Equal(g.execute(experts.RankOrder{Operation: experts.OrderPrepare, Version: 2, Epoch: g.epoch, Map: next}, rank), experts.OrderAccepted)
+		g.mu.Lock() // the copy that the order has begun ends later
 		r.copyingVersion, r.preparedVersion, r.preparedLists = 0, 2, next
+		g.mu.Unlock()
 		is.Equal(g.execute(experts.RankOrder{Operation: experts.OrderArm, Version: 2, Step: g.step + 2, Epoch: g.epoch}, rank), experts.OrderAccepted)
 	}
 	g.runStep(now)
@@ -170,7 +172,9 @@
 	is.Equal(brokenRules(l), "")
 	is.Equal(g.ranks[1].mapVersion, uint64(2))
 	for rank, r := range g.ranks {
+		g.mu.Lock()
 		r.preparedVersion, r.preparedLists = 4, initialMap(2)
+		g.mu.Unlock()
 		is.Equal(g.execute(experts.RankOrder{Operation: experts.OrderArm, Version: 4, Step: g.step + 1 + uint64(rank), Epoch: g.epoch}, rank),
 			experts.OrderAccepted)
 	}
