--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -207,9 +207,7 @@
 func TestAnnouncementsBecomeServers(t *testing.T) {
 	is := is.New(t)
 	d, server := startSingleInstance(t)
-	path := func(pattern, id string) string {
-		return server.URL + strings.Replace(pattern, "{"+platform.ServerVariable+"}", id, 1)
-	}
+	path := func(pattern, id string) string { return server.URL + pathOf(pattern, id) }
 	status, _ := call(t, http.MethodPost, path(platform.AnnouncePath, "i1"),
 		`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","sequence":1,"born":7}`)
 	is.Equal(status, http.StatusOK)
@@ -248,6 +246,19 @@
 	r.closed = r.closed || state == transport.StateClosed
 }
 
+// pathOf returns the path of a backend server's call. The identifier is escaped already.
+func pathOf(pattern, id string) string {
+	return strings.Replace(pattern, "{"+platform.ServerVariable+"}", id, 1)
+}
+
+// post sends a backend server's call to a handler and returns the status.
+func post(t *testing.T, handler http.Handler, pattern, id, body string) int {
+	t.Helper()
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, pathOf(pattern, id), strings.NewReader(body)))
+	return w.Code
+}
+
 // Guards against heartbeats of another writer that keep entry instances from learning of servers: with an identifier that is
 // not UTF-8, or with texts so long that no message holds them.
 func TestForeignAnnouncementsKeepSessions(t *testing.T) {
@@ -256,22 +267,17 @@
 		f, d := startOneControl(t)
 		defer f.stopAll()
 		handler := (&api{Directory: d.Directory}).handler()
-		post := func(path, body string) int {
-			w := httptest.NewRecorder()
-			handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
-			return w.Code
-		}
 		body := func(service, address string) string {
 			return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","slots":4,"state":"ready","sequence":1,"born":7}`, service, address)
 		}
 		r := &announcementsReceiver{servers: map[string]bool{}}
 		f.connectEntry(d, "entry", r)
-		is.Equal(post("/v1/instances/ca%F1on-1/heartbeat", body("s", "10.0.0.1:80")), http.StatusBadRequest)
-		is.Equal(post("/v1/instances/ca%F1on-1/deregister", ""), http.StatusBadRequest)
+		is.Equal(post(t, handler, platform.AnnouncePath, "ca%F1on-1", body("s", "10.0.0.1:80")), http.StatusBadRequest)
+		is.Equal(post(t, handler, platform.DeregisterPath, "ca%F1on-1", ""), http.StatusBadRequest)
 		for i := range 20 {
-			is.Equal(post(fmt.Sprintf("/v1/instances/long-%d/heartbeat", i), body(strings.Repeat("s", 60<<10), "10.0.0.1:80")), http.StatusBadRequest)
+			is.Equal(post(t, handler, platform.AnnouncePath, fmt.Sprint("long-", i), body(strings.Repeat("s", 60<<10), "10.0.0.1:80")), http.StatusBadRequest)
 		}
-		is.Equal(post("/v1/instances/sound/heartbeat", body("s", "10.0.0.2:80")), http.StatusOK)
+		is.Equal(post(t, handler, platform.AnnouncePath, "sound", body("s", "10.0.0.2:80")), http.StatusOK)
 		time.Sleep(2 * time.Second)
 		late := &announcementsReceiver{servers: map[string]bool{}}
 		f.connectEntry(d, "late", late)
@@ -293,11 +299,6 @@
 		f, d := startOneControl(t)
 		defer f.stopAll()
 		handler := (&api{Directory: d.Directory}).handler()
-		post := func(id, body string) int {
-			w := httptest.NewRecorder()
-			handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/instances/"+id+"/heartbeat", strings.NewReader(body)))
-			return w.Code
-		}
 		const sound = `{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","sequence":1,"born":7,"cold-remaining-ms":0,` +
 			`"group":{"name":"g","epoch":1,"rank":1,"state":"open"},"size":2}`
 		r := &announcementsReceiver{servers: map[string]bool{}}
@@ -312,11 +313,11 @@
 			{sound, "null"}, {sound, "[]"}, {sound, "\xff\xfe"},
 		} {
 			is.True(strings.Contains(sound, change[0]))
-			if got := post(fmt.Sprint("odd-", i), strings.Replace(sound, change[0], change[1], 1)); got != http.StatusBadRequest {
+			if got := post(t, handler, platform.AnnouncePath, fmt.Sprint("odd-", i), strings.Replace(sound, change[0], change[1], 1)); got != http.StatusBadRequest {
 				t.Errorf("%.40s: status %d", change[1], got)
 			}
 		}
-		is.Equal(post("sound", sound), http.StatusOK)
+		is.Equal(post(t, handler, platform.AnnouncePath, "sound", sound), http.StatusOK)
 		time.Sleep(2 * time.Second)
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -331,7 +332,7 @@
 	is := is.New(t)
 	d, server := startSingleInstance(t)
 	announce := func(sequence int, state, born string) int {
-		status, _ := call(t, http.MethodPost, server.URL+"/v1/instances/i1/heartbeat", fmt.Sprintf(
+		status, _ := call(t, http.MethodPost, server.URL+pathOf(platform.AnnouncePath, "i1"), fmt.Sprintf(
 			`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":%q,"sequence":%d%s}`, state, sequence, born))
 		return status
 	}
