Sessions: say why they end, notice those that end again and again, count dropped messages

The record shows sessions lost every 0.3 to 0.6 s at four entry instances and nothing else: neither the reason nor how long they lasted, no counter that grows, and a message that does not fit is dropped with a line of level debug. So text that can't be decoded, a silent peer and a message over the limit looked alike.

Tests: TestSessionsThatEndEarlyAreReported, TestDroppedMessagesAreCounted. No routing decision is changed.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -256,7 +256,7 @@
 		return
 	}
 	d.post(func(time.Time) {
-		log.WithField("peer", s.Peer().Instance).Info("session closed")
+		log.WithFields(transport.EndFields(s)).Info("session closed")
 		delete(d.entrySessions, s)
 		delete(d.controlSessions, s)
 		delete(d.reportedAddresses, s)
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -259,7 +259,7 @@
 		return
 	}
 	f.post(func(now time.Time) {
-		log.WithField("peer", s.Peer().Instance).Warn("session with a control instance lost")
+		log.WithFields(transport.EndFields(s)).Warn("session with a control instance lost")
 		delete(f.sessions, s)
 		f.recordControl(now, s, false)
 		f.updateGranting()
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 )
 
@@ -59,6 +60,15 @@
 		ConnectFailed: func(err error, retry time.Duration) {
 			log.WithError(err).WithField("address", address).WithField("retry", retry).Debug("session not opened")
 		},
+		EndsEarly: func(reason string, times int) {
+			metrics.GetOrCreateCounter(`banyanfront_sessions_ended_early_total`).Inc()
+			entry := log.WithFields(log.Fields{"address": address, "reason": reason, "times": times})
+			if times&(times-1) == 0 {
+				entry.Error("sessions with this address end again and again soon after they were opened; see the reason")
+				return
+			}
+			entry.Debug("another session ended soon after it was opened")
+		},
 	})
 }
 
--- a/internal/transport/reconnector.go
+++ b/internal/transport/reconnector.go
@@ -47,6 +47,9 @@
 	SessionChanged func(current, previous Session)
 	// ConnectFailed is called when a connection attempt has failed, with the time until the next one. Optional.
 	ConnectFailed func(err error, retry time.Duration)
+	// EndsEarly is called when a session has ended within MaxBackoff of its opening, as the one or more before it did. times
+	// counts them. Optional.
+	EndsEarly func(reason string, times int)
 	// MinBackoff is the backoff after the first failure; it doubles with each further one. Default 100 ms.
 	MinBackoff time.Duration
 	// MaxBackoff bounds the backoff. A session that stays open for at least MaxBackoff resets it. Default 5 s.
@@ -81,6 +84,14 @@
 	return !ok || s.acceptsStreams()
 }
 
+// reason returns why the session ended or is suspect, empty if it does not say.
+func (m *managedSession) reason() string {
+	if provider, ok := m.Session.(StatsProvider); ok {
+		return provider.Stats().Reason
+	}
+	return ""
+}
+
 // idle reports whether the session has no open streams.
 func (m *managedSession) idle() bool {
 	s, ok := m.Session.(*session)
@@ -142,6 +153,7 @@
 	var retired []*managedSession
 	var countedLoss *managedSession // unusable session that is already counted in the backoff
 	backoff := time.Duration(0)
+	earlyEnds := 0 // sessions in a row that ended within MaxBackoff
 	next := time.Now()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -194,8 +206,12 @@
 			// A short-lived session counts as a failure, so that a peer that is stopping is not dialled repeatedly
 			// without backoff.
 			backoff = min(max(2*backoff, r.cfg.MinBackoff), r.cfg.MaxBackoff)
+			earlyEnds++
 			if time.Since(current.openedAt) >= r.cfg.MaxBackoff {
-				backoff = 0
+				backoff, earlyEnds = 0, 0
+			}
+			if earlyEnds > 1 && r.cfg.EndsEarly != nil {
+				r.cfg.EndsEarly(current.reason(), earlyEnds)
 			}
 			next = time.Now().Add(r.jittered(backoff))
 		}
--- a/internal/transport/reconnector_test.go
+++ b/internal/transport/reconnector_test.go
@@ -188,3 +188,55 @@
 		})
 	}
 }
+
+// Guards against sessions that end again and again at the same message while nobody notices: their reason and number must be
+// reported, and a session that lasts must end the series.
+func TestSessionsThatEndEarlyAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		peer := &peerProcess{}
+		type end struct {
+			reason string
+			times  int
+		}
+		var ends []end
+		r := NewReconnector(ReconnectorConfig{Connect: peer.connect, Handler: &recorder{},
+			EndsEarly: func(reason string, times int) { ends = append(ends, end{reason, times}) }})
+		defer r.Close("test")
+		for i := range 3 {
+			advance(2 * time.Second)
+			s, _ := peer.connection(i)
+			s.Close("the same message")
+		}
+		advance(DefaultMaxBackoff + 3*time.Second)
+		s, _ := peer.connection(3)
+		s.Close("a long session")
+		advance(3 * time.Second)
+		s, _ = peer.connection(4)
+		s.Close("the first of a new series")
+		advance(time.Second)
+		is.Equal(ends, []end{{"closed by the peer: the same message", 2}, {"closed by the peer: the same message", 3}})
+	})
+}
+
+// Guards against messages that are dropped without a trace because they can never be encoded.
+func TestDroppedMessagesAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair(t, Config{QueueMessages: 1}, nil)
+		before := messagesDropped("not_encodable").Get()
+		TrySend(p.a, &protocol.Gossip{Payload: make([]byte, protocol.MaxMessageBytes)})
+		is.Equal(messagesDropped("not_encodable").Get(), before+1)
+		p.faults.Stall(AToB, true)
+		before = messagesDropped("queue_full").Get()
+		for range 100 {
+			TrySend(p.a, &protocol.Gossip{Payload: make([]byte, 100<<10)})
+		}
+		is.True(messagesDropped("queue_full").Get() > before)
+		p.close()
+		synctest.Wait()
+		before = messagesDropped("session_ended").Get()
+		TrySend(p.a, &protocol.Gossip{})
+		is.Equal(messagesDropped("session_ended").Get(), before+1)
+	})
+}
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -40,6 +40,7 @@
 	goAwayReceived bool   // the peer sent GoAway
 	closed         bool   // no new streams or messages are accepted
 	reason         string // why the session ended
+	endedAfter     time.Duration
 }
 
 var _ Session = (*session)(nil)
@@ -195,6 +196,7 @@
 	}
 	s.closed = true
 	s.reason = reason
+	s.endedAfter = time.Duration(s.health.now())
 	interrupted := s.streams
 	s.streams = nil
 	for _, st := range interrupted {
--- a/internal/transport/stats.go
+++ b/internal/transport/stats.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/apex/log"
 )
 
 // Stats holds counters since the start of a session and its current state, for metrics and the account.
@@ -17,6 +19,7 @@
 	Silence         time.Duration // time since the last batch from the peer
 	PeerSilence     time.Duration // as last reported by the peer
 	Reason          string        // why the session is suspect or closed, empty while it is live
+	Lasted          time.Duration // from its start to its end, or until now
 }
 
 // StatsProvider is implemented by the sessions of this package.
@@ -26,6 +29,16 @@
 
 var _ StatsProvider = (*session)(nil)
 
+// EndFields returns the fields of a log line about the end of a session.
+func EndFields(s Session) log.Fields {
+	fields := log.Fields{"peer": s.Peer().Instance}
+	if provider, ok := s.(StatsProvider); ok {
+		stats := provider.Stats()
+		fields["reason"], fields["lastedMs"] = stats.Reason, stats.Lasted.Milliseconds()
+	}
+	return fields
+}
+
 // trafficCounters is updated by readLoop and writeLoop.
 type trafficCounters struct {
 	bytesSent, bytesReceived, batchesSent, batchesReceived atomic.Uint64
@@ -50,6 +63,10 @@
 		silence, cause := s.health.silence()
 		reason = silenceReason(silence, cause)
 	}
+	lasted := s.endedAfter
+	if !s.closed {
+		lasted = time.Duration(s.health.now())
+	}
 	return Stats{
 		BytesSent:       s.counters.bytesSent.Load(),
 		BytesReceived:   s.counters.bytesReceived.Load(),
@@ -61,5 +78,6 @@
 		Silence:         time.Duration(s.health.now() - s.health.lastReceived.Load()),
 		PeerSilence:     time.Duration(s.health.peerSilence.Load()),
 		Reason:          reason,
+		Lasted:          lasted,
 	}
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -4,7 +4,12 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -39,13 +44,49 @@
 	Done() <-chan struct{}
 }
 
-// TrySend queues a session-level message that a later one makes up for. It logs an error and drops the message.
+// TrySend queues a session-level message that a later one makes up for. It drops the message on an error, counts it by its
+// reason, and logs it unless the session has ended.
 func TrySend(s Session, m protocol.Message) {
-	if err := s.Send(m); err != nil {
-		log.WithError(err).WithField("peer", s.Peer().Instance).Debug("message not sent; the session is closed or its send queue is full")
+	err := s.Send(m)
+	if err == nil {
+		return
 	}
+	entry := log.WithError(err).WithFields(log.Fields{"peer": s.Peer().Instance, "type": m.Type()})
+	var lost *SessionLost
+	var full *QueueFull
+	switch {
+	case errors.As(err, &lost):
+		messagesDropped("session_ended").Inc()
+		entry.Debug("message not sent: the session has ended")
+	case errors.As(err, &full):
+		messagesDropped("queue_full").Inc()
+		if droppedLogLimit.allow(time.Now()) {
+			entry.Warn("message dropped: the peer reads too slowly; further ones are only counted for a second")
+		}
+	default:
+		messagesDropped("not_encodable").Inc()
+		if droppedLogLimit.allow(time.Now()) {
+			entry.Error("message dropped: it cannot be encoded, and will not arrive however often it is sent")
+		}
+	}
+}
+
+func messagesDropped(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`banyanfront_messages_dropped_total{reason=%q}`, reason))
+}
+
+// logLimit lets one log line a second pass, so that a fault that lasts does not flood the log.
+type logLimit struct {
+	lastNanos atomic.Int64 // Unix time
+}
+
+func (l *logLimit) allow(now time.Time) bool {
+	last := l.lastNanos.Load()
+	return now.UnixNano()-last >= int64(time.Second) && l.lastNanos.CompareAndSwap(last, now.UnixNano())
 }
 
+var droppedLogLimit logLimit
+
 // Stream carries one attempt in both directions.
 type Stream interface {
 	// Send queues a message. Data blocks until the receiver has granted enough credit, other messages while the stream's
