Sessions: skip a message that cannot be decoded instead of ending the session

Cause: one identifier that was not UTF-8 ended every session, each new session began with the list of all servers and so ended at the same byte, and the state behind it never arrived.

A session-level message is delimited, so the rest of the session can be read without it. It is skipped, counted (banyanfront_messages_undecodable_total) and logged at most once a second.

TestUndecodableMessageEndsNoSession failed before: the session was closed in all three forms.

--- a/internal/transport/misbehaving_peer_test.go
+++ b/internal/transport/misbehaving_peer_test.go
@@ -118,6 +118,39 @@
 	}
 }
 
+// Guards against a session that ends at a message which cannot be decoded, and ends again at the same message after each
+// reconnect, so that nothing behind it ever arrives: the state of the routes, for example.
+func TestUndecodableMessageEndsNoSession(t *testing.T) {
+	oversized, err := protocol.Encode(0, &protocol.Gossip{Payload: make([]byte, protocol.MaxMessageBytes-100)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	oversized = append(oversized, make([]byte, protocol.MaxMessageBytes+1-len(oversized))...)
+	for name, frame := range map[string][]byte{
+		"malformed body": append([]byte{0x83, 0, byte(protocol.TypeGossip)}, 0xa1, 1, 0xff),
+		"body no map":    {0x83, 0, 0x18, byte(protocol.TypeRelayedAnnouncements), 0x60},
+		"oversized":      oversized,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPair(t, Config{}, nil)
+				defer p.close()
+				before := messagesUndecodable.Get()
+				batch := append(make([]byte, batchPrefixBytes), frame...)
+				putBatchPrefix(batch, len(frame))
+				p.faults.Inject(BToA, append(batch, batchOf(t, 0, &protocol.Gossip{Payload: []byte("next")})...))
+				synctest.Wait()
+				is.Equal(p.a.State(), StateLive)
+				p.ha.mu.Lock()
+				defer p.ha.mu.Unlock()
+				is.Equal(p.ha.messages, []protocol.Message{&protocol.Gossip{Payload: []byte("next")}})
+				is.Equal(messagesUndecodable.Get(), before+1)
+			})
+		})
+	}
+}
+
 // Guards against ending a stream or session on unknown messages of newer peers or on late frames of ended streams.
 func TestHarmlessInput(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/receive.go
+++ b/internal/transport/receive.go
@@ -6,6 +6,9 @@
 	"math"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
 	"github.com/banyanfront/banyanfront/internal/protocol"
 )
 
@@ -31,8 +34,8 @@
 	}
 }
 
-// readBatch handles the frames of one batch. A bad frame of an identifiable stream fails only that stream; any other
-// violation is returned and closes the session.
+// readBatch handles the frames of one batch. A bad frame of an identifiable stream fails only that stream, and a
+// session-level message that cannot be decoded is skipped; any other violation is returned and closes the session.
 func (s *session) readBatch(batch []byte) error {
 	for len(batch) > 0 {
 		if len(batch) < batchPrefixBytes || batch[0] != batchPrefix {
@@ -46,12 +49,14 @@
 		batch = batch[size:]
 		if truncated || len(frame) > s.cfg.MaxMessageBytes {
 			id, ok := protocol.FrameStream(frame)
-			if !ok || id == 0 {
+			switch {
+			case !ok || truncated && id == 0:
 				return errors.New("peer sent a truncated or oversized frame outside any stream: check the peer's version")
-			}
-			if truncated {
+			case truncated:
 				s.failStream(id, StreamMalformed, "peer sent a truncated frame")
-			} else {
+			case id == 0:
+				s.skipMessage(&protocol.TooLargeError{Bytes: len(frame)})
+			default:
 				s.failStream(id, StreamTooLarge, fmt.Sprintf("peer sent a frame of %d bytes, the limit is %d", len(frame), s.cfg.MaxMessageBytes))
 			}
 			continue
@@ -64,6 +69,8 @@
 			case errors.As(err, &unknown):
 			case errors.As(err, &malformed) && malformed.StreamKnown && id != 0:
 				s.failStream(id, StreamMalformed, err.Error())
+			case errors.As(err, &malformed) && malformed.StreamKnown:
+				s.skipMessage(err)
 			default:
 				return err
 			}
@@ -76,6 +83,20 @@
 	return nil
 }
 
+// skipMessage counts a session-level message that cannot be decoded. The session goes on: the peer would send the message
+// again in the next one, and nothing behind it would ever arrive.
+func (s *session) skipMessage(err error) {
+	messagesUndecodable.Inc()
+	if undecodableLogLimit.allow(time.Now()) {
+		log.WithError(err).WithField("peer", s.peer.Instance).Error("message skipped: it cannot be decoded; further ones are only counted for a second")
+	}
+}
+
+var (
+	messagesUndecodable = metrics.GetOrCreateCounter(`banyanfront_messages_undecodable_total`)
+	undecodableLogLimit logLimit
+)
+
 func (s *session) dispatch(id uint64, m protocol.Message, size int) error {
 	if id == 0 {
 		return s.receiveMessage(m)
