Edge: deny a request only by a configuration that is confirmed as the newest one

Cause: the denial came from whatever copy of the agreed state was there. Now it needs a confirmation: a control instance whose majority has confirmed, on a question asked after the request arrived or at most 250 ms before, that nothing newer was agreed on. The question brings a newer state along, by which the request is looked at again. Without an answer in 0.5 s the request gets 503 with Retry-After; once nobody has answered for as long, at once. Requests share questions: at most four a second while all are answered. The age counts by the steady clock or the time of day, whichever says more, as the steady clock stands still on a suspended machine. decide/freshness decides, internal/edge/confirmation.go asks.

Tests that failed before: TestChangeThatWasMissedIsServedNotDenied (404 and 401 instead of 200), TestInstanceOutOfTouchDeniesNothing (404, 401, 413 instead of 503). TestOnlyAMajorityConfirmsAState shows that a control instance without a majority confirms nothing. TestRoutesAndKeys expects what it did; its proxy now has a control instance. The soak's operator now counts a 404 for a route acknowledged 2 s before as broken in all phases, not only in those without faults; its test says so.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -292,7 +292,7 @@
 		d.post(func(now time.Time) { d.grantPermits(now, s, m) })
 	case *protocol.State:
 		if m.Request {
-			go d.sendState(s, m.Index)
+			go d.sendState(s, m.Index, m.Confirm)
 		}
 	}
 }
@@ -303,16 +303,20 @@
 }
 
 // sendState sends the state to an entry instance if it is newer than knownIndex. An entry instance without any state
-// (index 0) gets only state that a majority has confirmed.
-func (d *Directory) sendState(s transport.Session, knownIndex uint64) {
-	if knownIndex == 0 {
+// (index 0), or one that asks for a confirmation, gets only state that a majority has confirmed. confirm is the number of its
+// question, 0 for none.
+func (d *Directory) sendState(s transport.Session, knownIndex, confirm uint64) {
+	if knownIndex == 0 || confirm != 0 {
 		if err := d.readBarrier(context.Background()); err != nil {
-			log.WithError(err).WithField("peer", s.Peer().Instance).Debug("state not sent to a starting entry instance: no majority has confirmed it")
+			log.WithError(err).WithField("peer", s.Peer().Instance).Debug("state not sent to an entry instance that needs a confirmed one: no majority has confirmed it")
 			return
 		}
 	}
 	state := d.stateMachine.state.Load()
 	if state.Index <= knownIndex {
+		if confirm != 0 {
+			transport.TrySend(s, &protocol.State{Index: state.Index, Report: true, Confirm: confirm})
+		}
 		return
 	}
 	data, err := EncodeState(*state)
@@ -320,7 +324,7 @@
 		log.WithError(err).Error("the agreed state could not be encoded")
 		return
 	}
-	transport.TrySend(s, &protocol.State{Index: state.Index, Snapshot: data})
+	transport.TrySend(s, &protocol.State{Index: state.Index, Snapshot: data, Confirm: confirm})
 }
 
 // readBarrierTimeout limits the wait for a majority: callers try another control instance after a second.
--- /dev/null
+++ b/internal/directory/entry_updates_test.go
@@ -0,0 +1,80 @@
+package directory
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/transport"
+)
+
+// updatesReceiver is the entry instance's side of its sessions; it keeps what the control instances send.
+type updatesReceiver struct {
+	transport.Handler
+	mu      sync.Mutex
+	states  []*protocol.State
+	servers map[string]bool
+}
+
+func (r *updatesReceiver) MessageReceived(_ transport.Session, m protocol.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch m := m.(type) {
+	case *protocol.State:
+		r.states = append(r.states, m)
+	case *protocol.RelayedAnnouncements:
+		for _, s := range m.Servers {
+			r.servers[s.Announcement.Server] = true
+		}
+	}
+}
+
+func (r *updatesReceiver) SessionOpened(transport.Session)                 {}
+func (r *updatesReceiver) StateChanged(transport.Session, transport.State) {}
+
+// answer returns the answer to a question, or nil.
+func (r *updatesReceiver) answer(question uint64) *protocol.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.states {
+		if s.Confirm == question {
+			return s
+		}
+	}
+	return nil
+}
+
+// Guards against a control instance that confirms a state as the newest one though a majority may have agreed on another: an entry
+// instance denies requests on its word.
+func TestOnlyAMajorityConfirmsAState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newControlFleet(t, 3)
+		defer f.stopAll()
+		f.startFounders("a", "b", "c")
+		time.Sleep(5 * time.Second)
+		is.NoErr(f.commit(1))
+		r := &updatesReceiver{servers: map[string]bool{}}
+		survivor := f.connectEntry(f.nodes["a"], "entry", r)
+		ask := func(question, index uint64) *protocol.State {
+			is.NoErr(survivor.Send(&protocol.State{Index: index, Request: true, Confirm: question}))
+			time.Sleep(2 * time.Second)
+			return r.answer(question)
+		}
+		answer := ask(1, 0)
+		is.True(answer != nil && len(answer.Snapshot) > 0)
+		first := answer.Index
+		answer = ask(2, first)
+		is.True(answer != nil && answer.Report && answer.Index == first)
+		is.NoErr(f.commit(2))
+		answer = ask(3, first)
+		is.True(answer != nil && answer.Index > first && len(answer.Snapshot) > 0)
+		f.crash(f.nodes["b"])
+		f.crash(f.nodes["c"])
+		is.Equal(ask(4, answer.Index), nil)
+	})
+}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -47,6 +47,7 @@
 	attemptResults  []string // one entry an attempt, for the log
 	outcome         string
 	status          int
+	denied          bool // the view does not allow the call
 }
 
 // attempt is an exchange with one server.
@@ -296,6 +297,9 @@
 		fields["version"] = c.view.Table.Version
 		fields["versionAgeMs"] = c.arrived.Sub(c.view.InstalledAt).Milliseconds()
 	}
+	if age, ok := c.proxy.confirmations.age(time.Now()); c.denied && ok {
+		fields["confirmedMs"] = age.Milliseconds()
+	}
 	if c.route != nil {
 		fields["route"], fields["service"] = c.route.Name, c.service
 	}
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -50,6 +50,8 @@
 	events chan func(now time.Time) // run by the goroutine of run
 	done   chan struct{}
 
+	confirmations confirmations
+
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	// permitsAnswered is closed when a request for permits of a service is answered.
@@ -145,6 +147,9 @@
 	f.recordUnreached(now)
 	f.updateInstanceCount(now)
 	f.requestState(now)
+	if f.confirmations.unanswered() {
+		f.askForConfirmation(now)
+	}
 	f.parts.mu.Lock()
 	directory.ExpirePromptParts(now, f.parts.tracker)
 	f.parts.mu.Unlock()
@@ -293,16 +298,17 @@
 	case *protocol.Permits:
 		f.post(func(now time.Time) { f.applyPermits(now, s, m) })
 	case *protocol.State:
-		if m.Report {
-			f.post(func(now time.Time) {
+		f.post(func(now time.Time) {
+			if m.Report {
 				if m.Index > f.newestIndex {
 					f.newestIndex, f.newestSession = m.Index, s
 				}
 				f.requestState(now)
-			})
-			return
-		}
-		f.post(func(now time.Time) { f.installState(now, m) })
+			} else {
+				f.installState(now, m)
+			}
+			f.confirmations.answer(m)
+		})
 	}
 }
 
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -33,6 +33,8 @@
 	defaultTimeout = 30 * time.Second
 	// startupRetryAfter is the Retry-After before a configuration has been received: startup takes about a second.
 	startupRetryAfter = time.Second
+	// unconfirmedRetryAfter is the Retry-After of an instance that cannot tell whether it has the newest configuration.
+	unconfirmedRetryAfter = time.Second
 	// stoppingRetryAfter is the Retry-After of an instance that stops: others serve its callers already.
 	stoppingRetryAfter = 10 * time.Millisecond
 )
@@ -140,27 +142,15 @@
 		c.respondLocally(http.StatusServiceUnavailable, startupRetryAfter)
 		return false
 	}
-	path, _, _ := strings.Cut(c.r.RequestURI, "?")
-	c.route = c.view.Table.Route(c.r.Host, path)
-	if c.route == nil {
-		c.outcome = "no_route"
-		c.respondLocally(http.StatusNotFound, 0)
-		return false
-	}
-	priority := c.route.Priority
-	if c.view.Table.HasOrganisations() {
-		organisation := c.view.Table.Organisation(c.r.Header.Get(platform.HeaderKey))
-		if organisation == nil && !c.route.Public {
-			c.outcome = "unknown_key"
-			c.respondLocally(http.StatusUnauthorized, 0)
+	priority, denied := c.match()
+	for denied != nil {
+		newer, confirmed := c.proxy.awaitConfirmation(c.r.Context(), c.view, c.arrived)
+		if newer == nil {
+			c.deny(*denied, confirmed)
 			return false
 		}
-		if organisation != nil {
-			c.organisation = organisation.Name
-			if organisation.Priority != nil {
-				priority = *organisation.Priority
-			}
-		}
+		c.view = newer
+		priority, denied = c.match()
 	}
 	requested := requestedTimeout(c.r.Header)
 	c.deadline = c.arrived.Add(min(requested, c.route.Timeout))
@@ -176,8 +166,8 @@
 		var tooLarge *http.MaxBytesError
 		c.lastError = err.Error()
 		if errors.As(err, &tooLarge) {
-			c.outcome = "too_large"
-			c.respondLocally(http.StatusRequestEntityTooLarge, 0)
+			_, confirmed := c.proxy.awaitConfirmation(c.r.Context(), c.view, c.arrived)
+			c.deny(denial{"too_large", http.StatusRequestEntityTooLarge}, confirmed)
 			return false
 		}
 		c.outcome = "incomplete_request"
@@ -197,6 +187,49 @@
 	return true
 }
 
+// denial is the final response to a call that the configuration does not allow.
+type denial struct {
+	outcome string
+	status  int
+}
+
+// match finds the route and the organisation of a call in its view. It returns the priority of the call, and how the call is to be
+// denied if the view does not allow it.
+func (c *call) match() (priority int, denied *denial) {
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	c.route, c.organisation = c.view.Table.Route(c.r.Host, path), ""
+	if c.route == nil {
+		return 0, &denial{"no_route", http.StatusNotFound}
+	}
+	priority = c.route.Priority
+	if c.view.Table.HasOrganisations() {
+		organisation := c.view.Table.Organisation(c.r.Header.Get(platform.HeaderKey))
+		if organisation == nil && !c.route.Public {
+			return 0, &denial{"unknown_key", http.StatusUnauthorized}
+		}
+		if organisation != nil {
+			c.organisation = organisation.Name
+			if organisation.Priority != nil {
+				priority = *organisation.Priority
+			}
+		}
+	}
+	return priority, nil
+}
+
+// deny responds to a call that its view does not allow. Unless the view is confirmed as the newest one, the call is only refused:
+// another instance may know the change that allows it.
+func (c *call) deny(d denial, confirmed bool) {
+	c.denied = true
+	if !confirmed {
+		c.outcome = "refused:unconfirmed"
+		c.respondLocally(http.StatusServiceUnavailable, unconfirmedRetryAfter)
+		return
+	}
+	c.outcome = d.outcome
+	c.respondLocally(d.status, 0)
+}
+
 // requestedTimeout returns the time until the deadline that the caller set, or the default.
 func requestedTimeout(header http.Header) time.Duration {
 	if timeout, ok := platform.ParseHeaderTime(header.Get(platform.HeaderDeadline), time.Millisecond); ok && timeout > 0 {
--- a/internal/edge/proxy_test.go
+++ b/internal/edge/proxy_test.go
@@ -19,6 +19,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/dispatch"
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/decide/routes"
@@ -158,7 +159,8 @@
 func TestRoutesAndKeys(t *testing.T) {
 	is := is.New(t)
 	b := startBackend(t, func(w http.ResponseWriter, _ *http.Request, _ int) { respondSealed(w, http.StatusOK, "ok") })
-	_, url := startProxy(t, b)
+	proxy, url := startProxy(t, b)
+	startControl(t, proxy, &controlstate.State{Index: 1})
 	status, _, _, _ := send(t, url, "/nowhere/x")
 	is.Equal(status, http.StatusNotFound)
 	status, _, _, _ = send(t, url, "/safe/x", platform.HeaderKey, "other")
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -237,6 +237,9 @@
 	Entries  [][]byte `cbor:"4,keyasint,omitempty"` // from EncodeChange
 	Request  bool     `cbor:"5,keyasint,omitempty"` // the sender has applied Index and requests the changes after it
 	Report   bool     `cbor:"6,keyasint,omitempty"` // the sender reports that it has applied Index and requests nothing
+	// Confirm is the number of a question whether Index is the newest one that a majority has agreed on, with Request, and of its
+	// answer: a majority has confirmed Index after the question.
+	Confirm uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Summary reports the load of one data centre to another.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -287,8 +287,13 @@
 
 	l.violations = nil
 	delete(o.observed, entry.incarnation())
+	o.ackedAt[3] = time.Now()
 	o.probe(t.Context(), entry)
-	is.Equal(brokenRules(l), "") // no version was observed for this incarnation, and faults may delay the configuration
+	is.Equal(brokenRules(l), "") // no version was observed for this incarnation, and the change may not have reached it yet
+	o.ackedAt[3] = time.Now().Add(-time.Minute)
+	o.probe(t.Context(), entry)
+	is.Equal(brokenRules(l), "CONFIG") // whatever the phase
+	l.violations = nil
 	l.enterPhase(faultFree)
 	o.probe(t.Context(), entry)
 	is.Equal(brokenRules(l), "CONFIG")
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -222,11 +222,11 @@
 }
 
 // probe requests the newest acknowledged route from an entry instance, and one that no version has. It checks that an
-// incarnation never reverts to an older version and, in phases without faults, that it has applied all versions that were
-// acknowledged more than maxApplyTime before.
+// incarnation never reverts to an older version, and that it never denies a route that was acknowledged more than
+// maxApplyTime before.
 func (o *operator) probe(ctx context.Context, e *instance) {
 	sent := time.Now()
-	incarnation, wasFaultFree := e.incarnation(), o.faultFree()
+	incarnation := e.incarnation()
 	o.mu.Lock()
 	version, before := o.highestAcked, o.observed[incarnation]
 	o.mu.Unlock()
@@ -247,7 +247,7 @@
 	case status != http.StatusNotFound:
 	case before.version >= version && sent.Sub(before.at) > rollbackSlack:
 		o.ledger.recordViolation("CONFIG", "%s had applied version %d and answers 404 for its route", incarnation, before.version)
-	case wasFaultFree && o.faultFree() && o.ackedBefore(sent.Add(-maxApplyTime)) >= version:
+	case o.ackedBefore(sent.Add(-maxApplyTime)) >= version: // under faults too: an instance out of touch answers 503
 		o.ledger.recordViolation("CONFIG", "%s answers 404 for the route of version %d, acknowledged before", incarnation, version)
 	}
 	if status := o.sendProbe(ctx, e, addedPath(version+1<<32)); status == http.StatusOK {
