Control: a dropped notice of a new state is made up for

Cause: the only message about a new state was sent once. It was lost when the control instance's event queue was full at that moment (a line said so), or when the send queue of a session was.

The change is now a flag that the loop reads when it gets there, and the index of the state is sent again each second: 30 bytes to each entry instance by calculation, not measured.

TestDroppedNoticeOfAStateIsMadeUpFor failed before: the entry instance still had index 0, not 3, 4 s after the commit.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -38,9 +38,12 @@
 	rosterInterval = 50 * time.Millisecond
 	// stateInterval is the minimum interval between messages about new state, so that a burst of changes is sent once.
 	stateInterval = 100 * time.Millisecond
+	// stateRepeatInterval is the interval of messages about a state that has not changed: one that was dropped, because a session
+	// took no more, must not leave an entry instance behind until the next change.
+	stateRepeatInterval = time.Second
 	// maxAnnouncementsPerMessage limits one message to an entry instance: at 300 bytes each it stays far below the size limit.
 	maxAnnouncementsPerMessage = 1000
-	eventQueueLength           = 4096
+	eventQueueLength  = 4096
 )
 
 // Config configures a control instance.
@@ -78,6 +81,7 @@
 	// dataCentres holds the data centres of the other control instances by address. It is replaced as a whole.
 	dataCentres    atomic.Pointer[map[string]string]
 	entryInstances atomic.Int64 // sessions with entry instances
+	statePending   atomic.Bool  // a change that the entry instances have not been told of
 
 	// Owned by the loop.
 	servers             *registry.Registry
@@ -92,7 +96,6 @@
 	reportedAddresses   map[transport.Session][]string // control instances that the other side of a session knows
 	announcementsSentAt time.Time
 	stateSentAt         time.Time
-	statePending        bool
 	sentRoster          *protocol.ControlInstances
 	redundancyLostAt    time.Time // when this instance, as leader, found fewer voters answering than configured; zero if none
 }
@@ -345,27 +348,23 @@
 	return nil
 }
 
-// stateChanged schedules a message about the new state. The replica's goroutine calls it.
+// stateChanged schedules a message about the new state, whatever the loop is busy with. The replica's goroutine calls it.
 func (d *Directory) stateChanged(s controlstate.State) {
 	log.WithFields(log.Fields{"index": s.Index, "version": s.Version, "evacuated": s.Evacuated, "coordinators": s.Coordinators}).
 		Info("agreed state changed")
+	d.statePending.Store(true)
 	select {
-	case d.events <- func(time.Time) {
-		d.statePending = true
-		d.broadcastRoster() // does nothing unless the coordinators of groups have changed
-	}:
-	default:
-		// The loop is far behind or not yet running. The newest state is sent with the next change, and to each new
-		// session at once.
-		log.Warn("event queue is full; entry instances are notified of the new state with the next change")
+	case d.events <- func(time.Time) { d.broadcastRoster() }: // does nothing unless the coordinators of groups have changed
+	default: // the loop is far behind, and tells of both when it gets there
 	}
 }
 
 // sendUpdates sends new state and announcements to the entry instances, at most once per interval.
 func (d *Directory) sendUpdates(now time.Time) {
-	if d.statePending && now.Sub(d.stateSentAt) >= stateInterval {
-		d.statePending, d.stateSentAt = false, now
+	if now.Sub(d.stateSentAt) >= stateInterval && d.statePending.Swap(false) || now.Sub(d.stateSentAt) >= stateRepeatInterval {
+		d.stateSentAt = now
 		d.broadcast(d.stateIndex())
+		d.broadcastRoster()
 	}
 	if len(d.unsent) == 0 || !d.unsentChange && now.Sub(d.announcementsSentAt) < announcementInterval {
 		return
--- a/internal/directory/entry_updates_test.go
+++ b/internal/directory/entry_updates_test.go
@@ -48,6 +48,15 @@
 	return nil
 }
 
+func (r *updatesReceiver) newestIndex() (newest uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.states {
+		newest = max(newest, s.Index)
+	}
+	return newest
+}
+
 // Guards against a control instance that confirms a state as the newest one though a majority may have agreed on another: an entry
 // instance denies requests on its word.
 func TestOnlyAMajorityConfirmsAState(t *testing.T) {
@@ -78,3 +87,25 @@
 		is.Equal(ask(4, answer.Index), nil)
 	})
 }
+
+// Guards against an entry instance that is never told of a change because the one message about it was dropped under load.
+func TestDroppedNoticeOfAStateIsMadeUpFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, n := startOneControl(t)
+		defer f.stopAll()
+		r := &updatesReceiver{servers: map[string]bool{}}
+		f.connectEntry(n, "entry", r)
+		time.Sleep(time.Second)
+		n.post(func(time.Time) { time.Sleep(2 * time.Second) }) // the loop is busy
+		time.Sleep(time.Millisecond)
+		for range eventQueueLength {
+			n.post(func(time.Time) {})
+		}
+		is.NoErr(f.commit(1))
+		index := n.State().Index
+		is.True(r.newestIndex() < index)
+		time.Sleep(4 * time.Second)
+		is.Equal(r.newestIndex(), index)
+	})
+}
