Control: long texts of some servers do not keep the others from entry instances

What callers see: servers that stay unknown to an entry instance that starts, or whose session was reopened.

Cause: announcements were sent 1,000 a message, on the assumption of 300 bytes each. A writer may announce texts of 256 bytes in five fields, which is accepted; a message over 1 MiB was dropped with a line of level debug, with all sound servers in it.

Messages are now filled by the size of the texts, up to a quarter of the limit.

TestManyLongAnnouncementsArrive failed before: 200 of 1,200 servers arrived.

--- a/decide/registry/validate.go
+++ b/decide/registry/validate.go
@@ -57,3 +57,8 @@
 func ValidRank(rank, size int) bool {
 	return rank >= 0 && size >= 0 && size <= MaxGroupSize && rank < MaxGroupSize && (rank < size || size == 0)
 }
+
+// TextBytes returns the length of all texts together.
+func (a *Announcement) TextBytes() int {
+	return len(a.Server) + len(a.Service) + len(a.Address) + len(a.DataCentre) + len(a.Group.Name)
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -41,8 +41,10 @@
 	// stateRepeatInterval is the interval of messages about a state that has not changed: one that was dropped, because a session
 	// took no more, must not leave an entry instance behind until the next change.
 	stateRepeatInterval = time.Second
-	// maxAnnouncementsPerMessage limits one message to an entry instance: at 300 bytes each it stays far below the size limit.
-	maxAnnouncementsPerMessage = 1000
+	// maxAnnouncementsBytes limits the estimated size of one message with announcements.
+	maxAnnouncementsBytes = protocol.MaxMessageBytes / 4
+	// announcementBytes is an upper bound of the encoded size of an announcement without its texts.
+	announcementBytes = 150
 	eventQueueLength  = 4096
 )
 
@@ -380,18 +382,29 @@
 	}
 }
 
+// sendAnnouncements sends the newest announcements of the servers, in messages that are far below the size limit whatever
+// texts the servers announce.
 func (d *Directory) sendAnnouncements(now time.Time, servers []string, to []transport.Session) {
-	for chunk := range slices.Chunk(servers, maxAnnouncementsPerMessage) {
-		message := &protocol.RelayedAnnouncements{}
-		for _, id := range chunk {
-			if known := d.servers.Get(id); known != nil {
-				message.Servers = append(message.Servers, protocol.RelayedAnnouncement{Announcement: known.Announcement,
-					AgeMS: now.Sub(known.ReceivedAt).Milliseconds()})
-			}
-		}
+	message, size := &protocol.RelayedAnnouncements{}, 0
+	flush := func() {
 		for _, session := range to {
 			transport.TrySend(session, message)
 		}
+		message, size = &protocol.RelayedAnnouncements{}, 0
+	}
+	for _, id := range servers {
+		known := d.servers.Get(id)
+		if known == nil {
+			continue
+		}
+		message.Servers = append(message.Servers, protocol.RelayedAnnouncement{Announcement: known.Announcement,
+			AgeMS: now.Sub(known.ReceivedAt).Milliseconds()})
+		if size += announcementBytes + known.TextBytes(); size > maxAnnouncementsBytes {
+			flush()
+		}
+	}
+	if len(message.Servers) > 0 {
+		flush()
 	}
 }
 
--- a/internal/directory/entry_updates_test.go
+++ b/internal/directory/entry_updates_test.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -8,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
 )
@@ -57,6 +60,12 @@
 	return newest
 }
 
+func (r *updatesReceiver) countServers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.servers)
+}
+
 // Guards against a control instance that confirms a state as the newest one though a majority may have agreed on another: an entry
 // instance denies requests on its word.
 func TestOnlyAMajorityConfirmsAState(t *testing.T) {
@@ -109,3 +118,31 @@
 		is.Equal(r.newestIndex(), index)
 	})
 }
+
+// Guards against servers that stay unknown to an entry instance because the announcements of some have long texts, so that all of
+// them together do not fit into one message.
+func TestManyLongAnnouncementsArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, n := startOneControl(t)
+		defer f.stopAll()
+		const servers = 1200
+		long := strings.Repeat("n", 240)
+		for i := range servers {
+			a := registry.Announcement{Server: fmt.Sprint("i-", i, long), Service: "s" + long, Address: "a" + long, DataCentre: "z" + long, Slots: 1,
+				StartedAtMillis: 1, Sequence: 1, Group: registry.Group{Name: "g" + long, Size: 1}}
+			is.NoErr(a.Validate())
+			n.HandleAnnouncement(a)
+		}
+		before := &updatesReceiver{servers: map[string]bool{}}
+		f.connectEntry(n, "entry", before)
+		time.Sleep(2 * time.Second)
+		is.Equal(before.countServers(), servers)
+		for i := range servers {
+			n.HandleAnnouncement(registry.Announcement{Server: fmt.Sprint("j-", i, long), Service: "s" + long, Address: "b" + long, DataCentre: "z" + long,
+				Slots: 1, StartedAtMillis: 1, Sequence: 1, Group: registry.Group{Name: "g" + long, Size: 1}})
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(before.countServers(), 2*servers)
+	})
+}
