Quarantine: bound the parts of a prompt that a caller may name

What callers see: while an engine's end under such a request is recorded, requests of the entry instance wait: the work is done under the lock that all of them take.

A prompt with more parts than that is told apart by the first ones and by the digest of the whole request.

--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -174,7 +174,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.body = body
-	c.promptParts = platform.SharedPromptParts(c.r.Header.Get(platform.HeaderPrompt))
+	c.promptParts = quarantine.PartsOf(platform.SharedPromptParts(c.r.Header.Get(platform.HeaderPrompt)))
 	c.parts = sync.OnceValue(func() []string { return append(slices.Clone(c.promptParts), quarantine.RequestPart(c.digest())) })
 	c.header = backendhttp.EndToEnd(c.r.Header)
 	for _, name := range []string{platform.HeaderKey, platform.HeaderOrganisation, platform.HeaderExpectServer, "Expect"} {
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -20,6 +20,7 @@
 	"github.com/banyanfront/banyanfront/decide/grants"
 	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/decide/registry"
+	"github.com/banyanfront/banyanfront/internal/directory"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
 	"github.com/banyanfront/banyanfront/platform"
@@ -486,3 +487,47 @@
 	is.Equal(len(proxy.parts.tracker.Suspicions()), 0)
 	is.Equal(len(proxy.parts.waiting), 0)
 }
+
+// Guards against callers who name so many or so long parts of their prompt that each end of an engine under them costs seconds of
+// processor time, or messages that cannot be encoded or decoded.
+func TestPartsOfAnyPromptAreBoundAndRelayed(t *testing.T) {
+	const headerBytes = 60 << 10 // about what an entry instance accepts
+	var many, long strings.Builder
+	for i := 0; many.Len() < headerBytes; i++ {
+		fmt.Fprintf(&many, "%x:,", i)
+	}
+	for i := 0; long.Len() < headerBytes; i++ {
+		fmt.Fprintf(&long, "%d%s:1,", i, strings.Repeat("x", 1<<10))
+	}
+	for name, prompt := range map[string]string{"many": many.String() + "own:1", "long": long.String() + "own:1"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := startBackend(t, func(w http.ResponseWriter, _ *http.Request, _ int) {})
+			proxy, _ := startProxy(t, b)
+			r := httptest.NewRequest(http.MethodPost, "/stream/x", strings.NewReader("body"))
+			r.Host = "h.example"
+			r.Header.Set(platform.HeaderKey, "key")
+			r.Header.Set(platform.HeaderPrompt, prompt)
+			c := &call{proxy: proxy, w: httptest.NewRecorder(), r: r, view: proxy.view.Load(), arrived: time.Now()}
+			is.True(c.admit())
+			size := 0
+			for _, part := range c.parts() {
+				size += len(part)
+			}
+			is.True(len(c.parts()) <= quarantine.MaxPartsPerRequest+1) // and the request itself
+			is.True(size <= headerBytes/8)
+			tracker := quarantine.New()
+			for engine := range 5 {
+				m := &protocol.PromptParts{Service: "s", Ended: &protocol.EndedEngine{Server: fmt.Sprint("i", engine), StartedAtMillis: 1, Parts: c.parts()}}
+				for _, m := range append(proxy.applyPromptParts(time.Now(), m, true), directory.EncodePromptParts(time.Now(), tracker.Suspicions())...) {
+					frame, err := protocol.Encode(0, m)
+					is.NoErr(err)
+					_, decoded, err := protocol.Decode(frame)
+					is.NoErr(err)
+					directory.ApplyPromptParts(time.Now(), tracker, decoded.(*protocol.PromptParts))
+				}
+			}
+			is.True(len(tracker.Suspicions()) > 0)
+		})
+	}
+}
