Control: refuse for good a configuration that no entry of the log can hold

What operators see: a valid configuration over 384 KiB after compression was answered 503 with Retry-After, each time it was sent, for ever; it could never be acknowledged.

It is now answered 413 with the limit and what to leave out. TestConfigurationOverTheLimitIsRefusedForGood did not end before (503 each time).

--- a/internal/directory/api.go
+++ b/internal/directory/api.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -122,6 +123,12 @@
 			writeError(w, http.StatusInternalServerError, err)
 			return
 		}
+		if len(packed) > maxPackedBytes {
+			err := fmt.Errorf("the configuration has %d bytes after compression, the limit is %d; leave out routes or keys", len(packed), maxPackedBytes)
+			log.WithError(err).WithField("version", configuration.Version).Warn("configuration refused as too large")
+			writeError(w, http.StatusRequestEntityTooLarge, err)
+			return
+		}
 		digest := sha256.Sum256(body)
 		id := "configuration/" + strconv.FormatUint(configuration.Version, 10) + "/" + hex.EncodeToString(digest[:8])
 		if !a.commit(w, r, id, controlstate.Command{Configure: &controlstate.Configure{Version: configuration.Version, Body: packed}}) {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -203,6 +203,34 @@
 	is.Equal(evacuate(platform.RestorePath, "z"), http.StatusOK)
 }
 
+// Guards against a configuration that no entry of the log can hold and that its sender is asked to send again for ever.
+func TestConfigurationOverTheLimitIsRefusedForGood(t *testing.T) {
+	is := is.New(t)
+	_, server := startSingleInstance(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	configuration := routes.Configuration{Version: 5, Services: []routes.Service{{Name: "s"}}, Organisations: []routes.Organisation{{Name: "o"}},
+		Limits: routes.Limits{HeaderBytes: 1, BodyBytes: 1, HeaderTimeout: time.Second, IdleTimeout: time.Second}}
+	sendWithKeys := func(keys int) (status int, answer string) {
+		for range keys {
+			configuration.Organisations[0].Keys = append(configuration.Organisations[0].Keys, fmt.Sprintf("%016x%016x", random.Uint64(), random.Uint64()))
+		}
+		body, err := platform.EncodeConfiguration(&configuration)
+		is.NoErr(err)
+		for {
+			if status, answer = call(t, http.MethodPost, server.URL+platform.ReplaceConfigurationPath, string(body)); status != http.StatusServiceUnavailable {
+				return status, answer
+			}
+			time.Sleep(10 * time.Millisecond) // until the group is founded
+		}
+	}
+	status, _ := sendWithKeys(10_000)
+	is.Equal(status, http.StatusOK)
+	configuration.Version++
+	status, answer := sendWithKeys(20_000)
+	is.Equal(status, http.StatusRequestEntityTooLarge)
+	is.True(strings.Contains(answer, "leave out"))
+}
+
 // Guards against invalid announcements that add a server, and valid ones that are lost.
 func TestAnnouncementsBecomeServers(t *testing.T) {
 	is := is.New(t)
--- a/internal/directory/state_machine.go
+++ b/internal/directory/state_machine.go
@@ -17,6 +17,10 @@
 // maxConfigurationBytes limits an unpacked configuration, and likewise the request body that an operator sends.
 const maxConfigurationBytes = 8 << 20
 
+// maxPackedBytes limits a packed configuration: its command must fit into an entry of the log, and the state with it into a
+// message to the entry instances.
+const maxPackedBytes = replica.MaxCommandBytes - 4<<10
+
 // stateMachine holds the agreed state. Only the replica's goroutine modifies it.
 type stateMachine struct {
 	state    atomic.Pointer[controlstate.State]
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -180,13 +180,16 @@
 	}
 }
 
+// MaxCommandBytes limits a command with its identifier.
+const MaxCommandBytes = consensus.MaxEntryBytes / 2
+
 // Propose appends a command to the log, through the leader if this member is not it, and returns its index and result
 // once this member has applied it. id identifies the command: within Options.DedupWindowEntries, a repetition with the
 // same id returns the first index and result, on any member. See Kind for the guarantees of each error.
 func (r *Replica) Propose(ctx context.Context, id string, command []byte) (index uint64, result []byte, err error) {
-	if id == "" || len(command)+len(id) > consensus.MaxEntryBytes/2 {
+	if id == "" || len(command)+len(id) > MaxCommandBytes {
 		return 0, nil, &Error{Kind: Refused, Detail: "a command needs an identifier and at most " +
-			strconv.Itoa(consensus.MaxEntryBytes/2) + " bytes; split it"}
+			strconv.Itoa(MaxCommandBytes) + " bytes; split it"}
 	}
 	o := r.proposeAndWait(ctx, consensus.Entry{Kind: consensus.EntryCommand, ID: id, Data: command})
 	return o.index, o.result, o.err
