Edge: a refusal that does not name its request proves nothing

Cause: a failure without an identifier was taken for the answer to the current request, and its X-Not-Executed for the proof that this one has not run. Now such a response is skipped on a connection that has had a request before, as the true answer may follow, and elsewhere it is a failure that proves nothing: a repeatable request goes to another server, any other one gets 502.

TestRefusalOfAnotherRequestProvesNothing failed before in its 16 forms without an identifier (2 runs instead of 1).

--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -151,6 +151,9 @@
 	// Framed is false if the body extends to the end of the connection.
 	Framed bool
 	Reused bool // the request was sent on a pooled connection
+	// Identified states that the response names the request. One that does not is a failure, and proves nothing: a faulty server may
+	// have written it for another request.
+	Identified bool
 
 	client          *Client
 	conn            *conn
@@ -214,11 +217,14 @@
 			return nil, &Failure{Sent: true, Err: err}
 		}
 		echoed := httpResponse.Header.Get(c.RequestIDHeader)
-		if echoed == request.ID || echoed == "" && httpResponse.StatusCode >= 300 {
+		// A failure that names no request answers this one if the connection has had no other.
+		unnamed := echoed == "" && httpResponse.StatusCode >= 300 && !connection.reused && skipped == 0
+		if echoed == request.ID || unnamed {
+			response.Identified = echoed != ""
 			response.Status, response.Header, response.Body = httpResponse.StatusCode, httpResponse.Header, httpResponse.Body
 			response.Length = httpResponse.ContentLength
 			response.Framed = httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0
-			response.closeConnection = response.closeConnection || httpResponse.Close || !response.Framed
+			response.closeConnection = response.closeConnection || httpResponse.Close || !response.Framed || !response.Identified
 			connection.idleTimeout = idleTimeout(httpResponse.Header)
 			return response, nil
 		}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -253,9 +253,12 @@
 }
 
 // handleRejection ends an attempt whose response promises that the request has not run. It reports false if the response
-// makes no such promise.
+// makes no such promise, or does not name the request.
 func (c *call) handleRejection(a *attempt) bool {
 	response := a.response
+	if !response.Identified {
+		return false
+	}
 	misdirected := response.Status == http.StatusMisdirectedRequest
 	if !misdirected && response.Header.Get(platform.HeaderNotRun) == "" {
 		return false
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -90,13 +90,13 @@
 		c.recordAnswerBegun(a)
 	}
 	c.recordResult(a, strconv.Itoa(response.Status))
-	if response.Status >= 500 && c.route.Repeatable() && c.mayRetry() && c.budgetAllows() {
+	unproved := promisesNotRun(response.Status) // the server did not prove that the request has not run
+	if (response.Status >= 500 || unproved) && c.route.Repeatable() && c.mayRetry() && c.budgetAllows() {
 		log.WithFields(log.Fields{"request": c.id, "server": a.choice.Server.Server, "status": response.Status}).
 			Info("server error; retrying on another server")
 		return false
 	}
-	if promisesNotRun(response.Status) {
-		// The server did not prove that the request has not run, so the status must not promise it.
+	if unproved {
 		c.outcome = "unproved_refusal"
 		c.respondLocally(http.StatusBadGateway, 0)
 		return true
