Soak: servers that leave, servers that ask for quiet, and earlier refusals without an identifier

A server that damages answers writes an earlier refusal without an identifier before some of them.

TestUnheededWishesAreDetected shows that the checks can fail.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -429,3 +430,41 @@
 		is.NoErr(c.Close())
 	}
 }
+
+// Guards against a soak that does not notice requests to a server that leaves or has asked for quiet, or that blames an instance which
+// was restarted since, or was not told.
+func TestUnheededWishesAreDetected(t *testing.T) {
+	start := time.Now()
+	l := newLedger()
+	ids := 0
+	from := func(entry string, startedAt time.Time, after time.Duration, o outcome) exchange {
+		ids++
+		r := &request{id: fmt.Sprint(ids), route: &routes.Route{}, entry: entry, sent: start.Add(after), ended: start.Add(after), outcome: o}
+		l.requests[r.id] = r
+		return exchange{request: r.id, entry: entry, entryStartedAt: startedAt, at: start.Add(after)}
+	}
+	check := func(told exchange, quiet bool, arrivals ...exchange) (late, mostInQuiet int) {
+		var r wishRecord
+		header := http.Header{}
+		if quiet {
+			r.askForQuiet(header, told)
+		} else {
+			r.sayLeaving(header, told)
+		}
+		is.New(t).Equal(len(header), 1)
+		for _, a := range arrivals {
+			r.recordArrival(a)
+		}
+		return r.check(l.passedOn)
+	}
+	is := is.New(t)
+	late, _ := check(from("e", start, 0, answered), false, from("e", start, drainTime, answered), from("e", start, drainTime+time.Second, answered),
+		from("other", start, drainTime+time.Second, answered), from("e", start.Add(1), drainTime+time.Second, answered))
+	is.Equal(late, 1)
+	late, _ = check(from("e", start, 0, cutOff), false, from("e", start, drainTime+time.Second, answered))
+	is.Equal(late, 0) // the answer was not passed on
+	_, most := check(from("e", start, 0, refused), true, from("e", start, quietNoticeTime-1, answered), from("e", start, quietNoticeTime, answered),
+		from("e", start, quietTime-1, answered), from("e", start, quietTime, answered), from("other", start, quietNoticeTime, answered),
+		from("e", start.Add(1), quietNoticeTime, answered))
+	is.Equal(most, 2)
+}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -108,6 +108,11 @@
 	case Drain:
 		target.drain()
 		target.restart()
+	case Leave:
+		target.leave()
+		target.restart()
+	case AskForQuiet:
+		forDuration(target.quiet.Store)
 	case HarmfulRequest:
 		f.ledger.addHarmfulRequest()
 	case NameLimit:
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -145,6 +145,7 @@
 		p.signal(syscall.SIGSTOP, false)
 		return
 	}
+	p.ledger.recordStart(p.settings.Instance) // what servers have told it before does not count, as after a start
 	p.signal(syscall.SIGCONT, false)
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,8 @@
 	Drain             Kind = "drain"           // a backend server announces that it drains, ends, and restarts as a new server
 	DamageAnswers     Kind = "damage"          // a backend server truncates answers, sends extra ones without a request and heads without end
 	LoseOrders        Kind = "lose orders"     // a rank's answers to orders are lost, and some orders are executed late
+	Leave             Kind = "leave"           // a backend server says in its answers that it leaves, serves on, ends, and restarts as a new server
+	AskForQuiet       Kind = "ask for quiet"   // a backend server rejects some requests and wants none for a while
 	HoldAnnouncements Kind = "hold announce"   // a backend server sends no announcements
 	HarmfulRequest    Kind = "harmful request" // from now on, some callers send a request that ends each plain server that begins to run it
 	NameLimit         Kind = "name limit"      // from now on, a backend server names a limit of its requests in its answers
@@ -72,7 +74,7 @@
 	entryFaults   = []Kind{Kill, Pause, Stop, Reload}
 	controlFaults = []Kind{Kill, Kill, Pause, Pause, Stop, Reset, BlockBoth, BlockInbound, BlockOutbound, Delay, KillControl}
 	rankFaults    = []Kind{Kill, Pause, Stop, Reload}
-	serverFaults  = []Kind{Crash, Crash, CrashAll, Freeze, Drain, DamageAnswers, HoldAnnouncements, Reset, BlockBoth, BlockInbound, BlockOutbound, Delay}
+	serverFaults  = []Kind{Crash, Crash, CrashAll, Freeze, Drain, Leave, AskForQuiet, DamageAnswers, HoldAnnouncements, Reset, BlockBoth, BlockInbound, BlockOutbound, Delay}
 	engineFaults  = []Kind{LoseOrders, LoseOrders, Crash, Freeze, Reset, BlockBoth, Delay}
 )
 
@@ -94,7 +96,7 @@
 		f := Fault{At: at, Kind: role.kinds[random.IntN(len(role.kinds))], Target: role.names[random.IntN(len(role.names))]}
 		duration := minFaultTime + time.Duration(random.Int64N(int64(maxFaultTime-minFaultTime)))
 		switch f.Kind {
-		case Kill, Stop, Reload, Reset, Crash, Drain:
+		case Kill, Stop, Reload, Reset, Crash, Drain, Leave:
 		case KillControl, CrashAll:
 			f.Target = ""
 		default:
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -58,7 +58,7 @@
 	ledger     *ledger
 	controls   []string // addresses of the control instances
 
-	frozen, damaging, announcementsHeld, limited atomic.Bool
+	frozen, damaging, announcementsHeld, limited, quiet atomic.Bool
 
 	running  context.Context // ends with the soak
 	starting sync.Mutex      // held by restart
@@ -79,6 +79,8 @@
 	slots    chan struct{}
 	sequence atomic.Uint64
 	draining atomic.Bool
+	leaving  atomic.Bool // says so in its answers
+	wishes   wishRecord
 	arrivals []time.Time // of requests that were not misdirected, while cold; checked against the limit of a cold server
 	mu       sync.Mutex
 	limit    limitRecord
@@ -274,6 +276,17 @@
 		inc.arrivals = append(inc.arrivals, time.Now())
 		inc.mu.Unlock()
 	}
+	from := exchange{request: id, entry: entry, entryStartedAt: entryStartedAt, at: time.Now()}
+	inc.wishes.recordArrival(from)
+	if inc.leaving.Load() {
+		inc.wishes.sayLeaving(w.Header(), from)
+	}
+	if inc.server.quiet.Load() && rand.IntN(quietOneIn) == 0 {
+		recordRun(false)
+		inc.wishes.askForQuiet(w.Header(), from)
+		rejectAsNotRun(w, id, http.StatusServiceUnavailable)
+		return
+	}
 	select {
 	case inc.slots <- struct{}{}:
 		defer func() { <-inc.slots }()
@@ -347,8 +360,8 @@
 	return true
 }
 
-// writeAnswer writes a plain answer. While the server damages answers, some are truncated, some are followed by an extra one
-// and some have a head without end.
+// writeAnswer writes a plain answer. While the server damages answers, some are truncated, some are followed by an extra one or
+// come after an earlier refusal, and some have a head without end.
 func (inc *incarnation) writeAnswer(w http.ResponseWriter, id, body string) {
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if !inc.server.damaging.Load() || rand.IntN(intactOneIn) == 0 {
@@ -360,7 +373,7 @@
 		_, _ = io.WriteString(w, body) // the caller records failures
 		return
 	}
-	damage := rand.IntN(3)
+	damage := rand.IntN(4)
 	if damage == 0 {
 		_, _ = io.WriteString(w, body[:len(body)/2])
 		_ = http.NewResponseController(w).Flush()
@@ -379,6 +392,9 @@
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-%s\r\nContent-Length: %d\r\n\r\n%s", platform.HeaderRequestID, id,
 			platform.HeaderSeal, id, len(body), body)
 	}
+	if damage == 2 { // an earlier refusal, once more and without the identifier of its request
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 503 Busy\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", platform.HeaderNotRun)
+	}
 	_, _ = io.WriteString(connection, raw(id, body)+raw("nobody", "an answer that nobody has asked for\n"))
 	time.Sleep(minWorkTime) // so that the data is sent before the connection is closed
 }
@@ -576,6 +592,7 @@
 	defer s.mu.Unlock()
 	for _, inc := range s.incarnations {
 		inc.checkCold()
+		inc.checkWishes()
 		if most, exceeded := inc.limit.check(); exceeded {
 			s.ledger.recordViolation("LIMIT", "the server %s got %d requests in %v, with a limit of %.1f a second", inc.id, most, limitWindow, serverLimit)
 		}
