Storage: a loss of power after a compaction leaves no gap in the log

Shown: a compaction that removed two segments or more did not sync the folder in between. On the users' platform each removed name may then be kept or lost by itself; with the first one kept and the second one gone, the control instance refuses its folder as corrupt at every start ("a segment before this one is missing") and its disk counts as lost.

The folder is now synced after each removal. The test file system kept changes of the folder up to some point only; it now also keeps or loses each name by itself.

--- a/internal/storage/faultfs/faultfs.go
+++ b/internal/storage/faultfs/faultfs.go
@@ -128,7 +128,7 @@
 func (f *FS) Restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.files = maps.Clone(f.dirStates[f.rand.IntN(len(f.dirStates))])
+	f.files = f.folderAfterCrash()
 	for _, name := range slices.Sorted(maps.Keys(f.files)) {
 		node := f.files[name]
 		node.data = f.contentAfterCrash(node)
@@ -139,6 +139,27 @@
 	f.incarnation++
 }
 
+// folderAfterCrash returns the folder after a crash: the changes since the last SyncDir are kept up to some point, or each name is kept or
+// lost independently of the others.
+func (f *FS) folderAfterCrash() map[string]*inode {
+	if f.rand.IntN(2) == 0 {
+		return maps.Clone(f.dirStates[f.rand.IntN(len(f.dirStates))])
+	}
+	all := map[string]bool{}
+	for _, state := range f.dirStates {
+		for name := range state {
+			all[name] = true
+		}
+	}
+	folder := map[string]*inode{}
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if node, ok := f.dirStates[f.rand.IntN(len(f.dirStates))][name]; ok {
+			folder[name] = node
+		}
+	}
+	return folder
+}
+
 // sectorBytes is the unit that a disk writes atomically.
 const sectorBytes = 512
 
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -233,7 +233,12 @@
 	}
 	for len(s.segments) > 1 && s.segments[0].maxIndex < keepFrom {
 		name := segmentName(s.segments[0].sequence)
-		if err := s.remove(name); err != nil {
+		err := s.remove(name)
+		if err == nil {
+			// Of two removals that are not durable, the first one alone may be undone by a loss of power, which leaves a gap.
+			err = s.fs.SyncDir()
+		}
+		if err != nil {
 			return s.makeReadOnly(name, -1, err)
 		}
 		s.segments = s.segments[1:]
