Group member: a folder whose clearing was cut off by a loss of power is no longer refused as corrupt

A loss of power could keep the identity and lose a part of the log, and the member could then never start again by itself.

The identity is now removed first and that is synced; a folder without one is cleared again at the next start. TestCrashWhileClearing failed without the sync (corrupt instead of no_folder).

--- a/internal/groupmember/member.go
+++ b/internal/groupmember/member.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -146,18 +144,9 @@
 // resetFolder empties the folder, except for files beside the log, and prepares it under a new random member identifier, to found or
 // join a group.
 func (m *Member) resetFolder() error {
-	names, err := m.fs.List()
-	if err != nil {
+	if err := storage.Clear(m.fs); err != nil {
 		return err
 	}
-	for _, name := range names {
-		if storage.IsBesideLog(name) {
-			continue
-		}
-		if err := m.fs.Remove(name); err != nil && !errors.Is(err, os.ErrNotExist) {
-			return err
-		}
-	}
 	id, err := replica.Prepare(m.fs)
 	if err != nil {
 		return err
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -123,6 +123,40 @@
 	t.Log(incarnations, "incarnations")
 }
 
+// Guards against a folder that is refused as corrupt after a loss of power while it was cleared: its member could never start again.
+func TestCrashWhileClearing(t *testing.T) {
+	is := is.New(t)
+	cleared, intact := 0, 0
+	for seed := range uint64(20) {
+		for at := 1; at <= 12; at++ {
+			fsys := faultfs.New(rand.New(rand.NewPCG(seed, uint64(at))))
+			is.NoErr(storage.Create(fsys, []byte("me")))
+			s, _, err := storage.Open(fsys, small)
+			is.NoErr(err)
+			var p confirmed
+			is.NoErr(scenario(s, &p, 1, 40))
+			is.NoErr(s.Close())
+			is.NoErr(storage.WriteFile(fsys, "kept", []byte("beside the log")))
+			fsys.FailAt(at, faultfs.Crash)
+			_ = storage.Clear(fsys) // fails with the crash, if that comes before its end
+			fsys.Restart()
+			if s, c, err := storage.Open(fsys, small); err == nil {
+				is.NoErr(check(c, p))
+				is.NoErr(s.Close())
+				intact++
+			} else {
+				is.Equal(storage.KindOf(err), storage.NoFolder)
+				cleared++
+			}
+			is.NoErr(storage.Clear(fsys))
+			is.NoErr(storage.Create(fsys, []byte("again")))
+			_, err = storage.ReadFile(fsys, "kept")
+			is.NoErr(err)
+		}
+	}
+	is.True(cleared > 0 && intact > 0)
+}
+
 // Guards against the loss of a state record, and with it a vote, when the segment that repeats it was torn at its
 // creation and the older segments are removed by compaction.
 func TestStateSurvivesTornSegment(t *testing.T) {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -75,6 +75,30 @@
 	return nil
 }
 
+// Clear removes everything from a folder, except for files beside the log. A folder whose clearing was interrupted has its contents
+// still, or no identity.
+func Clear(fsys FS) error {
+	names, err := fsys.List()
+	if err != nil {
+		return err
+	}
+	for _, name := range append([]string{identityName}, names...) {
+		if strings.HasPrefix(name, filePrefix) {
+			continue
+		}
+		if err := fsys.Remove(name); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return err
+		}
+		if name != identityName {
+			continue
+		}
+		if err := fsys.SyncDir(); err != nil { // without it, a loss of power could keep the identity and lose a part of the log
+			return err
+		}
+	}
+	return nil
+}
+
 // Open locks and reads the folder. A torn end of the log is truncated; damage to synced data is an error of kind Corrupt.
 func Open(fsys FS, options Options) (*Store, *Contents, error) {
 	if options.SegmentBytes == 0 {
