Quarantine: weigh what one more end costs, from the first end on

Cause: the number of ends that a suspicion needs did not depend on what an end costs. A plain server's crash costs what is open there, a rank's every caller of its group for seconds.

A wrong guess costs the repeats of the requests that were open there, for a minute.

--- a/internal/directory/prompt_parts.go
+++ b/internal/directory/prompt_parts.go
@@ -20,6 +20,7 @@
 		var parts []string
 		endedAt := now.Add(-time.Duration(e.AgeMS * float64(time.Millisecond)))
 		parts, quarantined = t.RecordEnd(endedAt, time.Duration(e.OpenMS*float64(time.Millisecond)), m.Service, engine, e.Parts)
+		quarantined = append(quarantined, t.WeighEnd(endedAt, m.Service, parts, e.AtStake)...)
 		if len(parts) > 0 {
 			ended := *e
 			ended.Parts = parts
--- a/internal/directory/prompt_parts_test.go
+++ b/internal/directory/prompt_parts_test.go
@@ -150,3 +150,29 @@
 	is.Equal(known, 3000)
 	is.Equal(len(other.Suspicions()), 3000)
 }
+
+// Guards against a request that ends a lock-step group a second time because only the instance that saw the first end holds it.
+func TestCostlyEndHoldsItsRequestsEverywhere(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	request := quarantine.RequestPart("d1")
+	seen, told := quarantine.New(), quarantine.New()
+	ended := &protocol.PromptParts{Service: "s", Ended: &protocol.EndedEngine{Server: "i-1", StartedAtMillis: 1, Parts: []string{"p", request}, AtStake: 400}}
+	news, held := ApplyPromptParts(now, seen, ended)
+	is.Equal(held, []string{request})
+	_, held = ApplyPromptParts(now, told, news)
+	is.Equal(held, []string{request})
+	for _, tracker := range []*quarantine.Tracker{seen, told} {
+		part, remaining := tracker.Quarantined(now, "other", []string{"p", request})
+		is.Equal(part, request)
+		is.True(remaining > 0)
+		part, _ = tracker.Quarantined(now, "s", []string{"p"})
+		is.Equal(part, "") // other requests have it, too
+	}
+	started := quarantine.New() // an instance that starts later
+	for _, m := range EncodePromptParts(now, seen.Suspicions()) {
+		ApplyPromptParts(now, started, m)
+	}
+	part, _ := started.Quarantined(now, "s", []string{request})
+	is.Equal(part, request)
+}
--- a/internal/edge/prompt_parts.go
+++ b/internal/edge/prompt_parts.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"syscall"
@@ -175,11 +176,13 @@
 // recordEngineEnd records that the server of an attempt ended at a time while a request with the parts was open there, whose answer
 // had not begun.
 func (p *Proxy) recordEngineEnd(a *attempt, endedAt time.Time, service string, parts []string, request string) {
-	engine := a.choice.Server
+	engine, atStake := a.choice.Server, 0.0
+	p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) { atStake = d.AtStake(now, a.choice) })
 	ended := &protocol.PromptParts{Service: service, Ended: &protocol.EndedEngine{Server: engine.Server,
-		StartedAtMillis: engine.StartedAtMillis, Parts: parts, AgeMS: inMilliseconds(time.Since(endedAt)), OpenMS: inMilliseconds(endedAt.Sub(a.started))}}
+		StartedAtMillis: engine.StartedAtMillis, Parts: parts, AgeMS: inMilliseconds(time.Since(endedAt)), OpenMS: inMilliseconds(endedAt.Sub(a.started)),
+		AtStake: atStake}}
 	metrics.GetOrCreateCounter(`banyanfront_edge_engine_ends_total`).Inc()
-	log.WithFields(log.Fields{"request": request, "server": engine.Server, "parts": parts}).
+	log.WithFields(log.Fields{"request": request, "server": engine.Server, "parts": parts, "atStake": math.Round(atStake)}).
 		Warn("engine ended before an answer to the request began; the request and the parts of its prompt are suspected")
 	p.sendPromptParts(p.applyPromptParts(time.Now(), ended, true)...)
 }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -408,6 +408,7 @@
 	Parts           []string `cbor:"3,keyasint"`
 	AgeMS           float64  `cbor:"4,keyasint,omitempty"` // time since the end
 	OpenMS          float64  `cbor:"5,keyasint,omitempty"` // time for which a request with the parts had been open there
+	AtStake         float64  `cbor:"6,keyasint,omitempty"` // requests that such an end costs, as the sender estimates
 }
 
 // PartSuspicion is a quarantine.Suspicion, with times relative to the sending of the message.
