Dispatch: use a lock-step group again as soon as its ranks run

What callers saw: a group that had opened again was refused as group_closed for up to an announcement interval (1.2 s), as its engines' last announcements said that it was broken. Rank processes report each 120 ms to the group's coordinator, which sends the loads to all entry instances.

Loads now bear the newest epoch in which a rank has reported the group as open, and are sent at once when there is a new one. An entry instance uses a group again if that epoch is newer than the one in which it was closed; what was announced in an earlier epoch does not close it again.

TestEntryInstancesLearnLoadsOfGroups expects the epoch as well.

--- a/decide/dispatch/cut_off_test.go
+++ b/decide/dispatch/cut_off_test.go
@@ -64,8 +64,8 @@
 
 	d = threeDataCentres()
 	d.lose(start, "far")
-	d.closeGroup(start, "s", "near", start.Add(time.Second))
-	d.closeGroup(start, "s", "farther", start.Add(time.Second))
+	d.closeGroup(start, "s", "near", start.Add(time.Second), 0)
+	d.closeGroup(start, "s", "farther", start.Add(time.Second), 0)
 	is.True(!d.UpdateCutOff(start))
 }
 
@@ -76,7 +76,7 @@
 	d := threeDataCentres()
 	d.lose(start, "far")
 	d.lose(start, "farther")
-	d.closeGroup(start, "s", "near", start.Add(300*time.Millisecond))
+	d.closeGroup(start, "s", "near", start.Add(300*time.Millisecond), 0)
 	is.True(d.UpdateCutOff(start))
 	is.True(d.UpdateCutOff(start.Add(5 * time.Second)))
 	d.RecordReachable("farther")
--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -138,6 +138,8 @@
 type group struct {
 	closedSince time.Time // start of the current outage
 	closedUntil time.Time
+	closedEpoch uint64 // newest epoch in which the group was reported broken or stalled
+	openEpoch   uint64 // newest epoch in which its ranks run
 }
 
 // Dispatcher chooses servers and holds the state for it. It is not safe for concurrent use.
@@ -219,18 +221,38 @@
 		return
 	}
 	if k.Group.Broken {
-		d.closeGroup(k.ReceivedAt, k.Service, k.Group.Name, k.ReceivedAt.Add(d.config.AnnounceInterval))
+		d.closeGroup(k.ReceivedAt, k.Service, k.Group.Name, k.ReceivedAt.Add(d.config.AnnounceInterval), k.Group.Epoch)
 	}
 }
 
-// closeGroup excludes a group that has lost a rank until the given time.
-func (d *Dispatcher) closeGroup(now time.Time, service, name string, until time.Time) {
+// groupState returns the state of a lock-step group.
+func (d *Dispatcher) groupState(service, name string) *group {
 	key := groupKey(service, name)
 	g := d.groups[key]
 	if g == nil {
 		g = &group{}
 		d.groups[key] = g
 	}
+	return g
+}
+
+// RecordGroupOpen records that the ranks of a lock-step group run in an epoch. A group that was closed in an earlier epoch is used again
+// at once: what its engines announce themselves is older by an announcement interval.
+func (d *Dispatcher) RecordGroupOpen(now time.Time, service, name string, epoch uint64) {
+	g := d.groupState(service, name)
+	g.openEpoch = max(g.openEpoch, epoch)
+	if epoch > g.closedEpoch && now.Before(g.closedUntil) {
+		g.closedUntil = now
+	}
+}
+
+// closeGroup excludes a group that has lost a rank in an epoch until the given time.
+func (d *Dispatcher) closeGroup(now time.Time, service, name string, until time.Time, epoch uint64) {
+	g := d.groupState(service, name)
+	if epoch < g.openEpoch {
+		return // it has opened again since
+	}
+	g.closedEpoch = max(g.closedEpoch, epoch)
 	if now.Sub(g.closedUntil) > maxRetryAfter {
 		g.closedSince = now
 	}
@@ -525,7 +547,8 @@
 		return
 	}
 	form := d.table.Service(c.Server.Service).Engine.FormTime
-	d.closeGroup(now, c.Server.Service, c.Server.Group.Name, now.Add(form/2))
+	epoch := max(c.Server.Group.Epoch, d.groupState(c.Server.Service, c.Server.Group.Name).openEpoch)
+	d.closeGroup(now, c.Server.Service, c.Server.Group.Name, now.Add(form/2), epoch)
 }
 
 // RecordMisdirected records that another server responds at the server's address. The server is avoided for one
--- a/decide/dispatch/group_return_test.go
+++ b/decide/dispatch/group_return_test.go
@@ -49,3 +49,45 @@
 	is.True(chosen(empty, busy, bound/2, bound/2)["g0"] > 30)
 	is.Equal(chosen(empty, []int{8, 8, 8, 8}, 2*bound, bound/2)["g1"], 0)
 }
+
+// Guards against callers who are refused for an announcement interval after a lock-step group has opened again, and against a group that is
+// used before it has: what is known of its opening is of an earlier epoch.
+func TestGroupIsUsedOnceItsRanksRunAgain(t *testing.T) {
+	is := is.New(t)
+	d := dispatcher(1, true)
+	rank := func(n int, epoch uint64, broken bool, receivedAt time.Time) *registry.Record {
+		return &registry.Record{ReceivedAt: receivedAt, Announcement: registry.Announcement{Server: fmt.Sprint("i", n), Service: "s",
+			Address: fmt.Sprint("10.0.0.1:", n+1), DataCentre: "near", Slots: 12, Group: registry.Group{Name: "g", Rank: n, Size: 2, Epoch: epoch, Broken: broken}}}
+	}
+	usable := func(now time.Time) bool {
+		c, refusal := d.Pick(now, Request{Service: "s"})
+		if refusal != nil {
+			is.Equal(refusal.Reason, GroupClosed)
+			return false
+		}
+		c.Release()
+		return true
+	}
+	now := start
+	d.SetServers(now, []*registry.Record{rank(0, 1, false, now), rank(1, 1, false, now)})
+	d.RecordGroupOpen(now, "s", "g", 1)
+	is.True(usable(now))
+
+	now = now.Add(time.Second)
+	d.SetServers(now, []*registry.Record{rank(0, 1, true, now), rank(1, 1, false, now)})
+	is.True(!usable(now))
+	d.RecordGroupOpen(now, "s", "g", 1) // of before the end
+	is.True(!usable(now))
+	now = now.Add(100 * time.Millisecond)
+	d.RecordGroupOpen(now, "s", "g", 2)
+	is.True(usable(now))
+	d.SetServers(now, []*registry.Record{rank(0, 1, true, now), rank(1, 1, true, now)}) // announced before it opened
+	is.True(usable(now))
+
+	c, _ := d.Pick(now, Request{Service: "s"})
+	d.closeGroup(now, "s", "g", now.Add(time.Second), 2) // a rank is lost again
+	c.Release()
+	d.RecordGroupOpen(now, "s", "g", 2)
+	is.True(!usable(now))
+	is.True(usable(now.Add(time.Second)))
+}
--- a/internal/directory/groups.go
+++ b/internal/directory/groups.go
@@ -84,6 +84,8 @@
 
 	loadsSent   []byte // last loads sent to the entry instances
 	loadsSentAt time.Time
+	// openEpoch is the newest epoch in which a rank has reported the group as open, and openEpochSent what the entry instances know.
+	openEpoch, openEpochSent uint64
 }
 
 // groupRank is one rank of a group.
@@ -207,6 +209,10 @@
 		g.decayDemand(now)
 		gs.addDemand(g, m)
 	}
+	if m.Report.Open && m.Report.Epoch > g.openEpoch {
+		g.openEpoch = m.Report.Epoch
+		gs.sendLoads(now, g)
+	}
 	before := g.switchover.Epoch()
 	g.switchover.HandleReport(now, m.Report)
 	if epoch := g.switchover.Epoch(); epoch != before {
--- a/internal/directory/loads.go
+++ b/internal/directory/loads.go
@@ -32,15 +32,16 @@
 // sendLoads sends the loads of a group that this instance coordinates to the entry instances. Each of these sees few of the
 // requests and knows the loads of few engines by itself.
 func (gs *groups) sendLoads(now time.Time, g *group) {
-	if g.role != coordinator || now.Sub(g.loadsSentAt) < loadsInterval(g.size, int(gs.directory.entryInstances.Load())) {
+	hasOpened := g.openEpoch > g.openEpochSent // callers wait for it
+	if g.role != coordinator || !hasOpened && now.Sub(g.loadsSentAt) < loadsInterval(g.size, int(gs.directory.entryInstances.Load())) {
 		return
 	}
 	loads := g.loads(now)
-	if bytes.Equal(loads, g.loadsSent) && now.Sub(g.loadsSentAt) < loadsRepeatInterval {
+	if !hasOpened && bytes.Equal(loads, g.loadsSent) && now.Sub(g.loadsSentAt) < loadsRepeatInterval {
 		return
 	}
-	g.loadsSent, g.loadsSentAt = loads, now
-	message := &protocol.GroupLoads{Service: g.service, Group: g.name, Requests: loads}
+	g.loadsSent, g.loadsSentAt, g.openEpochSent = loads, now, g.openEpoch
+	message := &protocol.GroupLoads{Service: g.service, Group: g.name, Requests: loads, OpenEpoch: g.openEpoch}
 	gs.directory.post(func(time.Time) { gs.directory.broadcast(message) })
 }
 
--- a/internal/directory/loads_test.go
+++ b/internal/directory/loads_test.go
@@ -67,7 +67,7 @@
 			received := receiver.take()
 			is.True(len(received) > 0)
 			is.True(len(received) <= int(time.Second/minLoadsInterval)) // one instance sends them
-			is.Equal(received[len(received)-1], &protocol.GroupLoads{Service: "s", Group: "g1", Requests: []byte{0, 0, byte(7 + loss), 0}})
+			is.Equal(received[len(received)-1], &protocol.GroupLoads{Service: "s", Group: "g1", Requests: []byte{0, 0, byte(7 + loss), 0}, OpenEpoch: 1})
 			f.crash(f.coordinatorOf("s/g1"))
 			time.Sleep(4 * time.Second)
 		}
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -339,6 +339,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.dispatcher.RecordGroupLoads(now, m.Service, m.Group, loads)
+	f.dispatcher.RecordGroupOpen(now, m.Service, m.Group, m.OpenEpoch)
 }
 
 // installState decodes an agreed state and applies it. States not newer than the current one are ignored.
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -347,6 +347,8 @@
 	// Requests holds one byte a rank, in order of the ranks: the requests running and waiting there, MaxGroupLoad for that
 	// many or more, UnknownGroupLoad for a rank that has not reported recently.
 	Requests []byte `cbor:"3,keyasint"`
+	// OpenEpoch is the newest epoch in which a rank has reported the group as open, 0 if none has.
+	OpenEpoch uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Special values of GroupLoads.Requests.
