--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -113,6 +113,10 @@
 		target.restart()
 	case AskForQuiet:
 		forDuration(target.quiet.Store)
+	case OddHeartbeats:
+		odd, end := context.WithTimeout(ctx, fault.For)
+		f.sendOddHeartbeats(odd)
+		end()
 	case HarmfulRequest:
 		f.ledger.addHarmfulRequest()
 	case NameLimit:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -33,6 +33,7 @@
 	Leave             Kind = "leave"           // a backend server says in its answers that it leaves, serves on, ends, and restarts as a new server
 	AskForQuiet       Kind = "ask for quiet"   // a backend server rejects some requests and wants none for a while
 	HoldAnnouncements Kind = "hold announce"   // a backend server sends no announcements
+	OddHeartbeats     Kind = "odd heartbeats"  // another writer sends heartbeats that cannot be read, or are no server's, to the control instances
 	HarmfulRequest    Kind = "harmful request" // from now on, some callers send a request that ends each plain server that begins to run it
 	NameLimit         Kind = "name limit"      // from now on, a backend server names a limit of its requests in its answers
 	HarmfulPart       Kind = "harmful part"    // from now on, some prompts have a part that ends each engine that begins to answer on it
@@ -72,7 +73,7 @@
 // Kinds of faults for each role. A kind that is listed more often is chosen more often.
 var (
 	entryFaults   = []Kind{Kill, Pause, Stop, Reload}
-	controlFaults = []Kind{Kill, Kill, Pause, Pause, Stop, Reset, BlockBoth, BlockInbound, BlockOutbound, Delay, KillControl}
+	controlFaults = []Kind{Kill, Kill, Pause, Pause, Stop, Reset, BlockBoth, BlockInbound, BlockOutbound, Delay, KillControl, OddHeartbeats}
 	rankFaults    = []Kind{Kill, Pause, Stop, Reload}
 	serverFaults  = []Kind{Crash, Crash, CrashAll, Freeze, Drain, Leave, AskForQuiet, DamageAnswers, HoldAnnouncements, Reset, BlockBoth, BlockInbound, BlockOutbound, Delay}
 	engineFaults  = []Kind{LoseOrders, LoseOrders, Crash, Freeze, Reset, BlockBoth, Delay}
