Stand-ins: servers that say that they leave, and that ask for quiet

Any text can be given, so that wrong values can be tried as well. TestStandInThatLeavesAndAsksForQuiet.

--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -23,6 +23,9 @@
 	cold := flags.DurationLong("cold", 0, "time for which the engine bears only a little load after its start")
 	rateLimit := flags.Float64Long("rate-limit", 0, "limit of requests a second that each answer names, 0 for none")
 	crashOn := flags.StringLong("crash-on", "", "`TEXT` in a request's body that crashes the stand-in")
+	leaving := flags.StringLong("leaving", "", "`TEXT` by which each answer says that the stand-in leaves: 1, or what is to be ignored")
+	quietOn := flags.StringLong("quiet-on", "", "`TEXT` in a request's body for which the stand-in rejects it with 503 and Retry-After")
+	quiet := flags.StringLong("quiet", "1", "`TEXT` of that Retry-After, in seconds")
 	down := flags.DurationLong("down", 2*time.Second, "time from such a crash to the next start")
 	run := func(kind string, handler func() http.Handler) func(context.Context, []string) error {
 		return func(ctx context.Context, args []string) error {
@@ -32,7 +35,8 @@
 			ctx, cancel := process.SignalContext(ctx)
 			defer cancel()
 			fmt.Printf("stand-in %s listens on %s\n", kind, *listen)
-			return standin.RunTroubled(ctx, *listen, handler, standin.Trouble{RateLimit: *rateLimit, CrashOn: *crashOn, Down: *down})
+			return standin.RunTroubled(ctx, *listen, handler, standin.Trouble{RateLimit: *rateLimit, CrashOn: *crashOn, Down: *down,
+				Leaving: *leaving, QuietOn: *quietOn, Quiet: *quiet})
 		}
 	}
 	return &ff.Command{
--- a/internal/standin/trouble.go
+++ b/internal/standin/trouble.go
@@ -18,6 +18,12 @@
 	RateLimit float64
 	// CrashOn is a text; a request whose body has it crashes the stand-in as it begins to run. Default empty: none.
 	CrashOn string
+	// Leaving makes each answer say that the stand-in leaves, with this text. "1" is what it means; others are to be ignored. Default empty: none.
+	Leaving string
+	// QuietOn is a text; a request whose body has it is rejected as not run, with 503 and Quiet as Retry-After. Default empty: none.
+	QuietOn string
+	// Quiet is the text of that Retry-After, a number of seconds or what is none.
+	Quiet string
 	// Down is the time from a crash to the next start. Default 0.
 	Down time.Duration
 }
@@ -44,14 +50,24 @@
 
 // ServeHTTP implements http.Handler.
 func (t *troubled) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if t.trouble.CrashOn != "" {
+	if t.trouble.Leaving != "" {
+		w.Header().Set(platform.HeaderLeaving, t.trouble.Leaving)
+	}
+	if t.trouble.CrashOn != "" || t.trouble.QuietOn != "" {
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
-		if bytes.Contains(body, []byte(t.trouble.CrashOn)) {
+		switch {
+		case t.trouble.CrashOn != "" && bytes.Contains(body, []byte(t.trouble.CrashOn)):
 			t.crashed()
 			panic(http.ErrAbortHandler)
+		case t.trouble.QuietOn != "" && bytes.Contains(body, []byte(t.trouble.QuietOn)):
+			w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+			w.Header().Set(platform.HeaderNotRun, "1")
+			w.Header().Set(platform.HeaderRetryAfter, t.trouble.Quiet)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
 	}
--- a/internal/standin/trouble_test.go
+++ b/internal/standin/trouble_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -79,3 +80,28 @@
 	stop()
 	is.NoErr(<-ended)
 }
+
+// Guards against a stand-in that does not say what it was told to say of itself, or says it to all requests.
+func TestStandInThatLeavesAndAsksForQuiet(t *testing.T) {
+	is := is.New(t)
+	ask := func(trouble Trouble, body string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader(body))
+		r.Header.Set(platform.HeaderRequestID, "r1")
+		handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+		(&troubled{handler, trouble, func() {}}).ServeHTTP(w, r)
+		return w
+	}
+	w := ask(Trouble{Leaving: "1"}, "good")
+	is.Equal(w.Header().Get(platform.HeaderLeaving), "1")
+	is.Equal(w.Body.String(), "good")
+	w = ask(Trouble{QuietOn: "busy", Quiet: "1.5"}, "good")
+	is.Equal(w.Code, http.StatusOK)
+	is.Equal(w.Body.String(), "good")
+	is.Equal(w.Header().Get(platform.HeaderLeaving), "")
+	w = ask(Trouble{QuietOn: "busy", Quiet: "1.5"}, "busy")
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(w.Header().Get(platform.HeaderRetryAfter), "1.5")
+	is.Equal(w.Header().Get(platform.HeaderNotRun), "1")
+	is.Equal(w.Header().Get(platform.HeaderRequestID), "r1")
+}
