Read again: no look-up for a log field on each request, told answers looked up once, one way to start a configured proxy

The age of the last confirmation was read under its lock at the end of every request, though only denied ones log it. The soak's check of servers that leave asked the ledger for each pair of an arrival and an answer. Two tests set up the same proxy. Behaviour, bounds and assertions are as they were.

--- a/internal/command/experiment.go
+++ b/internal/command/experiment.go
@@ -54,7 +54,7 @@
 			}
 			windows, lines := platform.ParseDay(string(output))
 			if len(windows) == 0 {
-				return usageErrorf("%s has no table that begins with %q: play one day, and keep all of its output", args[0], "from second")
+				return usageErrorf("%s has no table that begins with %q: play one day, and keep all of its output", args[0], platform.WindowHeader)
 			}
 			return experiment.WriteLoss(os.Stdout, experiment.SplitLoss(windows, lines))
 		},
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -300,8 +300,10 @@
 		fields["version"] = c.view.Table.Version
 		fields["versionAgeMs"] = c.arrived.Sub(c.view.InstalledAt).Milliseconds()
 	}
-	if age, ok := c.proxy.confirmations.age(time.Now()); c.denied && ok {
-		fields["confirmedMs"] = age.Milliseconds()
+	if c.denied {
+		if age, ok := c.proxy.confirmations.age(time.Now()); ok {
+			fields["confirmedMs"] = age.Milliseconds()
+		}
 	}
 	if c.route != nil {
 		fields["route"], fields["service"] = c.route.Name, c.service
--- a/internal/edge/confirmation_test.go
+++ b/internal/edge/confirmation_test.go
@@ -127,11 +127,9 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				proxy := New(Config{Decode: platform.DecodeConfiguration})
 				state := stateWithRoutes(t, 2, 100, "safe")
-				c := startControl(t, proxy, nil)
-				proxy.MessageReceived(c, &protocol.State{Index: 2, Snapshot: mustEncode(t, state)})
-				synctest.Wait()
+				proxy, c := startConfiguredProxy(t, state)
+				c.state.Store(nil)
 				ask := func() *httptest.ResponseRecorder {
 					r := httptest.NewRequest(http.MethodPost, "http://h.example"+request.path, strings.NewReader(strings.Repeat("x", request.body)))
 					r.RequestURI = request.path // as a server receives it
@@ -162,11 +160,7 @@
 func TestDeniedRequestsShareConfirmations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		proxy := New(Config{Decode: platform.DecodeConfiguration})
-		state := stateWithRoutes(t, 2, 100, "safe")
-		c := startControl(t, proxy, state)
-		proxy.MessageReceived(c, &protocol.State{Index: 2, Snapshot: mustEncode(t, state)})
-		synctest.Wait()
+		proxy, c := startConfiguredProxy(t, stateWithRoutes(t, 2, 100, "safe"))
 		for range 1000 {
 			w := httptest.NewRecorder()
 			proxy.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "http://h.example/nowhere/x", nil))
@@ -177,10 +171,16 @@
 	})
 }
 
-func mustEncode(t *testing.T, s *controlstate.State) []byte {
-	data, err := directory.EncodeState(*s)
+// startConfiguredProxy returns a proxy that has the state, and its control instance, which has it too. It is for use in a
+// synctest bubble.
+func startConfiguredProxy(t *testing.T, state *controlstate.State) (*Proxy, *control) {
+	proxy := New(Config{Decode: platform.DecodeConfiguration})
+	c := startControl(t, proxy, state)
+	snapshot, err := directory.EncodeState(*state)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return data
+	proxy.MessageReceived(c, &protocol.State{Index: state.Index, Snapshot: snapshot})
+	synctest.Wait()
+	return proxy, c
 }
--- a/internal/soak/wishes.go
+++ b/internal/soak/wishes.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -67,13 +68,17 @@
 func (r *wishRecord) check(passedOn func(request string) (sent, answered time.Time)) (late, mostInQuiet int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var toldLeaving []exchange // by answers that reached their callers, at that time
+	for _, told := range r.leaving {
+		if _, answered := passedOn(told.request); !answered.IsZero() {
+			told.at = answered
+			toldLeaving = append(toldLeaving, told)
+		}
+	}
 	for _, a := range r.arrivals {
 		sent, _ := passedOn(a.request)
-		for _, told := range r.leaving {
-			if _, answered := passedOn(told.request); told.sameLife(&a) && !answered.IsZero() && sent.After(answered.Add(drainTime)) {
-				late++
-				break
-			}
+		if slices.ContainsFunc(toldLeaving, func(told exchange) bool { return told.sameLife(&a) && sent.After(told.at.Add(drainTime)) }) {
+			late++
 		}
 	}
 	for _, told := range r.quiet {
