Intake: one memory budget for what clients send, hold open or do not read

Cause: edge, gateway and the control calls read each body whole with io.ReadAll, whose buffer doubles; nothing added up what all requests hold, no time bounded a body or an unread answer, and listeners accepted any number of connections. A small crowd of clients that stop short of the end of their bodies made an entry instance of 96 MB hold 305 MB.

Change: decide/memory divides a third of the process's memory among bodies, heads and answers; transfers without progress are given up first when it is short, then the request is refused as not run. internal/intake applies it: bodies are read in pieces, as they arrive, with a deadline for each piece; listeners have a limit and replace idle connections; clients that do not read are cut off. Control instances decode one configuration at a time, and all readers share one copy.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -8,6 +8,7 @@
 	"go.uber.org/dig"
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/settings"
@@ -79,7 +80,7 @@
 func newStatus(s *settings.Agent, a *Agent) (*process.Server, error) {
 	r := chi.NewRouter()
 	process.StatusRoutes(r, a.notReady)
-	return process.Listen("metricsListen", s.MetricsListen, r, nil)
+	return process.Listen("metricsListen", s.MetricsListen, r, nil, intake.NewGate(process.MachineLimits()).Guard(process.StatusConnections))
 }
 
 // notReady returns the reason why the agent accepts no work, or "" if it does.
--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -113,8 +113,8 @@
 	Target string // path and query, unchanged from the caller's request line
 	Host   string
 	Header http.Header
-	Body   []byte
-	Stream bool // unused
+	Body   [][]byte // in pieces
+	Stream bool     // unused
 }
 
 // Failure is the error of an attempt that received no response.
@@ -222,7 +222,9 @@
 		if echoed == request.ID || unnamed {
 			response.Identified = echoed != ""
 			response.Status, response.Header, response.Body = httpResponse.StatusCode, httpResponse.Header, httpResponse.Body
-			response.Length = httpResponse.ContentLength
+			if response.Length = httpResponse.ContentLength; request.Method == http.MethodHead {
+				response.Length = -1 // it is the length of another response's body
+			}
 			response.Framed = httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0
 			response.closeConnection = response.closeConnection || httpResponse.Close || !response.Framed || !response.Identified
 			connection.idleTimeout = idleTimeout(httpResponse.Header)
@@ -281,9 +283,21 @@
 // is read, because a server may respond before it has read the whole body.
 const maxInlineBodyBytes = 32 << 10
 
+// headBytes is the initial size of the buffer for a request head.
+const headBytes = 1 << 10
+
 // write sends the request. The result of writing a long body is sent to the returned channel, which is nil for short ones.
 func (c *conn) write(r *Request) (chan error, *Failure) {
-	head := make([]byte, 0, 1024+len(r.Body))
+	length := 0
+	for _, piece := range r.Body {
+		length += len(piece)
+	}
+	inline := length <= maxInlineBodyBytes
+	size := headBytes
+	if inline {
+		size += length
+	}
+	head := make([]byte, 0, size)
 	head = fmt.Appendf(head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	for name, values := range r.Header {
 		if name == "Content-Length" || name == "Host" {
@@ -293,23 +307,30 @@
 			head = fmt.Appendf(head, "%s: %s\r\n", name, value)
 		}
 	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		head = fmt.Appendf(head, "Content-Length: %d\r\n", len(r.Body))
+	if length > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		head = fmt.Appendf(head, "Content-Length: %d\r\n", length)
 	}
 	head = append(head, "\r\n"...)
-	if len(r.Body) <= maxInlineBodyBytes {
-		head = append(head, r.Body...)
+	if inline {
+		for _, piece := range r.Body {
+			head = append(head, piece...)
+		}
 	}
 	if n, err := c.Write(head); err != nil {
 		return nil, &Failure{Sent: n > 0, Err: err}
 	}
-	if len(r.Body) <= maxInlineBodyBytes {
+	if inline {
 		return nil, nil
 	}
 	bodyWritten := make(chan error, 1)
 	go func() {
-		_, err := c.Write(r.Body)
-		bodyWritten <- err
+		for _, piece := range r.Body {
+			if _, err := c.Write(piece); err != nil {
+				bodyWritten <- err
+				return
+			}
+		}
+		bodyWritten <- nil
 	}()
 	return bodyWritten, nil
 }
--- a/internal/backendhttp/client_test.go
+++ b/internal/backendhttp/client_test.go
@@ -64,7 +64,7 @@
 
 // request returns a POST request with a short body.
 func request(id string) *Request {
-	return &Request{ID: id, Method: http.MethodPost, Target: "/a?b", Host: "h", Header: http.Header{}, Body: []byte("body")}
+	return &Request{ID: id, Method: http.MethodPost, Target: "/a?b", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte("body")}}
 }
 
 // send sends a request and reads its response.
@@ -244,13 +244,13 @@
 	})
 	client := NewClient(requestIDHeader)
 	long := request("1")
-	long.Body = []byte(strings.Repeat("b", 16<<20))
+	long.Body = [][]byte{[]byte(strings.Repeat("b", 16<<20))}
 	response, failure := client.Do(context.Background(), "s", address, 0, long)
 	is.Equal(failure, nil)
 	is.Equal(response.Status, http.StatusTooManyRequests)
 	response.Close(true)
 	close(closed)
-	is.True(<-rest < int64(len(long.Body))) // the body was truncated
+	is.True(<-rest < int64(len(long.Body[0]))) // the body was truncated
 	is.Equal(len(client.pools), 0)
 }
 
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -13,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/peterbourgon/ff/v4"
 
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/transport"
 	"github.com/banyanfront/banyanfront/platform"
@@ -29,7 +30,7 @@
 type role struct {
 	name, help string
 	listens    bool // accepts sessions of other processes, so that --inner-listen applies
-	serve      func(ctx context.Context, s *platform.Settings, link *process.Link, reloads <-chan *platform.Settings) error
+	serve      func(ctx context.Context, s *platform.Settings, link *process.Link, gate *intake.Gate, reloads <-chan *platform.Settings) error
 }
 
 // platformCommand returns the command that runs a role until SIGINT or SIGTERM.
@@ -73,10 +74,12 @@
 			// process its full grace period.
 			ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 			defer cancel()
+			gate := intake.NewGate(settings.MemoryBytes, settings.Descriptors)
 			if *port > 0 {
 				status := chi.NewRouter()
 				process.StatusRoutes(status, func() string { return "" })
-				server, err := process.Listen("--metrics", netip.AddrPortFrom(settings.IP, uint16(*port)).String(), status, nil)
+				server, err := process.Listen("--metrics", netip.AddrPortFrom(settings.IP, uint16(*port)).String(), status, nil,
+					gate.Guard(process.StatusConnections))
 				if err != nil {
 					return err
 				}
@@ -85,7 +88,7 @@
 			}
 			link := process.NewLink(transport.Config{FleetKey: []byte(key), AllowPlaintext: true})
 			link.ListenAddress = *innerListen
-			return r.serve(ctx, settings, link, watchSettings(ctx, settings))
+			return r.serve(ctx, settings, link, gate, watchSettings(ctx, settings))
 		},
 	}
 }
--- a/internal/directory/api.go
+++ b/internal/directory/api.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +20,8 @@
 
 	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/registry"
+	"github.com/banyanfront/banyanfront/decide/routes"
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
@@ -33,6 +37,21 @@
 	*Directory
 	// dataCentres holds the data centres that may be evacuated, by name.
 	dataCentres map[string]string
+	gate        *intake.Gate
+	// decoding limits the configurations that are decoded at once: each takes several times its size.
+	decoding chan struct{}
+	newest   unpackedConfiguration
+}
+
+// unpackedConfiguration is the configuration that was read last, shared by all its readers.
+type unpackedConfiguration struct {
+	mu      sync.Mutex
+	version uint64
+	body    []byte
+}
+
+func newAPI(d *Directory, dataCentres map[string]string, gate *intake.Gate) *api {
+	return &api{Directory: d, dataCentres: dataCentres, gate: gate, decoding: make(chan struct{}, 1)}
 }
 
 func (a *api) handler() http.Handler {
@@ -61,14 +80,37 @@
 	writeJSON(w, status, platform.EncodeError(err))
 }
 
-func (a *api) announce(w http.ResponseWriter, r *http.Request) {
-	server := chi.URLParam(r, platform.ServerVariable)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+// readBody reads the body of a call, with limit as the largest number of bytes. On failure it responds itself and returns false. The
+// caller must close the body.
+func (a *api) readBody(w http.ResponseWriter, r *http.Request, limit int64) (*intake.Body, bool) {
+	owner, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
+		owner = r.RemoteAddr
+	}
+	body, err := a.gate.ReadBody(w, r, intake.BodyLimits{Owner: owner, Bytes: limit})
+	if err == nil {
+		return body, true
+	}
+	intake.Refuse(w)
+	switch status := intake.Status(err); status {
+	case http.StatusServiceUnavailable, http.StatusRequestTimeout:
+		writeError(w, http.StatusServiceUnavailable, err) // the sender repeats the call
+	case http.StatusRequestEntityTooLarge:
+		writeError(w, status, err)
+	default:
 		writeError(w, http.StatusBadRequest, err)
+	}
+	return nil, false
+}
+
+func (a *api) announce(w http.ResponseWriter, r *http.Request) {
+	server := chi.URLParam(r, platform.ServerVariable)
+	body, ok := a.readBody(w, r, maxAnnouncementBytes)
+	if !ok {
 		return
 	}
-	announcement, err := platform.DecodeAnnouncement(server, body)
+	defer body.Close()
+	announcement, err := platform.DecodeAnnouncement(server, body.Bytes())
 	if err != nil {
 		refuseAnnouncement(w, server, err)
 		return
@@ -93,44 +135,40 @@
 
 func (a *api) deregister(w http.ResponseWriter, r *http.Request) {
 	server := chi.URLParam(r, platform.ServerVariable)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
-	if err != nil {
-		writeError(w, http.StatusBadRequest, err)
+	body, ok := a.readBody(w, r, maxAnnouncementBytes)
+	if !ok {
 		return
 	}
-	a.acceptAnnouncement(w, platform.DecodeDeregistration(server, body))
+	defer body.Close()
+	a.acceptAnnouncement(w, platform.DecodeDeregistration(server, body.Bytes()))
 }
 
 func (a *api) replaceConfiguration(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigurationBytes))
-	if err != nil {
-		writeError(w, http.StatusBadRequest, err)
+	held, ok := a.readBody(w, r, maxConfigurationBytes)
+	if !ok {
 		return
 	}
-	configuration, err := platform.DecodeConfiguration(body)
-	if err == nil {
-		err = configuration.Validate()
+	defer held.Close()
+	select {
+	case a.decoding <- struct{}{}:
+	case <-r.Context().Done():
+		writeError(w, http.StatusServiceUnavailable, errSenderLeft)
+		return
 	}
+	configuration, packed, id, err := a.decodeConfiguration(held.Bytes())
+	<-a.decoding
 	if err != nil {
 		log.WithError(err).Warn("configuration refused as invalid")
 		writeError(w, http.StatusBadRequest, err)
 		return
 	}
-	if state := a.State(); !state.Configured || state.Version < configuration.Version {
-		packed, err := PackConfiguration(body)
-		if err != nil {
-			log.WithError(err).Error("configuration could not be packed")
-			writeError(w, http.StatusInternalServerError, err)
-			return
-		}
+	if packed != nil {
 		if len(packed) > maxPackedBytes {
 			err := fmt.Errorf("the configuration has %d bytes after compression, the limit is %d; leave out routes or keys", len(packed), maxPackedBytes)
 			log.WithError(err).WithField("version", configuration.Version).Warn("configuration refused as too large")
 			writeError(w, http.StatusRequestEntityTooLarge, err)
 			return
 		}
-		digest := sha256.Sum256(body)
-		id := "configuration/" + strconv.FormatUint(configuration.Version, 10) + "/" + hex.EncodeToString(digest[:8])
 		if !a.commit(w, r, id, controlstate.Command{Configure: &controlstate.Configure{Version: configuration.Version, Body: packed}}) {
 			return
 		}
@@ -141,6 +179,31 @@
 	writeJSON(w, http.StatusOK, []byte("{}"))
 }
 
+// decodeConfiguration decodes and validates a configuration. If it is newer than the one in force, it is also returned compressed,
+// with the identifier of its command.
+func (a *api) decodeConfiguration(body []byte) (configuration *routes.Configuration, packed []byte, id string, err error) {
+	if configuration, err = platform.DecodeConfiguration(body); err != nil {
+		return nil, nil, "", err
+	}
+	if err = configuration.Validate(); err != nil {
+		return nil, nil, "", err
+	}
+	if !a.isNewer(configuration.Version) {
+		return configuration, nil, "", nil
+	}
+	if packed, err = PackConfiguration(body); err != nil {
+		return nil, nil, "", err
+	}
+	digest := sha256.Sum256(body)
+	return configuration, packed, "configuration/" + strconv.FormatUint(configuration.Version, 10) + "/" + hex.EncodeToString(digest[:8]), nil
+}
+
+// isNewer reports whether a version is higher than that of the configuration in force.
+func (a *api) isNewer(version uint64) bool {
+	state := a.State()
+	return !state.Configured || state.Version < version
+}
+
 // commit proposes a command and waits until it is committed. On failure it responds with an error and returns false.
 func (a *api) commit(w http.ResponseWriter, r *http.Request, id string, c controlstate.Command) bool {
 	started := time.Now()
@@ -165,7 +228,7 @@
 		writeError(w, http.StatusServiceUnavailable, err)
 		return
 	}
-	body, err := UnpackConfiguration(state.Body)
+	body, err := a.newest.unpack(&state)
 	if err != nil {
 		log.WithError(err).Error("the agreed configuration cannot be unpacked")
 		writeError(w, http.StatusInternalServerError, err)
@@ -174,11 +237,25 @@
 	writeJSON(w, http.StatusOK, body)
 }
 
+// unpack returns the configuration of a state.
+func (u *unpackedConfiguration) unpack(state *controlstate.State) ([]byte, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.body == nil || u.version != state.Version {
+		body, err := UnpackConfiguration(state.Body)
+		if err != nil {
+			return nil, err
+		}
+		u.version, u.body = state.Version, body
+	}
+	return u.body, nil
+}
+
 // maxOrderAttempts limits how often an order is proposed that others for the same data centre keep overtaking.
 const maxOrderAttempts = 3
 
-// errSenderLeft reports an order whose sender no longer waits. It was received late, and a newer one may have been acknowledged.
-var errSenderLeft = errors.New("the sender of the order has disconnected; the order is not carried out")
+// errSenderLeft reports a change whose sender no longer waits. It was received late, and a newer one may have been acknowledged.
+var errSenderLeft = errors.New("the sender of the change has disconnected; the change is not carried out")
 
 // orderEvacuation commits an order to evacuate or restore a data centre. An order that waited here, in a connection's buffer or
 // for a majority, while its sender repeated it elsewhere and sent newer ones has no effect: it names the newest order that
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -23,12 +23,16 @@
 	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/decide/routes"
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/storage/faultfs"
 	"github.com/banyanfront/banyanfront/internal/transport"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
+// testGate is that of a machine on which no limit is met.
+var testGate = intake.NewGate(1<<30, 1<<16)
+
 func TestMain(m *testing.M) {
 	log.SetHandler(discard.Default)
 	os.Exit(m.Run())
@@ -136,7 +140,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go d.Run(ctx)
-	server := httptest.NewServer((&api{d, map[string]string{"z": "r"}}).handler())
+	server := httptest.NewServer(newAPI(d, map[string]string{"z": "r"}, testGate).handler())
 	t.Cleanup(func() {
 		server.Close()
 		cancel()
@@ -294,7 +298,7 @@
 		is := is.New(t)
 		f, d := startOneControl(t)
 		defer f.stopAll()
-		handler := (&api{Directory: d.Directory}).handler()
+		handler := newAPI(d.Directory, nil, testGate).handler()
 		body := func(service, address string) string {
 			return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","slots":4,"state":"ready","sequence":1,"born":7}`, service, address)
 		}
@@ -326,7 +330,7 @@
 		is := is.New(t)
 		f, d := startOneControl(t)
 		defer f.stopAll()
-		handler := (&api{Directory: d.Directory}).handler()
+		handler := newAPI(d.Directory, nil, testGate).handler()
 		const sound = `{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","sequence":1,"born":7,"cold-remaining-ms":0,` +
 			`"group":{"name":"g","epoch":1,"rank":1,"state":"open"},"size":2}`
 		r := &announcementsReceiver{servers: map[string]bool{}}
@@ -398,7 +402,7 @@
 				handlers := map[*controlNode]http.Handler{}
 				var followers []*controlNode
 				for _, n := range f.nodes {
-					handlers[n] = (&api{n.Directory, map[string]string{"z": "r"}}).handler()
+					handlers[n] = newAPI(n.Directory, map[string]string{"z": "r"}, testGate).handler()
 					if n != leader() {
 						followers = append(followers, n)
 					}
--- a/internal/directory/serve.go
+++ b/internal/directory/serve.go
@@ -10,17 +10,25 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/banyanfront/banyanfront/decide/experts"
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/storage"
 	"github.com/banyanfront/banyanfront/internal/transport"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
+// Shares of the process's sockets for the sessions of other processes, and for operators and backend servers. The rest is for the
+// sessions that it opens itself.
+const (
+	innerShare   = 0.5
+	controlShare = 0.25
+)
+
 // closeTimeout limits the wait for open calls during a graceful stop.
 const closeTimeout = time.Second
 
 // Serve runs a control instance until the context ends.
-func Serve(ctx context.Context, s *platform.Settings, link *process.Link, reloads <-chan *platform.Settings) error {
+func Serve(ctx context.Context, s *platform.Settings, link *process.Link, gate *intake.Gate, reloads <-chan *platform.Settings) error {
 	folder, err := storage.OS(s.DataFolder)
 	if err != nil {
 		return err
@@ -45,11 +53,13 @@
 	}
 	inner := chi.NewRouter()
 	inner.Get(transport.SessionPath, transport.AcceptSessions(link.Config, hello, d))
-	innerServer, err := process.Listen("internal-ports", cmp.Or(link.ListenAddress, s.InnerAddress(s.IP)), inner, nil)
+	innerServer, err := process.Listen("internal-ports", cmp.Or(link.ListenAddress, s.InnerAddress(s.IP)), inner, nil,
+		gate.Guard(gate.Connections(innerShare)))
 	if err != nil {
 		return err
 	}
-	control, err := process.Listen("listen.control", s.ControlListen, (&api{d, s.DataCentres}).handler(), nil)
+	control, err := process.Listen("listen.control", s.ControlListen, newAPI(d, s.DataCentres, gate).handler(), nil,
+		gate.Guard(gate.Connections(controlShare)))
 	if err != nil {
 		return err
 	}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -14,6 +14,7 @@
 	"github.com/banyanfront/banyanfront/decide/dispatch"
 	"github.com/banyanfront/banyanfront/decide/routes"
 	"github.com/banyanfront/banyanfront/internal/backendhttp"
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/platform"
 )
@@ -32,7 +33,7 @@
 	arrived         time.Time
 	deadline        time.Time // the caller expects the response by then
 	objectiveMissed bool      // the caller had waited for longer than the objective before it sent this request
-	body            []byte
+	body            *intake.Body
 	header          http.Header     // forwarded to the server, without headers that differ between attempts
 	parts           func() []string // of the prompt that other requests may share, and the whole request; see package quarantine
 	promptParts     []string
@@ -73,6 +74,9 @@
 // promise that the request has not run unless that is certain.
 func (c *call) respondLocally(status int, retryAfter time.Duration) {
 	c.status = status
+	if c.body == nil && c.r.ContentLength != 0 {
+		intake.Refuse(c.w)
+	}
 	if retryAfter > 0 {
 		c.w.Header().Set(platform.HeaderRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -149,7 +153,7 @@
 		a.watchdog = c.startWatchdog(a)
 	}
 	response, failure := c.proxy.client.Do(ctx, choice.Server.Server, choice.Server.Address, c.proxy.connectionLimit(c.view, c.service), &backendhttp.Request{
-		ID: c.id, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
+		ID: c.id, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body.Pieces,
 	})
 	if failure != nil {
 		c.handleFailure(a, failure)
@@ -268,7 +272,7 @@
 	fields := log.Fields{"request": c.id, "server": server, "status": response.Status, "load": a.choice.Load,
 		"told": response.Header.Get(platform.HeaderLoad), "faulty": response.Header.Get(platform.HeaderFaultyServer),
 		"heardMs": a.started.Sub(a.choice.AnnouncedAt).Milliseconds(), "afterMs": time.Since(a.started).Milliseconds()}
-	_, err := readAll(response.Body, maxBufferedBytes)
+	_, err := readAll(response.Body, response.Length, maxBufferedBytes)
 	c.release(a, err == nil)
 	faulty := response.Header.Get(platform.HeaderFaultyServer)
 	switch {
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -356,6 +356,7 @@
 			f.view.Store(view)
 			f.mu.Lock()
 			f.dispatcher.SetTable(view.Table)
+			f.config.Gate.SetIdleTimeout(view.Table.Limits.IdleTimeout)
 			f.dispatcher.SetEvacuated(view.Evacuated)
 			f.mu.Unlock()
 			log.WithFields(log.Fields{"index": view.Index, "version": view.Table.Version, "evacuated": view.Evacuated}).
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -12,6 +12,7 @@
 	"github.com/banyanfront/banyanfront/decide/dispatch"
 	"github.com/banyanfront/banyanfront/decide/routes"
 	"github.com/banyanfront/banyanfront/internal/backendhttp"
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
@@ -58,7 +59,10 @@
 	c.countedAttempts++
 	c.mayHaveRun = true
 	c.tried = append(c.tried, a.choice.Server.Server)
-	body, err := readAll(response.Body, maxBufferedBytes)
+	held, limit := c.holdAnswer(response.Length)
+	defer held.Close()
+	body, err := readAll(response.Body, response.Length, limit)
+	held.Shrink(int64(len(body)))
 	unread := errors.Is(err, errTooLong) // the rest of a long body is forwarded as it arrives, if the response may be forwarded
 	if unread {
 		err = nil
@@ -114,6 +118,27 @@
 	return true
 }
 
+// holdAnswer takes memory for an answer that is buffered until it is complete, and returns the number of bytes that may be buffered. A
+// longer answer is forwarded as it arrives. held is nil if the answer is small.
+func (c *call) holdAnswer(length int64) (held *intake.Transfer, limit int64) {
+	if length >= 0 && length <= freeAnswerBytes {
+		return nil, freeAnswerBytes
+	}
+	wanted := int64(maxBufferedBytes)
+	if length >= 0 {
+		wanted = min(wanted, length)
+	}
+	controller := http.NewResponseController(c.w)
+	held = c.proxy.config.Gate.Open(c.organisation, func() { _ = controller.SetWriteDeadline(time.Unix(1, 0)) })
+	if !held.TakeNow(wanted) {
+		return held, freeAnswerBytes
+	}
+	return held, wanted
+}
+
+// freeAnswerBytes is the size of an answer up to which it takes nothing from the memory budget.
+const freeAnswerBytes = 8 << 10
+
 // recordStatus records the status of a complete response as a success or an error of the server. A 504 is neither: it
 // reports that the deadline has passed.
 func (c *call) recordStatus(a *attempt) {
--- a/internal/edge/prompt_parts.go
+++ b/internal/edge/prompt_parts.go
@@ -95,7 +95,9 @@
 	for _, field := range []string{c.organisation, c.r.Method, c.r.Host, c.r.RequestURI} {
 		_, _ = fmt.Fprintf(hash, "%d:%s,", len(field), field) // a hash returns no error
 	}
-	_, _ = hash.Write(c.body)
+	for _, piece := range c.body.Pieces {
+		_, _ = hash.Write(piece)
+	}
 	return hex.EncodeToString(hash.Sum(nil)[:digestBytes])
 }
 
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -19,6 +19,8 @@
 	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/decide/routes"
 	"github.com/banyanfront/banyanfront/internal/backendhttp"
+	"github.com/banyanfront/banyanfront/internal/intake"
+	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
 	"github.com/banyanfront/banyanfront/platform"
@@ -49,6 +51,8 @@
 	Hello    func() protocol.Hello
 	// DigestKey is the key of the digests by which requests that come again are recognised, the same on all instances.
 	DigestKey []byte
+	// Gate limits what callers can make the process hold; nil for the limits of the machine.
+	Gate *intake.Gate
 }
 
 // Proxy forwards the requests of callers to backend servers.
@@ -70,6 +74,9 @@
 
 // New returns a proxy without a configuration and servers; Run receives them.
 func New(config Config) *Proxy {
+	if config.Gate == nil {
+		config.Gate = intake.NewGate(process.MachineLimits())
+	}
 	p := &Proxy{fleetState: newFleetState(config), client: backendhttp.NewClient(platform.HeaderRequestID)}
 	p.ended, p.endCalls = context.WithCancel(context.Background())
 	return p
@@ -110,6 +117,7 @@
 	}
 	c := &call{proxy: p, w: w, r: r, id: r.Header.Get(platform.HeaderRequestID), arrived: time.Now(), view: p.view.Load()}
 	defer func() {
+		c.body.Close()
 		c.logEnd()
 		p.recordMetrics(c)
 	}()
@@ -161,19 +169,12 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var err error
+	c.body, err = c.proxy.config.Gate.ReadBody(c.w, c.r, intake.BodyLimits{Owner: c.organisation, Bytes: limit, Until: c.deadline})
 	if err != nil {
-		var tooLarge *http.MaxBytesError
-		c.lastError = err.Error()
-		if errors.As(err, &tooLarge) {
-			_, confirmed := c.proxy.awaitConfirmation(c.r.Context(), c.view, c.arrived)
-			c.deny(denial{"too_large", http.StatusRequestEntityTooLarge}, confirmed)
-			return false
-		}
-		c.outcome = "incomplete_request"
-		panic(http.ErrAbortHandler)
+		c.refuseBody(err)
+		return false
 	}
-	c.body = body
 	c.promptParts = quarantine.PartsOf(platform.SharedPromptParts(c.r.Header.Get(platform.HeaderPrompt)))
 	c.parts = sync.OnceValue(func() []string { return append(slices.Clone(c.promptParts), quarantine.RequestPart(c.digest())) })
 	c.header = backendhttp.EndToEnd(c.r.Header)
@@ -187,6 +188,25 @@
 	return true
 }
 
+// refuseBody responds to a call whose body was not read.
+func (c *call) refuseBody(err error) {
+	c.lastError = err.Error()
+	switch {
+	case errors.Is(err, intake.ErrTooLong):
+		_, confirmed := c.proxy.awaitConfirmation(c.r.Context(), c.view, c.arrived)
+		c.deny(denial{"too_large", http.StatusRequestEntityTooLarge}, confirmed)
+	case errors.Is(err, intake.ErrNoRoom):
+		c.outcome = "refused:no_memory"
+		c.respondLocally(http.StatusServiceUnavailable, intake.RetryAfter)
+	case errors.Is(err, intake.ErrTooSlow):
+		c.outcome = "refused:body_too_slow"
+		c.respondLocally(http.StatusRequestTimeout, 0)
+	default:
+		c.outcome = "incomplete_request"
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // denial is the final response to a call that the configuration does not allow.
 type denial struct {
 	outcome string
@@ -298,8 +318,17 @@
 	return limit
 }
 
-// readAll reads a body of at most limit bytes. For a longer one it returns the bytes read so far and errTooLong.
-func readAll(r io.Reader, limit int64) ([]byte, error) {
+// readAll reads a body of at most limit bytes. For a longer one it returns the bytes read so far and errTooLong. length is that of the
+// body, -1 if unknown.
+func readAll(r io.Reader, length, limit int64) ([]byte, error) {
+	if length >= 0 && length <= limit {
+		body := make([]byte, length)
+		n, err := io.ReadFull(r, body)
+		if err == io.EOF && length > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return body[:n], err
+	}
 	body, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err == nil && int64(len(body)) > limit {
 		err = errTooLong
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -21,6 +21,7 @@
 	"github.com/banyanfront/banyanfront/decide/quarantine"
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/internal/directory"
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
 	"github.com/banyanfront/banyanfront/platform"
@@ -54,7 +55,7 @@
 func harmfulRequest(p *Proxy) []string {
 	r := httptest.NewRequest(http.MethodPost, harmfulPath, nil)
 	r.Host = "h.example"
-	return []string{quarantine.RequestPart((&call{proxy: p, r: r, organisation: "o", body: []byte("body")}).digest())}
+	return []string{quarantine.RequestPart((&call{proxy: p, r: r, organisation: "o", body: &intake.Body{Pieces: [][]byte{[]byte("body")}}}).digest())}
 }
 
 type fleetEngine struct {
@@ -440,7 +441,7 @@
 		r.RequestURI = target
 		r.Header.Set(platform.HeaderRequestID, id)
 		proxy := &Proxy{fleetState: &fleetState{config: Config{DigestKey: []byte(key)}}}
-		return (&call{proxy: proxy, r: r, organisation: organisation, body: []byte(body)}).digest()
+		return (&call{proxy: proxy, r: r, organisation: organisation, body: &intake.Body{Pieces: [][]byte{[]byte(body)}}}).digest()
 	}
 	base := digest("k", "o", "POST", "/safe/x?a=1", "r1", "body")
 	is.Equal(digest("k", "o", "POST", "/safe/x?a=1", "r2", "body"), base)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -11,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/banyanfront/banyanfront/decide/dispatch"
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/platform"
 )
@@ -23,12 +24,14 @@
 	stopMargin = 300 * time.Millisecond
 	// endTime is how long the requests that are ended have to send their final responses, before their connections are closed.
 	endTime = 150 * time.Millisecond
+	// callersShare is the share of the process's sockets for callers. The rest is for backend servers and sessions.
+	callersShare = 0.5
 	// idleSweepInterval is the interval at which idle connections to servers are closed.
 	idleSweepInterval = time.Second
 )
 
 // Serve runs an entry instance until the context ends, then drains it.
-func Serve(ctx context.Context, s *platform.Settings, link *process.Link, reloads <-chan *platform.Settings) error {
+func Serve(ctx context.Context, s *platform.Settings, link *process.Link, gate *intake.Gate, reloads <-chan *platform.Settings) error {
 	proxy := New(Config{
 		Instance: s.Instance,
 		Seeds:    s.SeedControlAddresses(),
@@ -47,8 +50,9 @@
 		Hello:  link.Hello(s.Instance, s.DataCentre, ""),
 
 		DigestKey: link.Config.FleetKey,
+		Gate:      gate,
 	})
-	callers, err := process.Listen("listen.front", s.CallersListen, proxy, nil)
+	callers, err := process.Listen("listen.front", s.CallersListen, proxy, nil, gate.Guard(gate.Connections(callersShare)))
 	if err != nil {
 		return err
 	}
@@ -58,7 +62,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	ready, err := process.Listen("listen.ready", s.ReadyListen, status, nil)
+	ready, err := process.Listen("listen.ready", s.ReadyListen, status, nil, gate.Guard(process.StatusConnections))
 	if err != nil {
 		return err
 	}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -14,6 +14,8 @@
 	"github.com/banyanfront/banyanfront/internal/agreement"
 	"github.com/banyanfront/banyanfront/internal/control"
 	"github.com/banyanfront/banyanfront/internal/gateway"
+	"github.com/banyanfront/banyanfront/internal/intake"
+	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/settings"
 	"github.com/banyanfront/banyanfront/internal/storage"
@@ -43,6 +45,7 @@
 	pool      *transport.Pool
 	settings  *settings.Front
 	identity  identity
+	gate      *intake.Gate
 }
 
 // identity identifies an incarnation of an instance to its peers.
@@ -79,6 +82,7 @@
 		newPool,
 		newAgreement,
 		agreement.NewLedger,
+		newGate,
 		newGateway,
 		newCommander,
 		newCore,
@@ -123,7 +127,16 @@
 	}, environment.Folder, pool, loop)
 }
 
-func newGateway(s *settings.Front, loop *control.Loop, a *agreement.Service, ledger *agreement.Ledger, observer *observer) (*gateway.Gateway, error) {
+// newGate returns the limits on what clients can make the process hold.
+func newGate(s *settings.Front) *intake.Gate {
+	memory, descriptors := process.MachineLimits()
+	if s.Memory > 0 {
+		memory = int64(s.Memory)
+	}
+	return intake.NewGate(memory, descriptors)
+}
+
+func newGateway(s *settings.Front, gate *intake.Gate, loop *control.Loop, a *agreement.Service, ledger *agreement.Ledger, observer *observer) (*gateway.Gateway, error) {
 	recorder, err := newTraceRecorder(s)
 	if err != nil {
 		return nil, err
@@ -151,6 +164,7 @@
 		Organisations:   organisations,
 		DefaultDeadline: s.DefaultDeadline,
 		MaxBodyBytes:    int64(s.MaxBodyBytes),
+		Gate:            gate,
 		QueueMax:        s.QueueMax,
 		RetryBudget:     s.RetryBudget,
 		NotReady:        a.NotReady,
@@ -160,9 +174,9 @@
 }
 
 // newCore registers the components that receive messages, streams and addresses from the control loop.
-func newCore(s *settings.Front, id identity, loop *control.Loop, g *gateway.Gateway, a *agreement.Service,
+func newCore(s *settings.Front, gate *intake.Gate, id identity, loop *control.Loop, g *gateway.Gateway, a *agreement.Service,
 	ledger *agreement.Ledger, pool *transport.Pool, journal *account.Queue, observer *observer, commander *commander) *Core {
-	core := &Core{Loop: loop, commander: commander, Gateway: g, Agreement: a, ledger: ledger, account: journal, observer: observer, pool: pool, settings: s, identity: id}
+	core := &Core{Loop: loop, commander: commander, Gateway: g, Agreement: a, ledger: ledger, account: journal, observer: observer, pool: pool, settings: s, identity: id, gate: gate}
 	loop.SetStreamSink(g.ServeSpilled)
 	loop.SetAddressSink(func(members []string) { pool.Set(core.peerAddresses(members)) })
 	loop.SetMessageSink(func(session transport.Session, m protocol.Message) {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -68,21 +68,28 @@
 	return i, i.listen(config)
 }
 
+// Shares of the process's sockets for callers, and for agents and other entry instances. The rest is for the sessions that it opens
+// itself and for operators.
+const (
+	callersShare = 0.5
+	innerShare   = 0.25
+)
+
 // listen opens the listeners for callers, for other processes of the fleet and for operators.
 func (i *Instance) listen(config transport.Config) error {
-	s := i.settings
+	s, gate := i.settings, i.gate
 	certificate, err := process.ServerTLS(s.TLS.CertFile, s.TLS.KeyFile)
 	if err != nil {
 		return err
 	}
-	if i.callers, err = process.Listen("callersListen", s.CallersListen, callersHandler(i.Gateway), certificate); err != nil {
+	if i.callers, err = process.Listen("callersListen", s.CallersListen, callersHandler(i.Gateway), certificate, gate.Guard(gate.Connections(callersShare))); err != nil {
 		return err
 	}
-	if i.inner, err = process.Listen("innerListen", s.InnerListen, i.innerHandler(config), certificate); err != nil {
+	if i.inner, err = process.Listen("innerListen", s.InnerListen, i.innerHandler(config), certificate, gate.Guard(gate.Connections(innerShare))); err != nil {
 		return err
 	}
 	operators := &operators{core: i.Core}
-	i.operators, err = process.Listen("operatorsListen", s.OperatorsListen, operators.handler(), certificate)
+	i.operators, err = process.Listen("operatorsListen", s.OperatorsListen, operators.handler(), certificate, gate.Guard(process.StatusConnections))
 	return err
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
@@ -17,6 +18,7 @@
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/decide/routing"
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/internal/problem"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 )
@@ -90,24 +92,21 @@
 	if len(c.key) > maxKeyBytes {
 		return nil, problem.New(problem.BadRequest, "%s has %d bytes: use at most %d", HeaderIdempotencyKey, len(c.key), maxKeyBytes)
 	}
-	// A ResponseWriter need not support deadlines; those of tests don't.
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(now.Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.config.MaxBodyBytes))
-	if err == nil {
-		// Kept after an error: the HTTP server continues to read before it closes the connection.
-		_ = controller.SetReadDeadline(time.Time{})
-	}
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, problem.New(problem.TooLarge, "the body has more than %d bytes: send less or split the request",
-				g.config.MaxBodyBytes).WithRan(false)
-		}
-		return nil, problem.New(problem.BadRequest, "the body did not arrive whole within %v: send it again", bodyTimeout).WithRan(false)
+	body, err := g.config.Gate.ReadBody(w, r, intake.BodyLimits{Owner: string(c.organisation), Bytes: g.config.MaxBodyBytes, Until: now.Add(bodyTimeout)})
+	switch {
+	case err == nil:
+		c.body = body.Bytes()
+		context.AfterFunc(r.Context(), body.Close) // when the request is over
+		return c, nil
+	case errors.Is(err, intake.ErrTooLong):
+		err = problem.New(problem.TooLarge, "the body has more than %d bytes: send less or split the request", g.config.MaxBodyBytes).WithRan(false)
+	case errors.Is(err, intake.ErrNoRoom):
+		err = problem.New(problem.NotRun, "%v", err).WithRan(false).WithRetryAfter(intake.RetryAfter)
+	default:
+		err = problem.New(problem.BadRequest, "the body did not arrive whole within %v: send it again", bodyTimeout).WithRan(false)
 	}
-	c.body = body
-	return c, nil
+	intake.Refuse(w)
+	return nil, err
 }
 
 func (c *call) readDeadline(value string) error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,7 +15,9 @@
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/internal/control"
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/internal/problem"
+	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/trace"
 )
@@ -27,8 +29,9 @@
 	Organisations   []Organisation
 	DefaultDeadline time.Duration // for requests without a deadline of their own
 	MaxBodyBytes    int64
-	QueueMax        int     // maximum number of queued requests of one organisation
-	RetryBudget     float64 // retries and hedges allowed per successful request
+	Gate            *intake.Gate // limits the bodies on their way in; nil for the limits of the machine
+	QueueMax        int          // maximum number of queued requests of one organisation
+	RetryBudget     float64      // retries and hedges allowed per successful request
 	// Latency is the one-way latency to other data centres; data centres without a known latency are absent.
 	Latency map[fleet.DataCentre]time.Duration
 	// NotReady returns why the instance must not serve yet, or "". It is not called again after it has returned "". If
@@ -73,6 +76,9 @@
 			concurrencyLimits[o.Name] = o.MaxConcurrent
 		}
 	}
+	if config.Gate == nil {
+		config.Gate = intake.NewGate(process.MachineLimits())
+	}
 	return &Gateway{
 		openByOrganisation: make(map[fleet.Organisation]int),
 		concurrencyLimits:  concurrencyLimits,
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -19,9 +19,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
+	"github.com/banyanfront/banyanfront/internal/intake"
 )
 
-// Timeouts and header limit of HTTP servers. Handlers limit the size of bodies and the time to read them: a read timeout of
+// Timeouts and header limit of HTTP servers. Package intake limits the size of bodies and the time to read them: a read timeout of
 // the server would also cancel answers that are streamed for longer.
 const (
 	headerTimeout  = 5 * time.Second
@@ -29,6 +30,9 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// StatusConnections is the connection limit of a listener for the ready check or the metrics.
+const StatusConnections = 64
+
 // NewIncarnation returns the incarnation of a process that starts now.
 func NewIncarnation() fleet.Incarnation { return fleet.Incarnation(time.Now().UnixNano()) }
 
@@ -93,12 +97,14 @@
 	listener net.Listener
 }
 
-// Listen opens a listener and returns a server on it, with TLS if config is not nil. name is the setting of the address.
-func Listen(name, address string, handler http.Handler, config *tls.Config) (*Server, error) {
+// Listen opens a listener and returns a server on it, with TLS if config is not nil. name is the setting of the address, guard limits
+// what the clients can make the process hold.
+func Listen(name, address string, handler http.Handler, config *tls.Config, guard *intake.Guard) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "%s: choose a free address", name)
 	}
+	listener = guard.Listener(listener)
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
@@ -108,6 +114,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	guard.Configure(server)
 	return &Server{name: name, server: server, listener: listener}, nil
 }
 
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -12,6 +12,7 @@
 
 	"github.com/banyanfront/banyanfront/decide/controlstate"
 	"github.com/banyanfront/banyanfront/decide/experts"
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
@@ -66,7 +67,7 @@
 }
 
 // Serve runs the process until the context ends.
-func Serve(ctx context.Context, s *platform.Settings, link *process.Link, reloads <-chan *platform.Settings) error {
+func Serve(ctx context.Context, s *platform.Settings, link *process.Link, _ *intake.Gate, reloads <-chan *platform.Settings) error {
 	hello := link.Hello(s.Instance, s.DataCentre, "")
 	rankHello := func() protocol.Hello {
 		h := hello()
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -47,6 +47,9 @@
 	// MaxBodyBytes is the maximum size of a request body. Default 960KiB, since body, path and headers share a message of
 	// 1 MiB.
 	MaxBodyBytes Bytes `json:"maxBodyBytes" default:"960KiB" min:"1KiB" max:"1008KiB"`
+	// Memory is the memory that the process may use. A third of it is for the bodies and answers of callers. Default 0B: that of the
+	// machine or its control group.
+	Memory Bytes `json:"memory" default:"0B" min:"0B" max:"1048576GiB"`
 	// QueueMax is the maximum number of queued requests of one organisation at this instance. Default 1000.
 	QueueMax int `json:"queueMax" default:"1000" min:"1" max:"1000000"`
 	// RetryBudget is the maximum share of retries and hedges in all attempts, from 0 to 1. Default 0.1.
