Quarantine: servers that end together have a common cause

Cause: a request is put into quarantine by the first end of a server if much is at stake (lock-step groups). A data centre that is cut off with resets, or loses power, ends many servers at once, and each request that was open there was refused for a minute.

Change: three servers that end within a second have a cause in common: their ends are not weighed, and quarantines that the first of them have begun are lifted, also those told by instances that have not heard of the others.

--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -99,8 +99,9 @@
 	LastUnansweredAt time.Time // of the last one of these
 	QuarantinedUntil time.Time // zero if never quarantined
 	Quarantines      int
-	recurred         bool // an end came minEndsApart after the one before, or later
-	AnsweredBefore   bool // an answer began on the part before the first of these ends
+	weighedAt        time.Time // of the end that has put it into quarantine because much was at stake; zero if another reason has
+	recurred         bool      // an end came minEndsApart after the one before, or later
+	AnsweredBefore   bool      // an answer began on the part before the first of these ends
 	// With holds other parts of the same requests that are suspected to the same degree. While there are any, only requests with
 	// all of them are in quarantine: one with fewer shows which part it is.
 	With    []string
@@ -133,6 +134,7 @@
 	sound, soundBefore map[Key]time.Time
 	explained          map[Engine]bool // engines that ended with a part that is quarantined by now
 	requests           map[string]*requestCounts
+	ends               []serverEnd // recent ones
 }
 
 // requestCounts counts the recent requests of a service by part, in this and the previous window.
@@ -180,6 +182,7 @@
 // request's parts for which this is news, and those that it puts into quarantine. openFor is the time since the request was sent to
 // the engine.
 func (t *Tracker) RecordEnd(at time.Time, openFor time.Duration, service string, engine Engine, parts []string) (news, quarantined []string) {
+	t.noteEnd(at, engine)
 	var together []string // put into quarantine by the same end
 	for _, part := range parts {
 		key := Key{service, part}
@@ -428,6 +431,7 @@
 	if other.QuarantinedUntil.After(s.QuarantinedUntil) {
 		s.QuarantinedUntil = other.QuarantinedUntil
 	}
+	t.mergeWeighed(now, s)
 	if !s.InForce(now) && s.Ends > before && s.Ends >= s.endsNeeded() {
 		s.quarantine(now)
 	}
--- a/decide/quarantine/stake_test.go
+++ b/decide/quarantine/stake_test.go
@@ -1,11 +1,37 @@
 package quarantine
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
 )
 
+// Guards against requests that are refused for a minute because a data centre that was cut off, or lost power, has ended all of its servers:
+// the servers ended together, so that no request is at fault. One server that ends by itself afterwards is weighed again.
+func TestEndsWithACommonCauseAreNotWeighed(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	name := func(engine int) string { return RequestPart(strconv.Itoa(engine)) }
+	for engine := range 8 {
+		seconds := float64(engine) * 0.05
+		endOf(tracker, seconds, 0.05, engine, strconv.Itoa(engine))
+		tracker.WeighEnd(at(seconds), "s", []string{name(engine)}, 400)
+	}
+	for engine := range 8 {
+		is.Equal(quarantined(tracker, 1, name(engine)), "")
+	}
+	late := New()
+	endOf(late, 0, 0.05, 0, "0")
+	late.WeighEnd(at(0), "s", []string{name(0)}, 400)
+	told, _ := late.Get("s", name(0))
+	tracker.Merge(at(1), told)
+	is.Equal(quarantined(tracker, 1.1, name(0)), "") // by an instance that has not heard of the other ends
+
+	endOf(tracker, 10, 0.05, 9, "9")
+	is.Equal(tracker.WeighEnd(at(10), "s", []string{name(9)}, 400), []string{name(9)})
+}
+
 // Guards against a request that ends a whole lock-step group a second time before it is suspected enough, and against one that
 // is refused although its server's end cost little.
 func TestFirstEndSufficesIfMuchIsAtStake(t *testing.T) {
