Dispatch: a rank whose load is not reported counts with the mean of its group

Cause: after the cut of a data centre its rank processes report again later than its engines serve. Their loads fade to 0, so that all entry instances took a few engines for idle; their callers left after 2 s without an event.

Change: while the loads of a group are shared, an unknown one is taken for the mean of the known ones.

--- a/decide/dispatch/shared_load.go
+++ b/decide/dispatch/shared_load.go
@@ -24,16 +24,37 @@
 	if g == nil {
 		return // not announced yet
 	}
+	mean := meanLoad(loads)
 	for _, s := range g.ranks {
 		rank := s.announcement.Group.Rank
-		if rank < 0 || rank >= len(loads) || loads[rank] < 0 {
-			continue
+		switch {
+		case rank < 0 || rank >= len(loads):
+		case loads[rank] >= 0:
+			s.otherRequests = float64(max(0, loads[rank]-s.inFlight))
+			s.loadReportedAt, s.loadSharedAt = now, now
+		case mean >= 0 && now.Sub(s.loadReportedAt) > loadDecayAfter:
+			// Its process does not report yet, as after a cut. Taken for idle, it would get the requests of all instances.
+			s.otherRequests = max(0, mean-float64(s.inFlight))
+			s.loadReportedAt, s.loadSharedAt = now, now
 		}
-		s.otherRequests = float64(max(0, loads[rank]-s.inFlight))
-		s.loadReportedAt, s.loadSharedAt = now, now
 	}
 }
 
+// meanLoad returns the mean of the known loads, UnknownLoad if there are none.
+func meanLoad(loads []int) float64 {
+	sum, known := 0, 0
+	for _, load := range loads {
+		if load >= 0 {
+			sum += load
+			known++
+		}
+	}
+	if known == 0 {
+		return UnknownLoad
+	}
+	return float64(sum) / float64(known)
+}
+
 // candidate is a server that may be chosen, with its cost.
 type candidate struct {
 	server *server
--- a/decide/dispatch/shared_load_test.go
+++ b/decide/dispatch/shared_load_test.go
@@ -222,3 +222,29 @@
 	d.RecordGroupLoads(start, "s", "other", []int{9})
 	is.Equal(d.load(start, d.servers["i0"]), 6.0)
 }
+
+// Guards against ranks whose processes do not report yet, as after the cut of a data centre: taken for idle by all instances, each would get
+// requests until its callers lose patience.
+func TestRankWithoutReportIsNotTakenForIdle(t *testing.T) {
+	is := is.New(t)
+	f := newModelFleet(3)
+	d := f.instances[0]
+	now := start.Add(2 * loadDecayAfter)
+	loads := make([]int, fleetRanks)
+	for rank := range loads {
+		loads[rank] = 4
+	}
+	loads[7] = UnknownLoad
+	d.RecordGroupLoads(now, "s", "g0", loads)
+	silent := d.servers["i7"]
+	is.Equal(d.load(now, silent), 4.0)
+	now = now.Add(100 * time.Millisecond)
+	loads[7] = 1 // it reports again
+	d.RecordGroupLoads(now, "s", "g0", loads)
+	is.Equal(d.load(now, silent), 1.0)
+	for rank := range loads {
+		loads[rank] = UnknownLoad
+	}
+	d.RecordGroupLoads(now.Add(3*loadDecayAfter), "s", "g0", loads) // nothing is known of any
+	is.True(d.load(now.Add(3*loadDecayAfter), silent) < 1)
+}
