Competing callers: room for urgent requests, and a queue in their order

Cause: the choice of a server knew no priority. A burst of a patient kind filled the servers up to what their pace bears, urgent requests that followed were late or refused, and who was refused was a matter of chance.

Change, where the settings say that callers compete (contract pressure): decide/admission keeps room on each server for the more urgent requests that arrive while given room cannot be had back; decide/waiting orders the calls that find none, urgent first, those that can be on time before the others, and ends each wait in time for an answer or a retry of its caller; fewer requests queue at the servers. A group that has just opened gets half of its slots until its first events show its pace.

--- a/decide/dispatch/dispatch.go
+++ b/decide/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/banyanfront/banyanfront/decide/admission"
 	"github.com/banyanfront/banyanfront/decide/registry"
 	"github.com/banyanfront/banyanfront/decide/routes"
 )
@@ -28,6 +29,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// CompetingCallers keeps room free for urgent requests, see package admission.
+	CompetingCallers bool
 }
 
 const (
@@ -50,6 +53,8 @@
 	// serverQueueRatio is the number of requests that may wait at a server, as a part of its slots, so that a freed slot is
 	// taken at once.
 	serverQueueRatio = 0.5
+	// competingQueueRatio is serverQueueRatio where callers compete: as many slots become free while the loads are on their way.
+	competingQueueRatio = 0.1
 	// defaultSlots is assumed for a server that reports no slots.
 	defaultSlots = 8
 	// retrySlackRatio is the part of RetrySlack that is divided among the known entry instances; the rest covers instances
@@ -90,9 +95,10 @@
 
 // Request describes a request that needs a server.
 type Request struct {
-	Service string
-	Tried   []string // servers that this request was already sent to
-	Retry   bool     // an earlier attempt reached a server, so this one counts against the retry budget
+	Service  string
+	Priority int      // 0 is the most urgent
+	Tried    []string // servers that this request was already sent to
+	Retry    bool     // an earlier attempt reached a server, so this one counts against the retry budget
 	// Objective is the target time to the response, or to the first event of a stream; MaxEventGap the target for the longest
 	// time between two events of a stream. 0 means no target.
 	Objective       time.Duration
@@ -100,6 +106,8 @@
 	ObjectiveMissed bool      // the objective will be missed on any server
 	ArrivedAt       time.Time // when the caller's request arrived here; zero means now
 	Again           bool      // a choice for the same attempt has found no server
+
+	headroom float64 // requests that each server keeps free for more urgent ones
 }
 
 // Choice is the server for one attempt. It counts as in flight there until Release.
@@ -151,13 +159,14 @@
 	evacuated    map[string]bool
 	groups       map[string]*group
 	retryBudgets map[string]*retryBudget
-	permitDemand map[string]*permitDemand // by service
-	granting     bool                     // a control instance can be asked for permits
-	gapsByGroup  map[string]*eventGaps    // by group, or by server if it is in none
-	instances    int                      // entry instances that share the bounds, this one included
-	tieOffset    int                      // rotates the first server examined, which wins ties
-	paths        map[string]*path         // by data centre; none is kept for those with signs of life only
-	cutOffSince  time.Time                // see UpdateCutOff; zero while the instance is not cut off
+	arrivals     map[string]*admission.Arrivals // by service
+	permitDemand map[string]*permitDemand       // by service
+	granting     bool                           // a control instance can be asked for permits
+	gapsByGroup  map[string]*eventGaps          // by group, or by server if it is in none
+	instances    int                            // entry instances that share the bounds, this one included
+	tieOffset    int                            // rotates the first server examined, which wins ties
+	paths        map[string]*path               // by data centre; none is kept for those with signs of life only
+	cutOffSince  time.Time                      // see UpdateCutOff; zero while the instance is not cut off
 	random       *rand.Rand
 	wishes       map[string]*wishes // by server
 	candidates   candidates         // of the current choice; kept to reuse its memory
@@ -166,7 +175,7 @@
 // New returns a dispatcher without servers.
 func New(config Config) *Dispatcher {
 	return &Dispatcher{config: config, servers: map[string]*server{}, byService: map[string][]*server{},
-		evacuated: map[string]bool{}, groups: map[string]*group{}, retryBudgets: map[string]*retryBudget{},
+		evacuated: map[string]bool{}, groups: map[string]*group{}, retryBudgets: map[string]*retryBudget{}, arrivals: map[string]*admission.Arrivals{},
 		permitDemand: map[string]*permitDemand{}, gapsByGroup: map[string]*eventGaps{}, paths: map[string]*path{}, wishes: map[string]*wishes{}, instances: 1, random: rand.New(rand.NewPCG(config.Seed, 0))}
 }
 
@@ -288,6 +297,25 @@
 	d.retryBudgetFor(service).addRequest(now)
 }
 
+// RecordArrival counts a caller's request for a service by its priority.
+func (d *Dispatcher) RecordArrival(now time.Time, service string, priority int) {
+	a := d.arrivals[service]
+	if a == nil {
+		a = &admission.Arrivals{}
+		d.arrivals[service] = a
+	}
+	a.Record(now, priority)
+}
+
+// headroom returns the room that each server of a service keeps free for requests that are more urgent than a priority.
+func (d *Dispatcher) headroom(now time.Time, request *Request) float64 {
+	a := d.arrivals[request.Service]
+	if !d.config.CompetingCallers || a == nil || request.Retry {
+		return 0
+	}
+	return admission.Headroom(float64(d.instances)*a.MoreUrgent(now, request.Priority), len(d.byService[request.Service]))
+}
+
 func (d *Dispatcher) retryBudgetFor(service string) *retryBudget {
 	b := d.retryBudgets[service]
 	if b == nil {
@@ -312,6 +340,7 @@
 	if request.Retry && !d.MayRetry(now, request.Service) {
 		return nil, &Refusal{NoBudget, d.retryAfter(request.Service)}
 	}
+	request.headroom = d.headroom(now, &request)
 	d.candidates.reset()
 	refusal := &Refusal{Reason: Evacuated, RetryAfter: maxRetryAfter}
 	d.tieOffset++
@@ -398,7 +427,7 @@
 	if reason, wait := d.rateExclusion(now, s); reason != "" {
 		return reason, wait
 	}
-	if d.load(now, s) >= d.concurrencyLimit(now, s, request) {
+	if d.load(now, s) >= admission.Limit(d.concurrencyLimit(now, s, request), request.headroom) {
 		return Full, d.retryAfter(request.Service)
 	}
 	return "", 0
--- a/decide/dispatch/dispatch_test.go
+++ b/decide/dispatch/dispatch_test.go
@@ -381,3 +381,37 @@
 	is.Equal(d.Slowdown(start.Add(5*time.Second), c, bound), 1.0) // outdated
 	is.Equal(d.Slowdown(start.Add(3*time.Second), c, 0), 1.0)     // the route has no bound
 }
+
+// Guards against a burst of a less urgent kind that fills the servers: room is kept for the more urgent requests that arrive meanwhile, and
+// none where callers do not compete.
+func TestRoomIsKeptForUrgentRequests(t *testing.T) {
+	is := is.New(t)
+	for _, competing := range []bool{false, true} {
+		c := config()
+		c.CompetingCallers = competing
+		d := New(c)
+		d.SetTable(routes.Compile(&routes.Configuration{Services: []routes.Service{{Name: "s"}}}))
+		d.SetServers(start, []*registry.Record{{ReceivedAt: start, Announcement: registry.Announcement{Server: "i", Service: "s", Address: "10.0.0.1:1", Slots: 10}}})
+		for i := range 8 { // 4 a second
+			d.RecordArrival(start.Add(time.Duration(i)*200*time.Millisecond), "s", 0)
+		}
+		now := start.Add(1600 * time.Millisecond)
+		admitted := func(priority int) (n int) {
+			for {
+				if _, refusal := d.Pick(now, Request{Service: "s", Priority: priority}); refusal != nil {
+					is.Equal(refusal.Reason, Full)
+					return n
+				}
+				n++
+			}
+		}
+		patient, urgent := admitted(2), admitted(0)
+		if competing {
+			is.Equal(patient, 9) // of 11, without the 2 that arrive while room cannot be had back
+			is.Equal(urgent, 2)
+		} else {
+			is.Equal(patient, 15)
+			is.Equal(urgent, 0)
+		}
+	}
+}
--- a/decide/dispatch/event_gap.go
+++ b/decide/dispatch/event_gap.go
@@ -171,16 +171,26 @@
 func (d *Dispatcher) concurrencyLimit(now time.Time, s *server, request *Request) float64 {
 	slots := float64(slots(s))
 	limit := slots * (1 + serverQueueRatio)
+	if d.config.CompetingCallers {
+		limit = slots * (1 + competingQueueRatio) // the others wait here, where the most urgent goes first
+	}
 	service := d.table.Service(s.announcement.Service)
 	if service == nil || service.Engine == nil {
 		return limit
 	}
 	e := service.Engine
 	g := s.gaps
-	if request.Retry || !g.fresh(now) {
+	if request.Retry {
 		// A request that was admitted before is not limited further: if it were refused now, its work so far would be lost.
 		return limit
 	}
+	if !g.fresh(now) && d.config.CompetingCallers && request.MaxEventGap > 0 && e.Sets > 0 {
+		// A group that has just opened is slow at first, and its first events show how slow.
+		return slots * minSlotsRatio
+	}
+	if !g.fresh(now) {
+		return limit
+	}
 	if request.Objective > 0 && e.UsualAnswer > 0 {
 		// A slot becomes free each time one of the running requests ends.
 		runSeconds := g.summaryFor(e).meanSeconds * e.UsualAnswer / float64(e.Stride)
--- a/decide/dispatch/stake.go
+++ b/decide/dispatch/stake.go
@@ -25,6 +25,11 @@
 	return share * float64(arrivals) * groupOutage.Seconds() / d.config.RetryWindow.Seconds()
 }
 
+// ArrivalRate returns the requests a second for a service at this instance.
+func (d *Dispatcher) ArrivalRate(now time.Time, service string) float64 {
+	return float64(d.retryBudgetFor(service).requestsIn(now)) / d.config.RetryWindow.Seconds()
+}
+
 // requestsIn returns the requests of the window.
 func (b *retryBudget) requestsIn(now time.Time) (requests int) {
 	b.advanceTo(now)
--- a/decide/routes/routes.go
+++ b/decide/routes/routes.go
@@ -50,11 +50,13 @@
 	Objective  time.Duration // latency objective for the answer, or for the first event of a stream
 	// LongestPause is the objective for the event gap: a stream is on time if no two events are further apart.
 	LongestPause time.Duration
-	Priority     int // 0 is the most urgent
-	Targets      []Target
-	MaxAttempts  int // attempts for one request, including the first
-	Public       bool
-	Resumable    bool
+	// FirstEventPatience is how long callers of a stream wait for an event, the first one included; 0 if they wait until their deadline.
+	FirstEventPatience time.Duration
+	Priority           int // 0 is the most urgent
+	Targets            []Target
+	MaxAttempts        int // attempts for one request, including the first
+	Public             bool
+	Resumable          bool
 }
 
 // Repeatable reports whether a request may run more than once.
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -30,7 +30,9 @@
 	route           *routes.Route
 	service         string
 	organisation    string
+	priority        int // 0 is the most urgent
 	arrived         time.Time
+	waitsSince      time.Time // when the caller last received something, or sent the request
 	deadline        time.Time // the caller expects the response by then
 	objectiveMissed bool      // the caller had waited for longer than the objective before it sent this request
 	body            *intake.Body
@@ -131,13 +133,9 @@
 	if refusal := c.proxy.quarantineRefusal(c); refusal != nil {
 		return nil, refusal
 	}
-	request := dispatch.Request{Service: c.service, Tried: c.tried, Retry: len(c.tried) > 0, Objective: c.route.Objective,
+	request := dispatch.Request{Service: c.service, Priority: c.priority, Tried: c.tried, Retry: len(c.tried) > 0, Objective: c.route.Objective,
 		MaxEventGap: c.route.LongestPause, ObjectiveMissed: c.objectiveMissed, ArrivedAt: c.arrived}
-	choice, refusal, answered := c.proxy.pick(request)
-	if refusal != nil && c.awaitCapacity(refusal, answered) {
-		request.Again = true
-		choice, refusal, _ = c.proxy.pick(request)
-	}
+	choice, refusal := c.chooseServer(request)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -164,6 +162,27 @@
 	return a, nil
 }
 
+// chooseServer chooses the server for an attempt. It waits for one as far as that may still serve the caller.
+func (c *call) chooseServer(request dispatch.Request) (*dispatch.Choice, *dispatch.Refusal) {
+	if c.proxy.config.Dispatch.CompetingCallers && !c.proxy.hasLimitedServers(c.service) {
+		choice, refusal := c.chooseInTurn(request)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if refusal = c.proxy.quarantineRefusal(c); refusal != nil { // a part of the prompt may be quarantined meanwhile
+			c.proxy.withDispatcher(func(time.Time, *dispatch.Dispatcher) { choice.Release() })
+			return nil, refusal
+		}
+		return choice, nil
+	}
+	choice, refusal, answered := c.proxy.pick(request)
+	if refusal != nil && c.awaitCapacity(refusal, answered) {
+		request.Again = true
+		choice, refusal, _ = c.proxy.pick(request)
+	}
+	return choice, refusal
+}
+
 // awaitCapacity waits until a server may have become available, and reports false if that takes too long. permits is closed once
 // those that were asked for are granted or refused, and nil if none were.
 func (c *call) awaitCapacity(refusal *dispatch.Refusal, permits <-chan struct{}) bool {
@@ -196,7 +215,10 @@
 	c.proxy.parts.forget(a, c)
 	a.cancelled = a.ctx.Err() != nil
 	a.cancel()
-	c.proxy.withDispatcher(func(time.Time, *dispatch.Dispatcher) { a.choice.Release() })
+	c.proxy.withDispatcher(func(time.Time, *dispatch.Dispatcher) {
+		a.choice.Release()
+		c.proxy.serveWaitingLocked(c.service)
+	})
 }
 
 // recordFailure records that the server of an attempt was unreachable, or that its response was truncated or unusable.
--- a/internal/edge/fleetstate.go
+++ b/internal/edge/fleetstate.go
@@ -58,6 +58,7 @@
 	permitsAnswered map[string]chan struct{}
 	trials          map[string]*trial // open ones, by the key of quarantine.Tracker.Trial
 	parts           promptParts
+	rooms           map[string]*waitingRoom // of calls that wait for a server, by service
 
 	// Accessed only by the goroutine of run.
 	servers             *registry.Registry
@@ -90,6 +91,7 @@
 		lostControls:    map[string]time.Time{},
 		permitsAnswered: map[string]chan struct{}{},
 		trials:          map[string]*trial{},
+		rooms:           map[string]*waitingRoom{},
 	}
 	f.pool = transport.NewPool(func(address string) transport.ConnectFunc {
 		return config.Dial(address, config.Hello, f)
@@ -229,6 +231,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.dispatcher.SetServers(now, current)
+	f.serveAllWaitingLocked()
 }
 
 // broadcast sends messages to all control instances. Only the goroutine of run calls it.
@@ -340,6 +343,7 @@
 	defer f.mu.Unlock()
 	f.dispatcher.RecordGroupLoads(now, m.Service, m.Group, loads)
 	f.dispatcher.RecordGroupOpen(now, m.Service, m.Group, m.OpenEpoch)
+	f.serveWaitingLocked(m.Service)
 }
 
 // installState decodes an agreed state and applies it. States not newer than the current one are ignored.
--- a/internal/edge/proxy.go
+++ b/internal/edge/proxy.go
@@ -116,6 +116,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{proxy: p, w: w, r: r, id: r.Header.Get(platform.HeaderRequestID), arrived: time.Now(), view: p.view.Load()}
+	c.waitsSince = c.arrived
 	defer func() {
 		c.body.Close()
 		c.logEnd()
@@ -133,7 +134,10 @@
 	defer cancel()
 	defer context.AfterFunc(p.ended, cancel)()
 	c.ctx = ctx
-	p.withDispatcher(func(_ time.Time, d *dispatch.Dispatcher) { d.RecordRequest(c.arrived, c.service) })
+	p.withDispatcher(func(_ time.Time, d *dispatch.Dispatcher) {
+		d.RecordRequest(c.arrived, c.service)
+		d.RecordArrival(c.arrived, c.service, c.priority)
+	})
 	p.parts.recordRequest(c)
 	if c.route.Kind == routes.Stream {
 		c.serveStream()
@@ -150,7 +154,8 @@
 		c.respondLocally(http.StatusServiceUnavailable, startupRetryAfter)
 		return false
 	}
-	priority, denied := c.match()
+	var denied *denial
+	c.priority, denied = c.match()
 	for denied != nil {
 		newer, confirmed := c.proxy.awaitConfirmation(c.r.Context(), c.view, c.arrived)
 		if newer == nil {
@@ -158,7 +163,7 @@
 			return false
 		}
 		c.view = newer
-		priority, denied = c.match()
+		c.priority, denied = c.match()
 	}
 	requested := requestedTimeout(c.r.Header)
 	c.deadline = c.arrived.Add(min(requested, c.route.Timeout))
@@ -184,7 +189,7 @@
 	if c.organisation != "" {
 		c.header.Set(platform.HeaderOrganisation, c.organisation)
 	}
-	c.header.Set(platform.HeaderPriority, strconv.Itoa(min(max(priority, 0), platform.LowestPriority)))
+	c.header.Set(platform.HeaderPriority, strconv.Itoa(min(max(c.priority, 0), platform.LowestPriority)))
 	return true
 }
 
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -44,6 +44,7 @@
 			RetryRatio:          s.RetryRatio,
 			RetrySlack:          s.RetrySlack,
 			RetryWindow:         s.RetryWindow,
+			CompetingCallers:    s.CompetingCallers,
 		},
 		Decode: platform.DecodeConfiguration,
 		Dial:   link.Dial,
--- a/internal/edge/server_limits.go
+++ b/internal/edge/server_limits.go
@@ -161,6 +161,13 @@
 // limitsResendInterval is the minimum interval of sending all limits to control instances that lack some.
 const limitsResendInterval = time.Second
 
+// hasLimitedServers reports whether a server of a service names a limit; calls for it wait for permits.
+func (f *fleetState) hasLimitedServers(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dispatcher.LimitedServers(service) > 0
+}
+
 // countServerLimits updates the number of servers that name a limit.
 func (f *fleetState) countServerLimits() {
 	f.mu.Lock()
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -152,7 +152,7 @@
 	if !s.lastEventAt.IsZero() {
 		s.proxy.withDispatcher(func(_ time.Time, d *dispatch.Dispatcher) { d.RecordEventGap(now, a.choice, now.Sub(s.lastEventAt)) })
 	}
-	s.lastEventAt = now
+	s.lastEventAt, s.waitsSince = now, now
 	if e.id != "" {
 		s.lastEventID = e.id
 	}
