--- a/decide/routes/routes.go
+++ b/decide/routes/routes.go
@@ -112,6 +112,7 @@
 type ConfigurationError struct {
 	Subject string
 	Remedy  string
+	Offset  int64 // of the invalid part in the text, in bytes; 0 if unknown
 }
 
 // Error implements error.
@@ -128,25 +129,25 @@
 		r := &c.Routes[i]
 		subject := fmt.Sprintf("route %q", r.Name)
 		if r.Timeout <= 0 {
-			return &ConfigurationError{subject, "give a timeout above 0"}
+			return &ConfigurationError{Subject: subject, Remedy: "give a timeout above 0"}
 		}
 		match := [2]string{canonicalHost(r.Host), r.PathPrefix}
 		if other, taken := routeNames[match]; taken {
-			return &ConfigurationError{subject, fmt.Sprintf("route %q has the same host and path prefix; change one of them", other)}
+			return &ConfigurationError{Subject: subject, Remedy: fmt.Sprintf("route %q has the same host and path prefix; change one of them", other)}
 		}
 		routeNames[match] = r.Name
 		total := 0.0
 		for _, t := range r.Targets {
 			if !services[t.Service] {
-				return &ConfigurationError{subject, fmt.Sprintf("service %q is not listed; add it or name another", t.Service)}
+				return &ConfigurationError{Subject: subject, Remedy: fmt.Sprintf("service %q is not listed; add it or name another", t.Service)}
 			}
 			if t.Weight < 0 || math.IsNaN(t.Weight) || math.IsInf(t.Weight, 0) {
-				return &ConfigurationError{subject, "give weights of 0 or more"}
+				return &ConfigurationError{Subject: subject, Remedy: "give weights of 0 or more"}
 			}
 			total += t.Weight
 		}
 		if total <= 0 {
-			return &ConfigurationError{subject, "name a service, or give a split with a weight above 0"}
+			return &ConfigurationError{Subject: subject, Remedy: "name a service, or give a split with a weight above 0"}
 		}
 	}
 	return c.validateKeys()
@@ -157,8 +158,8 @@
 	for _, o := range c.Organisations {
 		for _, key := range o.Keys {
 			if owner, taken := owners[key]; taken && owner != o.Name {
-				return &ConfigurationError{fmt.Sprintf("organisation %q", o.Name),
-					fmt.Sprintf("it shares a key with organisation %q; give each its own", owner)}
+				return &ConfigurationError{Subject: fmt.Sprintf("organisation %q", o.Name),
+					Remedy: fmt.Sprintf("it shares a key with organisation %q; give each its own", owner)}
 			}
 			owners[key] = o.Name
 		}
--- a/internal/command/front.go
+++ b/internal/command/front.go
@@ -30,6 +30,7 @@
 			platformCommand("banyanfront", role{name: "control", help: "run a control instance on the users' platform", listens: true, serve: directory.Serve}),
 			frontCheckCommand(),
 			noteCommand(),
+			configurationCommand(),
 			dataCentreCommand(),
 			statusCommand(),
 			accountCommand(),
--- a/internal/directory/api.go
+++ b/internal/directory/api.go
@@ -144,7 +144,7 @@
 }
 
 func (a *api) replaceConfiguration(w http.ResponseWriter, r *http.Request) {
-	held, ok := a.readBody(w, r, maxConfigurationBytes)
+	held, ok := a.readBody(w, r, MaxConfigurationBytes)
 	if !ok {
 		return
 	}
@@ -163,8 +163,7 @@
 		return
 	}
 	if packed != nil {
-		if len(packed) > maxPackedBytes {
-			err := fmt.Errorf("the configuration has %d bytes after compression, the limit is %d; leave out routes or keys", len(packed), maxPackedBytes)
+		if err := checkPacked(packed); err != nil {
 			log.WithError(err).WithField("version", configuration.Version).Warn("configuration refused as too large")
 			writeError(w, http.StatusRequestEntityTooLarge, err)
 			return
@@ -179,13 +178,43 @@
 	writeJSON(w, http.StatusOK, []byte("{}"))
 }
 
+// ReadConfiguration decodes and validates a configuration as an operator sends it.
+func ReadConfiguration(body []byte) (*routes.Configuration, error) {
+	configuration, err := platform.DecodeConfiguration(body)
+	if err != nil {
+		return nil, err
+	}
+	return configuration, configuration.Validate()
+}
+
+// CheckConfiguration reads a configuration, and returns the error for which a control instance would refuse it.
+func CheckConfiguration(body []byte) (*routes.Configuration, error) {
+	if len(body) > MaxConfigurationBytes {
+		return nil, fmt.Errorf("the configuration has %d bytes, the limit is %d; leave out routes or keys", len(body), MaxConfigurationBytes)
+	}
+	configuration, err := ReadConfiguration(body)
+	if err != nil {
+		return nil, err
+	}
+	packed, err := PackConfiguration(body)
+	if err != nil {
+		return nil, err
+	}
+	return configuration, checkPacked(packed)
+}
+
+// checkPacked reports a configuration that no entry of the log can hold.
+func checkPacked(packed []byte) error {
+	if len(packed) > maxPackedBytes {
+		return fmt.Errorf("the configuration has %d bytes after compression, the limit is %d; leave out routes or keys", len(packed), maxPackedBytes)
+	}
+	return nil
+}
+
 // decodeConfiguration decodes and validates a configuration. If it is newer than the one in force, it is also returned compressed,
 // with the identifier of its command.
 func (a *api) decodeConfiguration(body []byte) (configuration *routes.Configuration, packed []byte, id string, err error) {
-	if configuration, err = platform.DecodeConfiguration(body); err != nil {
-		return nil, nil, "", err
-	}
-	if err = configuration.Validate(); err != nil {
+	if configuration, err = ReadConfiguration(body); err != nil {
 		return nil, nil, "", err
 	}
 	if !a.isNewer(configuration.Version) {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -125,7 +125,7 @@
 }
 
 // startSingleInstance starts a control instance that forms a group by itself, and a server for its HTTP interface.
-func startSingleInstance(t *testing.T) (*Directory, *httptest.Server) {
+func startSingleInstance(t testing.TB) (*Directory, *httptest.Server) {
 	t.Helper()
 	d, err := New(Config{Instance: "one", Address: "127.0.0.1:1", Founders: []string{"127.0.0.1:1"}, MayBootstrap: true, Voters: 1,
 		AnnounceInterval: time.Second, Decode: platform.DecodeConfiguration,
@@ -452,11 +452,11 @@
 // Guards against an oversized configuration that is unpacked in full.
 func TestUnpackedConfigurationIsBounded(t *testing.T) {
 	is := is.New(t)
-	packed, err := PackConfiguration(bytes.Repeat([]byte("x"), maxConfigurationBytes+1))
+	packed, err := PackConfiguration(bytes.Repeat([]byte("x"), MaxConfigurationBytes+1))
 	is.NoErr(err)
 	body, err := UnpackConfiguration(packed)
 	is.NoErr(err)
-	is.Equal(len(body), maxConfigurationBytes)
+	is.Equal(len(body), MaxConfigurationBytes)
 }
 
 // Guards against map changes that copy for so long that the demand has changed by then, and against ones that copy too
--- a/internal/directory/state_machine.go
+++ b/internal/directory/state_machine.go
@@ -14,8 +14,8 @@
 	"github.com/banyanfront/banyanfront/internal/replica"
 )
 
-// maxConfigurationBytes limits an unpacked configuration, and likewise the request body that an operator sends.
-const maxConfigurationBytes = 8 << 20
+// MaxConfigurationBytes limits an unpacked configuration, and likewise the request body that an operator sends.
+const MaxConfigurationBytes = 8 << 20
 
 // maxPackedBytes limits a packed configuration: its command must fit into an entry of the log, and the state with it into a
 // message to the entry instances.
@@ -119,8 +119,8 @@
 	return out.Bytes(), nil
 }
 
-// UnpackConfiguration decompresses a configuration, up to maxConfigurationBytes.
+// UnpackConfiguration decompresses a configuration, up to MaxConfigurationBytes.
 func UnpackConfiguration(packed []byte) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxConfigurationBytes))
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), MaxConfigurationBytes))
 	return body, eris.Wrap(err, "packed configuration")
 }
