Intake: release notes count towards the budget; crowds against banyanfront serve

Cause: the operators' calls of an entry instance with agents read release notes whole, and its process had no soft memory limit: a crowd that stops short of the end of 250 bodies of 900 KiB made it hold 493 MB, 250 release notes 327 MB.

Change: release notes are read like bodies; the setting memory also sets the soft limit of the runtime; a joined body replaces its pieces.

--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/signal"
 	"reflect"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/apex/log"
@@ -22,10 +21,6 @@
 // fleetKeyVariable is the environment variable with the secret that all processes of the system share.
 const fleetKeyVariable = "BANYANFRONT_FLEET_KEY"
 
-// memoryLimitRatio is the soft memory limit of the Go runtime as a share of the machine's memory. The rest is headroom for
-// thread stacks of the C library, kernel buffers and short peaks.
-const memoryLimitRatio = 0.6
-
 // role is a process on the users' platform.
 type role struct {
 	name, help string
@@ -69,7 +64,7 @@
 			if len(key) < transport.MinFleetKeyBytes {
 				return usageErrorf("%s: give the fleet key, at least %d characters", fleetKeyVariable, transport.MinFleetKeyBytes)
 			}
-			debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.MemoryBytes)))
+			process.LimitMemory(settings.MemoryBytes)
 			// A second signal does not end the process at once: stop requests may overlap, and each of them allows the
 			// process its full grace period.
 			ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
--- a/internal/crowd/fleet_test.go
+++ b/internal/crowd/fleet_test.go
@@ -62,7 +62,7 @@
 		panic(err)
 	}
 	program = filepath.Join(folder, "banyanfront")
-	if output, err := exec.Command("go", "build", "-o", program, "github.com/banyanfront/banyanfront/cmd/banyanfront").CombinedOutput(); err != nil {
+	if output, err := exec.Command("go", "build", "-o", folder, "github.com/banyanfront/banyanfront/cmd/...").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v: %s", err, output)
 		os.Exit(1)
 	}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -127,13 +127,19 @@
 	}, environment.Folder, pool, loop)
 }
 
-// newGate returns the limits on what clients can make the process hold.
-func newGate(s *settings.Front) *intake.Gate {
-	memory, descriptors := process.MachineLimits()
+// memoryOf returns the memory that the process may use, in bytes.
+func memoryOf(s *settings.Front) int64 {
 	if s.Memory > 0 {
-		memory = int64(s.Memory)
+		return int64(s.Memory)
 	}
-	return intake.NewGate(memory, descriptors)
+	memory, _ := process.MachineLimits()
+	return memory
+}
+
+// newGate returns the limits on what clients can make the process hold.
+func newGate(s *settings.Front) *intake.Gate {
+	_, descriptors := process.MachineLimits()
+	return intake.NewGate(memoryOf(s), descriptors)
 }
 
 func newGateway(s *settings.Front, gate *intake.Gate, loop *control.Loop, a *agreement.Service, ledger *agreement.Ledger, observer *observer) (*gateway.Gateway, error) {
--- a/internal/entry/instance.go
+++ b/internal/entry/instance.go
@@ -60,6 +60,7 @@
 			return nil, err
 		}
 	}
+	process.LimitMemory(memoryOf(s))
 	core, err := NewCore(s, process.NewIncarnation(), environment)
 	if err != nil {
 		return nil, err
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"iter"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/banyanfront/banyanfront/decide/statemachine"
 	"github.com/banyanfront/banyanfront/internal/account"
 	"github.com/banyanfront/banyanfront/internal/agreement"
+	"github.com/banyanfront/banyanfront/internal/intake"
 	"github.com/banyanfront/banyanfront/internal/problem"
 	"github.com/banyanfront/banyanfront/internal/process"
 	"github.com/banyanfront/banyanfront/internal/protocol"
@@ -125,12 +127,17 @@
 }
 
 // readNote parses the release note in a request.
-func readNote(r *http.Request) (*release.Note, error) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, protocol.MaxMessageBytes+1))
+func (o *operators) readNote(w http.ResponseWriter, r *http.Request) (*release.Note, error) {
+	body, err := o.core.gate.ReadBody(w, r, intake.BodyLimits{Owner: "operators", Bytes: protocol.MaxMessageBytes})
 	if err != nil {
-		return nil, problem.New(problem.BadRequest, "the note could not be read: send it again")
+		intake.Refuse(w)
+		if errors.Is(err, intake.ErrNoRoom) {
+			return nil, problem.New(problem.NotRun, "%v", err).WithRetryAfter(intake.RetryAfter)
+		}
+		return nil, problem.New(problem.BadRequest, "the note could not be read: %v", err)
 	}
-	note, problems := settings.ParseNote("note", data)
+	defer body.Close()
+	note, problems := settings.ParseNote("note", body.Bytes())
 	if len(problems) > 0 {
 		return nil, problem.New(problem.BadRequest, "%s", problems[0].Error())
 	}
@@ -182,7 +189,7 @@
 }
 
 func (o *operators) checkNote(w http.ResponseWriter, r *http.Request) {
-	note, err := readNote(r)
+	note, err := o.readNote(w, r)
 	if err != nil {
 		problem.Write(w, err)
 		return
@@ -196,7 +203,7 @@
 }
 
 func (o *operators) publishNote(w http.ResponseWriter, r *http.Request) {
-	note, err := readNote(r)
+	note, err := o.readNote(w, r)
 	if err != nil {
 		problem.Write(w, err)
 		return
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -38,12 +38,16 @@
 	return n
 }
 
-// Bytes returns the body in one piece, which is a copy unless there is one piece only.
+// Bytes returns the body in one piece, which replaces the others.
 func (b *Body) Bytes() []byte {
-	if len(b.Pieces) == 1 {
-		return b.Pieces[0]
-	}
-	return slices.Concat(b.Pieces...)
+	switch len(b.Pieces) {
+	case 0:
+		return nil
+	case 1:
+	default:
+		b.Pieces = [][]byte{slices.Concat(b.Pieces...)}
+	}
+	return b.Pieces[0]
 }
 
 // Close returns the memory of the body to the budget.
--- a/internal/process/machine.go
+++ b/internal/process/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"syscall"
@@ -13,6 +14,15 @@
 	unknownDescriptors = 1024
 )
 
+// memoryLimitRatio is the soft memory limit of the Go runtime as a share of the memory. The rest is headroom for thread stacks of the C
+// library, kernel buffers and short peaks.
+const memoryLimitRatio = 0.6
+
+// LimitMemory sets the soft memory limit of the Go runtime for a process that may use an amount of memory, in bytes.
+func LimitMemory(memoryBytes int64) {
+	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(memoryBytes)))
+}
+
 // MachineLimits returns the memory that this process may use, in bytes, and the number of descriptors: those of the control group, the
 // machine and the resource limits, whichever is least.
 func MachineLimits() (memoryBytes int64, descriptors int) {
