--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -117,6 +117,10 @@
 		odd, end := context.WithTimeout(ctx, fault.For)
 		f.sendOddHeartbeats(odd)
 		end()
+	case StallBodies:
+		stalled, end := context.WithTimeout(ctx, fault.For)
+		f.stallBodies(stalled, p)
+		end()
 	case HarmfulRequest:
 		f.ledger.addHarmfulRequest()
 	case NameLimit:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -36,6 +36,7 @@
 	OddHeartbeats     Kind = "odd heartbeats"  // another writer sends heartbeats that cannot be read, or are no server's, to the control instances
 	HarmfulRequest    Kind = "harmful request" // from now on, some callers send a request that ends each plain server that begins to run it
 	NameLimit         Kind = "name limit"      // from now on, a backend server names a limit of its requests in its answers
+	StallBodies       Kind = "stall bodies"    // many clients send large bodies to an entry instance and stop short of their end
 	HarmfulPart       Kind = "harmful part"    // from now on, some prompts have a part that ends each engine that begins to answer on it
 )
 
@@ -112,6 +113,8 @@
 	faults = append(faults, Fault{At: time.Duration(random.Int64N(int64(length / 2))), Kind: HarmfulPart},
 		Fault{At: time.Duration(random.Int64N(int64(length / 2))), Kind: HarmfulRequest},
 		Fault{At: time.Duration(random.Int64N(int64(length / 2))), Kind: NameLimit, Target: t.servers[random.IntN(len(t.servers))]})
+	faults = append(faults, Fault{At: time.Duration(random.Int64N(int64(length / 2))), For: min(maxFaultTime, length/2), Kind: StallBodies,
+		Target: t.entries[random.IntN(len(t.entries))]})
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
