--- a/decide/memory/budget.go
+++ b/decide/memory/budget.go
@@ -104,7 +104,7 @@
 	if b.held+n > b.config.Total {
 		return false
 	}
-	return len(b.queue) == 0 || b.before(h, b.queue[0])
+	return !slices.ContainsFunc(b.queue, func(q *Holder) bool { return !b.before(h, q) })
 }
 
 // Withdraw ends the wait of a transfer. It reports false if it had not waited any more, as its bytes were granted.
--- a/internal/crowd/fleet_test.go
+++ b/internal/crowd/fleet_test.go
@@ -142,14 +142,19 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		f.t.Fatal(err)
 	}
-	p := &process{ended: make(chan struct{}), log: filepath.Join(folder, "log")}
+	cmd := exec.Command(program, role, "--metrics", strconv.Itoa(metricsPort))
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+file, "BANYANFRONT_FLEET_KEY="+fleetKey)
+	return f.launch(cmd, folder)
+}
+
+// launch starts a process that ends with the test, with a log in a folder.
+func (f *fleet) launch(cmd *exec.Cmd, folder string) *process {
+	p := &process{cmd: cmd, ended: make(chan struct{}), log: filepath.Join(folder, "log")}
 	output, err := os.Create(p.log)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	defer func() { _ = output.Close() }()
-	p.cmd = exec.Command(program, role, "--metrics", strconv.Itoa(metricsPort))
-	p.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+file, "BANYANFRONT_FLEET_KEY="+fleetKey)
 	p.cmd.Stdout, p.cmd.Stderr = output, output
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
--- a/internal/crowd/gateway_test.go
+++ b/internal/crowd/gateway_test.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 )
 
@@ -63,27 +62,8 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		f.t.Fatal(err)
 	}
-	p := &process{ended: make(chan struct{}), log: filepath.Join(folder, "log")}
-	output, err := os.Create(p.log)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer func() { _ = output.Close() }()
-	p.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$@"`, maxDescriptors), "sh", filepath.Join(filepath.Dir(program), name), "serve", "--settings", file)
-	p.cmd.Stdout, p.cmd.Stderr = output, output
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
-		f.t.Fatal(err)
-	}
-	go func() {
-		_ = p.cmd.Wait()
-		close(p.ended)
-	}()
-	f.t.Cleanup(func() {
-		_ = p.cmd.Process.Kill()
-		<-p.ended
-	})
-	return p
+	limited := fmt.Sprintf(`ulimit -n %d; exec "$@"`, maxDescriptors)
+	return f.launch(exec.Command("sh", "-c", limited, "sh", filepath.Join(filepath.Dir(program), name), "serve", "--settings", file), folder)
 }
 
 // ordinaryGatewayRequest sends a request of 1 KiB, again after each refusal, until it is answered.
