--- a/decide/dispatch/shared_load.go
+++ b/decide/dispatch/shared_load.go
@@ -32,7 +32,7 @@
 		case loads[rank] >= 0:
 			s.otherRequests = float64(max(0, loads[rank]-s.inFlight))
 			s.loadReportedAt, s.loadSharedAt = now, now
-		case mean >= 0 && now.Sub(s.loadReportedAt) > loadDecayAfter:
+		case mean != UnknownLoad && now.Sub(s.loadReportedAt) > loadDecayAfter:
 			// Its process does not report yet, as after a cut. Taken for idle, it would get the requests of all instances.
 			s.otherRequests = max(0, mean-float64(s.inFlight))
 			s.loadReportedAt, s.loadSharedAt = now, now
@@ -40,7 +40,7 @@
 	}
 }
 
-// meanLoad returns the mean of the known loads, UnknownLoad if there are none.
+// meanLoad returns the mean of the known loads, UnknownLoad if most are unknown.
 func meanLoad(loads []int) float64 {
 	sum, known := 0, 0
 	for _, load := range loads {
@@ -49,7 +49,7 @@
 			known++
 		}
 	}
-	if known == 0 {
+	if 2*known <= len(loads) {
 		return UnknownLoad
 	}
 	return float64(sum) / float64(known)
--- a/internal/command/configuration.go
+++ b/internal/command/configuration.go
@@ -13,8 +13,8 @@
 
 	"github.com/peterbourgon/ff/v4"
 
-	"github.com/banyanfront/banyanfront/decide/configcheck"
 	"github.com/banyanfront/banyanfront/decide/routes"
+	"github.com/banyanfront/banyanfront/internal/configcheck"
 	"github.com/banyanfront/banyanfront/internal/directory"
 	"github.com/banyanfront/banyanfront/platform"
 )
--- a/internal/command/configuration_test.go
+++ b/internal/command/configuration_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/banyanfront/banyanfront/decide/configcheck"
+	"github.com/banyanfront/banyanfront/internal/configcheck"
 	"github.com/banyanfront/banyanfront/internal/directory"
 	"github.com/banyanfront/banyanfront/platform"
 )
