--- a/internal/edge/waiting_room.go
+++ b/internal/edge/waiting_room.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -72,11 +73,13 @@
 	p.mu.Lock()
 	room := p.roomFor(c.service)
 	var choice *dispatch.Choice
-	refusal := room.refusal
+	var refusal *dispatch.Refusal
 	if room.queue.MayPass(now, &turn) {
 		if choice, refusal = p.dispatcher.Pick(now, request); refusal != nil {
 			room.refusal = refusal
 		}
+	} else {
+		refusal = cmp.Or(room.refusal, &dispatch.Refusal{Reason: dispatch.Full, RetryAfter: minTurnRetry})
 	}
 	if refusal == nil || !waitable(refusal.Reason) || !now.Before(latest) {
 		p.mu.Unlock()
