Intake: a connection whose body makes no progress makes room for another one

Cause: bodies up to 8 KiB take nothing from the budget, so that a crowd of them that stops short of the end held all connections of an instance until their deadlines.

Change: if no idle connection can be replaced, the one that has waited longest for the next piece of a body, for 1 s at least, is closed.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -69,6 +69,7 @@
 	gate       *Gate
 	r          *http.Request
 	controller *http.ResponseController
+	connection *conn // nil if it is not guarded
 	limits     BodyLimits
 	body       Body
 	length     int64
@@ -85,7 +86,12 @@
 		return nil, ErrTooLong
 	}
 	b := &bodyReader{gate: g, r: r, controller: http.NewResponseController(w), limits: limits}
-	if err := b.read(); err != nil {
+	b.connection = connOf(r)
+	err := b.read()
+	if !b.connection.received() && err == nil {
+		err = ErrIncomplete
+	}
+	if err != nil {
 		b.body.Close()
 		return nil, b.explain(err)
 	}
@@ -170,6 +176,7 @@
 		deadline = b.limits.Until
 	}
 	_ = b.controller.SetReadDeadline(deadline) // recorders of tests have no deadlines
+	b.connection.receive()
 }
 
 // explain returns the error of this package for an error of a read, and counts it.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -193,6 +193,34 @@
 	is.True(errors.As(err, &timeout) && timeout.Timeout()) // still open
 }
 
+// Guards against small bodies that stop short of their end, which take nothing from the budget, and keep others out by their connections.
+func TestStalledSmallBodiesMakeRoom(t *testing.T) {
+	is := is.New(t)
+	address, results := startServer(t, NewGate(64<<20, 1024), 2, 0)
+	used := send(t, address, head+"Hold: 1\r\nContent-Length: 4\r\n\r\nbody")
+	is.NoErr((<-results).err)
+	stalled := send(t, address, head+"Content-Length: 4\r\n\r\nbod")
+	for { // the first ones come before the patience with the stalled body is over
+		c, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		_, _ = io.WriteString(c, head+"Content-Length: 4\r\n\r\nbody")
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(c.Close())
+		if err == nil {
+			is.Equal(response.StatusCode, http.StatusOK)
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	_, err := stalled.Read(make([]byte, 1))
+	is.True(err != nil)
+	is.True(errors.Is((<-results).err, ErrIncomplete))
+	is.NoErr(used.SetReadDeadline(time.Now().Add(50 * time.Millisecond)))
+	_, err = used.Read(make([]byte, 1))
+	var timeout net.Error
+	is.True(errors.As(err, &timeout) && timeout.Timeout()) // still open
+}
+
 // Guards against framing that makes the reader panic, lose memory of the budget, or take another body than net/http's own reader.
 func FuzzReadBody(f *testing.F) {
 	f.Add("4\r\nbody\r\n0\r\n\r\n")
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -24,9 +24,10 @@
 
 // Phases of a connection.
 const (
-	waiting int32 = iota // for a request; such a connection may be closed for another one
-	reading              // the head of a request
-	serving              // a request
+	waiting   int32 = iota // for a request; such a connection may be closed for another one
+	reading                // the head of a request
+	receiving              // the body of a request; such a connection may be closed if it makes no progress
+	serving                // a request
 	closing
 )
 
@@ -53,8 +54,8 @@
 	guard *Guard
 }
 
-// Accept implements net.Listener. A connection over the limit replaces the one that has been idle for longest; if none is idle, it is
-// closed at once.
+// Accept implements net.Listener. A connection over the limit replaces the one that has been idle for longest, or else one whose body makes
+// no progress; if there is none, it is closed at once.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
@@ -74,7 +75,7 @@
 func (g *Guard) admit(c *conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.open) >= g.limit && !g.closeLongestIdle() {
+	if len(g.open) >= g.limit && !g.closeLongest(waiting, 0) && !g.closeLongest(receiving, patience) {
 		count("no_connection")
 		g.logFull()
 		return false
@@ -83,20 +84,22 @@
 	return true
 }
 
-// closeLongestIdle closes the connection that has waited longest for a request. It reports false if none waits.
-func (g *Guard) closeLongestIdle() bool {
+// closeLongest closes the connection that has waited longest for its client in a phase, and for some time at least. It reports false if
+// there is none.
+func (g *Guard) closeLongest(phase int32, atLeast time.Duration) bool {
+	latest := time.Now().Add(-atLeast).UnixNano()
 	for {
 		var longest *conn
-		var since int64
+		since := latest
 		for c := range g.open {
-			if at := c.waitingSince.Load(); c.phase.Load() == waiting && (longest == nil || at < since) {
+			if at := c.waitingSince.Load(); at <= since && c.phase.Load() == phase {
 				longest, since = c, at
 			}
 		}
 		if longest == nil {
 			return false
 		}
-		if longest.phase.CompareAndSwap(waiting, closing) { // else a request has just arrived on it
+		if longest.phase.CompareAndSwap(phase, closing) { // else something has just arrived on it
 			delete(g.open, longest)
 			_ = longest.Conn.Close()
 			count("idle_connection")
@@ -105,6 +108,25 @@
 	}
 }
 
+// receive states that the client has to send the next piece of a body. It does nothing on nil.
+func (c *conn) receive() {
+	if c != nil {
+		c.waitingSince.Store(time.Now().UnixNano())
+		c.phase.CompareAndSwap(serving, receiving)
+	}
+}
+
+// received states that a body has arrived. It reports false if the connection has been closed for another one.
+func (c *conn) received() bool {
+	return c == nil || c.phase.CompareAndSwap(receiving, serving) || c.phase.Load() == serving
+}
+
+// connOf returns the guarded connection of a request, nil if there is none.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
+
 func (g *Guard) logFull() {
 	if time.Since(g.loggedAt) >= shortageLogInterval {
 		g.loggedAt = time.Now()
@@ -134,14 +156,16 @@
 		switch state {
 		case http.StateIdle:
 			guarded.waitingSince.Store(time.Now().UnixNano())
-			guarded.phase.CompareAndSwap(serving, waiting)
+			if !guarded.phase.CompareAndSwap(serving, waiting) {
+				guarded.phase.CompareAndSwap(receiving, waiting) // the body was refused
+			}
 		case http.StateHijacked:
 			guarded.hijacked.Store(true)
 		}
 	}
 	next := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok && c != nil {
+		if c := connOf(r); c != nil {
 			if !c.phase.CompareAndSwap(reading, serving) && !c.phase.CompareAndSwap(waiting, serving) {
 				panic(http.ErrAbortHandler) // closed for another connection
 			}
@@ -192,7 +216,7 @@
 			return 0, net.ErrClosed
 		}
 		c.headBytes = 0
-	case serving, closing:
+	case receiving, serving, closing:
 		return n, err
 	}
 	if c.headBytes += int64(n); c.headBytes > freeHeadBytes {
