--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -18,8 +18,11 @@
 
 var cases = map[string]func(r *record, trouble bool) (int, error){
 	"deregistration": lostDeregistration,
+	"crash-at-once":  crashingRequest(0),
+	"crash-later":    crashingRequest(1),
 	"founding":       killedWhileFounding,
 	"first-start":    killedBeforeFounding,
+	"limit":          serverLimit,
 }
 
 // usage: harness2 CASE FOLDER, in the root of the repository. TROUBLE=0 leaves the disruption out.
