--- a/review/harness2/founding.go
+++ b/review/harness2/founding.go
@@ -33,12 +33,12 @@
 	return f.judgeFirstConfiguration()
 }
 
-// killAfter is the time from the start of the system to the kill, one second unless KILL_AFTER names another.
+// killAfter is the time from the start of the system to the kill, half a second unless KILL_AFTER names another.
 var killAfter = func() time.Duration {
 	if d, err := time.ParseDuration(os.Getenv("KILL_AFTER")); err == nil {
 		return d
 	}
-	return time.Second
+	return 500 * time.Millisecond
 }()
 
 // judgeFirstConfiguration sends the first configuration until it is acknowledged, and reads it back.
