--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
 # Exit status 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")/../.." && exec target/harness2 first-start review/7
+cd "$(dirname "$0")/../.." && exec target/harness2 crash-later review/7
--- a/review/harness2/copies.go
+++ b/review/harness2/copies.go
@@ -108,5 +108,5 @@
 		f.fronts[n%len(f.fronts)].stream("/draft/sound", fmt.Sprint("draft: pane again ", n), fmt.Sprintf("5c1e07a2:40,%x:674", 200+n))
 	}
 	time.Sleep(freezeTime - afterFreeze + time.Second)
-	return seen.judge(r), nil
+	return seen.judge(r, crashesBefore), nil
 }
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -21,6 +21,7 @@
 	"crash-at-once":  crashingRequest(0),
 	"crash-later":    crashingRequest(1),
 	"founding":       killedWhileFounding,
+	"part":           harmfulPartInQuietHour,
 	"copies":         copiesOfSuspectedRequest,
 	"first-start":    killedBeforeFounding,
 }
