--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -22,6 +22,7 @@
 	"crash-later":    crashingRequest(1),
 	"founding":       killedWhileFounding,
 	"part":           harmfulPartInQuietHour,
+	"foreign":        foreignWriter,
 	"copies":         copiesOfSuspectedRequest,
 	"first-start":    killedBeforeFounding,
 }
--- a/review/harness2/server.go
+++ b/review/harness2/server.go
@@ -36,6 +36,8 @@
 	sequence atomic.Uint64
 	silent   atomic.Bool // sends no heartbeats any more
 	leaving  atomic.Bool // says in its answers that it leaves
+	// draining makes it say in its heartbeats that it drains.
+	draining atomic.Bool
 	next     atomic.Uint64
 	http     *http.Server
 	stop     context.CancelFunc
@@ -65,7 +67,7 @@
 	defer tick.Stop()
 	for {
 		if !s.silent.Load() {
-			s.heartbeat("ready")
+			s.heartbeat(map[bool]string{false: "ready", true: "draining"}[s.draining.Load()])
 		}
 		select {
 		case <-ctx.Done():
