--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -140,7 +140,7 @@
 		class, serves = "front", "front"
 	}
 	row("node-name", p.name)
-	row("role", strings.TrimSuffix(p.command[1], "\n"))
+	row("role", p.command[1])
 	row("machine-class", class)
 	row("serves", serves)
 	row("ip", p.ip)
--- a/review/harness2/founding.go
+++ b/review/harness2/founding.go
@@ -96,7 +96,7 @@
 }
 
 // afterLog is the time from the first bytes of the first member's log to the kill.
-const afterLog = 200 * time.Millisecond
+const afterLog = 50 * time.Millisecond
 
 // killedWhileFounding: at the first start, all processes of the core are killed at the same moment, and are back within a second with
 // their disks. The operator then sends the first configuration until it is acknowledged.
