Answers whose status HTTP does not define are failures of their server

What callers saw: an answer with status 000 that held a sealed answer in its body, or came before one, reached them as 200; 101, 600 and 999 were passed on as they were. Through an agent, 000 ended the caller's connection, and 103 as a final status became 200.

Cause: http.ReadResponse takes any number of three characters from 0 on, and each reader asked for less than the protocol defines. The entry instance skipped all below 200 as interim responses; the agent counted a server with status 000 as healthy and an order as carried out; net/http panics on writing 0 and adds 200 after writing 103.

Change: internal/responsehead says what an interim and a final response are; the entry instance's client, the agent's transport and the buffer of answers from agents and other data centres ask it. Such an exchange may have run: it is repeated only where the route or the request allows that, else it ends as 502 or unknown, and its connection is closed.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/responsehead"
 )
 
 // Headers that the agent sets on requests to the backend server.
@@ -60,7 +61,7 @@
 	}
 	newClient := func(keepAlive bool) *http.Client {
 		return &http.Client{
-			Transport: &http.Transport{
+			Transport: responsehead.NewTransport(&http.Transport{
 				DialContext:           dial,
 				DisableKeepAlives:     !keepAlive,
 				DisableCompression:    true,
@@ -69,7 +70,7 @@
 				WriteBufferSize:       connectionBufferBytes,
 				IdleConnTimeout:       30 * time.Second,
 				ResponseHeaderTimeout: 0, // the attempt's deadline applies
-			},
+			}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	}
--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/banyanfront/banyanfront/internal/responsehead"
 )
 
 const (
@@ -347,8 +349,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
+		if !responsehead.IsInterim(response.StatusCode) {
+			return response, responsehead.CheckFinal(response.StatusCode)
 		}
 	}
 	return nil, ErrInterimTooMany
--- /dev/null
+++ b/internal/edge/broken_heads_test.go
@@ -0,0 +1,63 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/platform"
+)
+
+// answerInParts returns the bytes of a sealed answer with a status, further header lines and a body of which length bytes are announced.
+func answerInParts(status, id, lines string, length int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\n%s: seal\r\n%sContent-Length: %d\r\n\r\n%s", status, platform.HeaderRequestID, id,
+		platform.HeaderSeal, lines, length, body)
+}
+
+// callerGetsNoAnswer sends a request on each route to servers that all send the same answer, and checks that nothing of it reaches
+// the caller and that it is counted as an attempt that may have run.
+func callerGetsNoAnswer(t *testing.T, answer func(id string) string) {
+	t.Helper()
+	for route, attempts := range map[string]int{"once": 1, "unsafe": 1, "safe": 2, "stream": 2, "broken": 1} {
+		is := is.New(t)
+		respond := func(s *rawServer, c net.Conn, _ int, id string, _ *http.Request) bool {
+			s.run(id)
+			_, _ = io.WriteString(c, answer(id))
+			return false
+		}
+		p, url := startProxy(t)
+		servers := []*rawServer{startRawServer(t, respond), startRawServer(t, respond), startRawServer(t, respond)}
+		useRawServers(p, servers...)
+		status, header, body, err := send(t, url, "/"+route+"/x")
+		is.NoErr(err)
+		is.Equal(status, http.StatusBadGateway)
+		is.Equal(header.Get(platform.HeaderSeal), "")
+		is.Equal(body, "")
+		ran := 0
+		for _, s := range servers {
+			ran += s.ran("r1")
+		}
+		is.Equal(ran, attempts) // one that may run once at most is not sent on
+	}
+}
+
+// Guards against an answer whose status HTTP does not define: 000 was skipped like an interim response and what came behind it was
+// passed on, 101 and 600 were passed on themselves.
+func TestAnswerWithAnUndefinedStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "000 OK", "001 OK", "020 OK", "099 OK", "+20 OK", "-00 OK", "101 Switching Protocols", "600 OK", "999 OK"} {
+		for name, answer := range map[string]func(id string) string{
+			"alone":             func(id string) string { return answerInParts(status, id, "", 4, "body") },
+			"without a body":    func(id string) string { return answerInParts(status, id, "", 0, "") },
+			"before an answer":  func(id string) string { return answerInParts(status, id, "", 0, "") + sealedAnswer(id) },
+			"around an answer":  func(id string) string { return answerInParts(status, id, "", len(sealedAnswer(id)), sealedAnswer(id)) },
+			"after an interim":  func(id string) string { return "HTTP/1.1 103 Hints\r\n\r\n" + answerInParts(status, id, "", 4, "body") },
+			"naming no request": func(string) string { return "HTTP/1.1 " + status + "\r\nContent-Length: 4\r\n\r\nbody" },
+		} {
+			t.Run(status+"/"+name, func(t *testing.T) { callerGetsNoAnswer(t, answer) })
+		}
+	}
+}
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/responsehead"
 )
 
 // sink is the destination of the answer to one call: the caller's HTTP response, or a stream to another entry instance.
@@ -66,8 +67,12 @@
 }
 
 // setHead sets the head of an attempt's answer; a later attempt's head replaces it until one was sent to the caller. After
-// that, only an attempt that resumes the same stream can be used; for any other it returns errNotResumed.
+// that, only an attempt that resumes the same stream can be used; for any other it returns errNotResumed. It returns a
+// responsehead.Error for a head that no answer can have.
 func (b *answerBuffer) setHead(h *protocol.Head) error {
+	if err := responsehead.CheckFinal(h.Status); err != nil {
+		return err
+	}
 	if b.headSent {
 		if h.Status != http.StatusOK || isEventStream(h.Headers) != b.stream {
 			return errNotResumed
@@ -149,6 +154,9 @@
 // was sent to the caller is skipped.
 func (b *answerBuffer) sendKept(kept *protocol.InquiryResult) error {
 	if !b.headSent {
+		if err := responsehead.CheckFinal(kept.Status); err != nil {
+			return unknownProblem(err.Error())
+		}
 		b.status, b.headers = kept.Status, kept.Headers
 	}
 	if b.sentBytes > len(kept.Body) {
--- a/internal/gateway/sink_test.go
+++ b/internal/gateway/sink_test.go
@@ -68,3 +68,16 @@
 	is.NoErr(b.sendKept(&protocol.InquiryResult{Status: 200, Headers: eventStream, Body: []byte("abcd"), HasAnswer: true}))
 	is.Equal(sink.body, "abcd")
 }
+
+// Guards against a head that HTTP does not define, from an agent or another entry instance: net/http panics on status 0, and sends 103 as
+// an interim response and the body as the answer 200.
+func TestHeadWithAnUndefinedStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []int{-1, 0, 99, 100, 101, 103, 600, 1000} {
+		is := is.New(t)
+		sink := &memorySink{}
+		b := &answerBuffer{sink: sink, streamRequested: true, maxBufferedBytes: 100}
+		is.True(b.setHead(&protocol.Head{Status: status, Headers: eventStream}) != nil)
+		is.True(b.sendKept(&protocol.InquiryResult{Status: status, Body: []byte("kept"), HasAnswer: true}) != nil)
+		is.Equal(*sink, memorySink{}) // nothing was sent
+	}
+}
