Answers with a field name that HTTP does not allow are failures of their server

What callers saw: a sealed answer 200 with bytes of another answer, or the sizes of chunks, in its body, and answers 404 and 500 without a field that the server had sent. Rank processes took the state of an engine, and the end of an order, from such an answer.

Cause: net/textproto keeps names with blanks as they are, and net/http does not recognise them: "Content-Length : 4" and "Transfer-Encoding : chunked" no longer told the length of the body. Messages from agents and other data centres had no check at all. Names with control bytes were refused already where HTTP is read; those cases are kept in the tests.

--- a/internal/agent/broken_heads_test.go
+++ b/internal/agent/broken_heads_test.go
@@ -108,3 +108,16 @@
 		})
 	}
 }
+
+// Guards against an answer in whose head the name of a field holds a blank: it reached the entry instance with that field, and where the
+// field told the length of the body, with whatever else the server sent.
+func TestAnswerWithABrokenFieldNameIsRefused(t *testing.T) {
+	for _, line := range []string{"X Field: 1", "X-Field : 1", "X-Field\t: 1", "X\x00Field: 1", "X-Field\x01: 1", "X\rField: 1", "X(Field): 1",
+		"Content-Length : 10", "Transfer-Encoding : chunked"} {
+		t.Run(line, func(t *testing.T) {
+			answerIsRefused(t, loadAnswer("200 OK", line+"\r\n"))
+			answerIsRefused(t, loadAnswer("404 None", line+"\r\n"))
+			answerIsRefused(t, "HTTP/1.1 103 Hints\r\n"+line+"\r\n\r\n"+loadAnswer("200 OK", ""))
+		})
+	}
+}
--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -44,8 +44,6 @@
 	// maxHeadBytes limits what is read up to the end of a response head, interim responses included: twice the 64 KiB that
 	// servers send at most.
 	maxHeadBytes = 128 << 10
-	// maxInterimResponses limits the interim responses before a response; net/http's client accepts as many.
-	maxInterimResponses = 5
 )
 
 // Errors of a server that sends more than any response needs, possibly without end. The connection is closed.
@@ -341,7 +339,7 @@
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.limit.active, c.limit.remaining = true, maxHeadBytes
 	defer func() { c.limit.active = false }()
-	for range maxInterimResponses + 1 {
+	for range responsehead.MaxInterim + 1 {
 		response, err := http.ReadResponse(c.r, &http.Request{Method: method})
 		if err != nil && c.limit.remaining <= 0 {
 			return nil, ErrHeadTooLong // the parser reports the cut line as malformed
@@ -349,6 +347,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := responsehead.CheckNames(response.Header); err != nil {
+			return nil, err
+		}
 		if !responsehead.IsInterim(response.StatusCode) {
 			return response, responsehead.CheckFinal(response.StatusCode)
 		}
--- a/internal/edge/broken_heads_test.go
+++ b/internal/edge/broken_heads_test.go
@@ -61,3 +61,34 @@
 		}
 	}
 }
+
+// brokenNames are header lines whose name holds a byte that no name can have.
+var brokenNames = []string{"X Field: 1", "X-Field : 1", "X-Field\t: 1", "X\tField: 1", "X-Field  : 1", "X\x00Field: 1", "X-Field\x01: 1", "\x7fX-Field: 1",
+	"\x0bX-Field: 1", "X\rField: 1", "\rX-Field: 1", "X-F\xc3\xadeld: 1", "X(Field): 1", ": 1", "X-Field 1"}
+
+// Guards against an answer in whose head the name of a field holds a blank, a control byte or another one that no name can have. The
+// field was dropped, and where it told the length of the body, whatever else the server sent was passed on as a part of it.
+func TestAnswerWithABrokenFieldNameIsNoAnswer(t *testing.T) {
+	for _, line := range brokenNames {
+		for _, status := range []string{"200 OK", "404 None", "500 Failed"} {
+			t.Run(line+"/"+status, func(t *testing.T) {
+				callerGetsNoAnswer(t, func(id string) string { return answerInParts(status, id, line+"\r\n", 4, "body") })
+			})
+		}
+		t.Run(line+"/interim", func(t *testing.T) {
+			callerGetsNoAnswer(t, func(id string) string { return "HTTP/1.1 103 Hints\r\n" + line + "\r\n\r\n" + sealedAnswer(id) })
+		})
+	}
+	head := "HTTP/1.1 200 OK\r\n" + platform.HeaderRequestID + ": %s\r\n" + platform.HeaderSeal + ": seal\r\n"
+	for name, rest := range map[string]string{
+		"length":             "Content-Length : 4\r\n\r\nbody of another answer",
+		"length of events":   "Content-Length : 4\r\n\r\n" + eventsText(1, 2),
+		"chunks":             "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"length beside one":  "Content-Length : 10\r\nContent-Length: 4\r\n\r\nbody",
+		"chunks with length": "Transfer-Encoding : chunked\r\nContent-Length: 14\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			callerGetsNoAnswer(t, func(id string) string { return fmt.Sprintf(head, id) + rest })
+		})
+	}
+}
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -70,7 +70,7 @@
 // that, only an attempt that resumes the same stream can be used; for any other it returns errNotResumed. It returns a
 // responsehead.Error for a head that no answer can have.
 func (b *answerBuffer) setHead(h *protocol.Head) error {
-	if err := responsehead.CheckFinal(h.Status); err != nil {
+	if err := checkHead(h.Status, h.Headers); err != nil {
 		return err
 	}
 	if b.headSent {
@@ -86,6 +86,16 @@
 	return nil
 }
 
+// checkHead returns a responsehead.Error unless an answer to a caller can have the head.
+func checkHead(status int, headers []protocol.Header) error {
+	for _, h := range headers {
+		if err := responsehead.CheckName(h.Name); err != nil {
+			return err
+		}
+	}
+	return responsehead.CheckFinal(status)
+}
+
 func isEventStream(headers []protocol.Header) bool {
 	for _, h := range headers {
 		if strings.EqualFold(h.Name, "Content-Type") {
@@ -154,7 +164,7 @@
 // was sent to the caller is skipped.
 func (b *answerBuffer) sendKept(kept *protocol.InquiryResult) error {
 	if !b.headSent {
-		if err := responsehead.CheckFinal(kept.Status); err != nil {
+		if err := checkHead(kept.Status, kept.Headers); err != nil {
 			return unknownProblem(err.Error())
 		}
 		b.status, b.headers = kept.Status, kept.Headers
--- a/internal/gateway/sink_test.go
+++ b/internal/gateway/sink_test.go
@@ -81,3 +81,16 @@
 		is.Equal(*sink, memorySink{}) // nothing was sent
 	}
 }
+
+// Guards against a head from an agent or another entry instance that has a field whose name HTTP does not allow.
+func TestHeadWithABrokenFieldNameIsNoAnswer(t *testing.T) {
+	for _, name := range []string{"", "X Field", "X-Field ", " X-Field", "X\tField", "X\x00", "X\r\nField", "X:Field", "X-F\u00edeld"} {
+		is := is.New(t)
+		sink := &memorySink{}
+		headers := append([]protocol.Header{{Name: name, Value: "1"}}, eventStream...)
+		b := &answerBuffer{sink: sink, streamRequested: true, maxBufferedBytes: 100}
+		is.True(b.setHead(&protocol.Head{Status: 200, Headers: headers}) != nil)
+		is.True(b.sendKept(&protocol.InquiryResult{Status: 200, Headers: headers, Body: []byte("kept"), HasAnswer: true}) != nil)
+		is.Equal(*sink, memorySink{}) // nothing was sent
+	}
+}
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -31,6 +32,9 @@
 	maxStatus      = 599
 )
 
+// MaxInterim limits the interim responses before a final one; net/http accepts as many.
+const MaxInterim = 5
+
 // IsInterim reports whether another response to the same request follows. After 101, something other than HTTP follows.
 func IsInterim(status int) bool {
 	return status >= minStatus && status < minFinalStatus && status != http.StatusSwitchingProtocols
@@ -43,3 +47,32 @@
 	}
 	return nil
 }
+
+// CheckName returns an Error unless name can be that of a field. net/http accepts names with blanks and does not recognise them, so
+// that such a field no longer tells the length of the body.
+func CheckName(name string) error {
+	for i := range len(name) {
+		if !isTokenByte(name[i]) {
+			return newError("field_name", "%.64q is not the name of a field", name)
+		}
+	}
+	if name == "" {
+		return newError("field_name", "a field has no name")
+	}
+	return nil
+}
+
+// isTokenByte reports whether a byte can be part of a token of HTTP.
+func isTokenByte(b byte) bool {
+	return 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || '0' <= b && b <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
+// CheckNames returns an Error unless each name of header can be that of a field.
+func CheckNames(header http.Header) error {
+	for name := range header {
+		if err := CheckName(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
