Answers with a line that begins with a blank are failures of their server

What callers saw: an answer in which the field before such a line had another value, and where the line told the length of the body, a sealed 200 with bytes of another answer. Rank processes took an engine's state from such an answer.

Cause: net/http joins the line to the field before it, as HTTP once allowed servers to fold long values, and nothing in its result tells of it. What the server sent as " Content-Length: 4" was a part of another field.

Change: the bytes of heads are examined as they are read from the connection, in the entry instance's client and in the transport of agents and rank processes. HTTP leaves a gateway the choice between joining and 502; a server that does this is broken, so 502. Over TLS an agent's transport still joins, as it does not see the bytes.

--- a/internal/agent/broken_heads_test.go
+++ b/internal/agent/broken_heads_test.go
@@ -121,3 +121,15 @@
 		})
 	}
 }
+
+// Guards against an answer with a line that begins with a blank: it reached the entry instance as a part of the field before.
+func TestAnswerWithAFoldedLineIsRefused(t *testing.T) {
+	for _, line := range []string{" X-Field: 1", "\tX-Field: 1", " ", " Content-Length: 10", " Transfer-Encoding: chunked"} {
+		t.Run(line, func(t *testing.T) {
+			answerIsRefused(t, loadAnswer("200 OK", "X-First: 1\r\n"+line+"\r\n"))
+			answerIsRefused(t, loadAnswer("404 None", "X-First: 1\r\n"+line+"\r\n"))
+			answerIsRefused(t, "HTTP/1.1 103 Hints\r\nLink: a\r\n"+line+"\r\n\r\n"+loadAnswer("200 OK", ""))
+			answerIsRefused(t, "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n"+loadAnswer("200 OK", "X-First: 1\r\n"+line+"\r\n"))
+		})
+	}
+}
--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -80,11 +80,21 @@
 	idleTimeout time.Duration
 }
 
-// headLimit reads from a connection and, while a head is expected, fails once more than remaining bytes were read.
+// headLimit reads from a connection and, while a head is expected, fails once more than remaining bytes were read, or at a line that
+// begins with a blank.
 type headLimit struct {
 	source    io.Reader
 	active    bool
 	remaining int
+	folds     responsehead.FoldScanner
+	folded    error
+}
+
+// begin expects a head, which starts with the bytes that were read before and are still buffered.
+func (l *headLimit) begin(buffered []byte) {
+	l.active, l.remaining = true, maxHeadBytes
+	l.folds.Begin()
+	_, l.folded = l.folds.Scan(buffered)
 }
 
 // Read implements io.Reader.
@@ -95,8 +105,15 @@
 	if l.remaining <= 0 {
 		return 0, ErrHeadTooLong
 	}
+	if l.folded != nil {
+		return 0, l.folded
+	}
 	n, err := l.source.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	if sound, folded := l.folds.Scan(p[:n]); folded != nil {
+		l.folded = folded
+		return sound, folded
+	}
 	return n, err
 }
 
@@ -337,13 +354,17 @@
 
 // readHead reads the head of the next final response and skips interim ones.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limit.active, c.limit.remaining = true, maxHeadBytes
+	buffered, _ := c.r.Peek(c.r.Buffered())
+	c.limit.begin(buffered)
 	defer func() { c.limit.active = false }()
 	for range responsehead.MaxInterim + 1 {
 		response, err := http.ReadResponse(c.r, &http.Request{Method: method})
 		if err != nil && c.limit.remaining <= 0 {
 			return nil, ErrHeadTooLong // the parser reports the cut line as malformed
 		}
+		if c.limit.folded != nil {
+			return nil, c.limit.folded
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/edge/broken_heads_test.go
+++ b/internal/edge/broken_heads_test.go
@@ -92,3 +92,40 @@
 		})
 	}
 }
+
+// Guards against a line of a head that begins with a blank: net/http joins it to the field before, so that the caller got that field with
+// another value, and where the line told the length of the body, whatever else the server sent.
+func TestAnswerWithAFoldedLineIsNoAnswer(t *testing.T) {
+	for _, line := range []string{" X-Field: 1", "\tX-Field: 1", "X-Field: 1\r\n  X-Other: 2", "X-Field: 1\r\n \t", " ", "\t \t", "X-Field: 1\n more"} {
+		for _, status := range []string{"200 OK", "404 None", "500 Failed"} {
+			t.Run(line+"/"+status, func(t *testing.T) {
+				callerGetsNoAnswer(t, func(id string) string { return answerInParts(status, id, line+"\r\n", 4, "body") })
+			})
+		}
+		t.Run(line+"/interim", func(t *testing.T) {
+			callerGetsNoAnswer(t, func(id string) string {
+				return "HTTP/1.1 103 Hints\r\nLink: a\r\n" + line + "\r\n\r\n" + sealedAnswer(id)
+			})
+		})
+		t.Run(line+"/after an interim", func(t *testing.T) {
+			callerGetsNoAnswer(t, func(id string) string {
+				return "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n" + answerInParts("200 OK", id, line+"\r\n", 4, "body")
+			})
+		})
+		t.Run(line+"/after another answer", func(t *testing.T) {
+			callerGetsNoAnswer(t, func(id string) string {
+				return sealedAnswer("other") + answerInParts("200 OK", id, line+"\r\n", 4, "body")
+			})
+		})
+	}
+	head := "HTTP/1.1 200 OK\r\n" + platform.HeaderRequestID + ": %s\r\n" + platform.HeaderSeal + ": seal\r\n"
+	for name, rest := range map[string]string{
+		"length":           " Content-Length: 4\r\n\r\nbody of another answer",
+		"length of events": "\tContent-Length: 4\r\n\r\n" + eventsText(1, 2),
+		"chunks":           " Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			callerGetsNoAnswer(t, func(id string) string { return fmt.Sprintf(head, id) + rest })
+		})
+	}
+}
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -1,9 +1,12 @@
 package responsehead
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync"
 )
 
 // Transport is an http.Transport that returns an Error in place of a response with an invalid head.
@@ -11,13 +14,33 @@
 
 var _ http.RoundTripper = (*Transport)(nil)
 
-// NewTransport returns a Transport over base, which must not be used otherwise.
-func NewTransport(base *http.Transport) *Transport { return &Transport{base} }
+// NewTransport returns a Transport over base, which must not be used otherwise. Over TLS it does not find folded lines, which net/http
+// then joins as HTTP allows.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &scannedConn{Conn: c}, nil
+	}
+	return &Transport{base}
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	interims := 0
 	trace := &httptrace.ClientTrace{
+		// Called before the request is written, so that no byte of its response has been read.
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*scannedConn); ok {
+				c.expectHead()
+			}
+		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
 			if interims++; interims > MaxInterim { // http.Transport limits them only without this function
 				return newError("interim", "more than %d interim responses", MaxInterim)
@@ -42,3 +65,33 @@
 
 // CloseIdleConnections closes the idle connections; http.Client looks for this method.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// scannedConn is a connection to a server that fails at a folded line in a head.
+type scannedConn struct {
+	net.Conn
+	mu     sync.Mutex // net/http reads from a goroutine of its own
+	folds  FoldScanner
+	folded error
+}
+
+// expectHead makes the next bytes those of a head.
+func (c *scannedConn) expectHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.folds.Begin()
+}
+
+// Read implements net.Conn.
+func (c *scannedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.folded != nil {
+		return 0, c.folded
+	}
+	if sound, folded := c.folds.Scan(p[:n]); folded != nil {
+		c.folded = folded
+		return sound, folded
+	}
+	return n, err
+}
