--- a/decide/consensus/log.go
+++ b/decide/consensus/log.go
@@ -56,16 +56,16 @@
 	l.stable = min(l.stable, index-1)
 }
 
-// possibleMatch returns the highest index at most index whose term is at most term; entries above it cannot match.
+// possibleMatch returns the highest index at most index whose term is at most term; entries above it cannot match. An index below
+// prevIndex, whose term is unknown, is returned as it is: if the entry at prevIndex cannot match, the one before it.
 func (l *raftLog) possibleMatch(index, term uint64) uint64 {
 	index = min(index, l.lastIndex())
-	for index > l.prevIndex {
-		if t, _ := l.term(index); t <= term {
-			break
+	for {
+		if t, ok := l.term(index); !ok || t <= term {
+			return index
 		}
 		index--
 	}
-	return index
 }
 
 // upToDate reports whether a log that ends with the given entry is at least as up to date as this one.
