--- a/internal/storage/faultfs/faultfs.go
+++ b/internal/storage/faultfs/faultfs.go
@@ -21,11 +21,12 @@
 
 // Faults. After Crash every operation fails until Restart.
 const (
-	None       Fault = iota
-	Crash            // the operation takes effect in part and the process ends
-	NoSpace          // a write stores half of its bytes and fails; later ones fail too
-	ShortWrite       // a write stores half of its bytes and returns no error
-	FailedSync       // a sync fails and drops the unsynced bytes, as on Linux
+	None        Fault = iota
+	Crash             // the operation takes effect in part and the process ends
+	NoSpace           // a write stores half of its bytes and fails; later ones fail too
+	ShortWrite        // a write stores half of its bytes and returns no error
+	FailedSync        // a sync fails and drops the unsynced bytes, as on Linux
+	NoDataSpace       // NoSpace for the bytes of files only: the folder can still change, as on most file systems
 )
 
 // ErrCrashed is returned by every operation between a crash and Restart.
@@ -204,7 +205,7 @@
 		case Crash:
 			f.crashed = true
 			return fault, ErrCrashed
-		case NoSpace:
+		case NoSpace, NoDataSpace:
 			f.diskFull = true
 		}
 		return fault, nil
@@ -220,7 +221,7 @@
 	if err != nil && (fault != Crash || f.rand.IntN(2) == 0) {
 		return err
 	}
-	if f.diskFull && fault != Crash {
+	if f.diskFull && fault != Crash && f.fault != NoDataSpace {
 		// On a real full disk, removing and renaming need no space, but creating does. Here all of them fail, to be strict.
 		return syscall.ENOSPC
 	}
@@ -379,7 +380,7 @@
 	switch {
 	case err != nil && fault != Crash:
 		return 0, err
-	case fault == Crash || fault == ShortWrite || fault == NoSpace:
+	case fault == Crash || fault == ShortWrite || fault == NoSpace || fault == NoDataSpace:
 		n /= 2
 	case h.fs.diskFull:
 		n = 0
