Answers of HTTP/1.0 in chunks are failures of their server

What callers saw: a sealed 200 with the sizes of chunks in its body.

Cause: HTTP/1.0 has no Transfer-Encoding; net/http drops the field there and takes the chunks for the body as it is.

Change: the scanner of heads refuses the field in versions before 1.1, beside lines that begin with a blank, in the entry instance's client and the transport of agents and rank processes. Answers of HTTP/1.0 without the field are passed on as before, which a test keeps. The scanner has a file and a name of its own.

--- a/internal/agent/broken_heads_test.go
+++ b/internal/agent/broken_heads_test.go
@@ -133,3 +133,10 @@
 		})
 	}
 }
+
+// Guards against an answer of HTTP/1.0 that claims to come in chunks, whose sizes reached the entry instance as a part of the body.
+func TestAnswerOfAnOldVersionInChunksIsRefused(t *testing.T) {
+	answerIsRefused(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1b\r\n"+`{"kvUsed":0.5,"stepTime":1}`+"\r\n0\r\n\r\n")
+	answerIsRefused(t, "HTTP/1.0 200 OK\r\nContent-Length: 27\r\ntransfer-encoding : chunked\r\n\r\n"+`{"kvUsed":0.5,"stepTime":1}`)
+	answerIsRefused(t, "HTTP/1.0 200 OK\r\nContent-Length: 27\r\ntransfer-encoding: chunked\r\n\r\n"+`{"kvUsed":0.5,"stepTime":1}`)
+}
--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -80,21 +80,21 @@
 	idleTimeout time.Duration
 }
 
-// headLimit reads from a connection and, while a head is expected, fails once more than remaining bytes were read, or at a line that
-// begins with a blank.
+// headLimit reads from a connection and, while a head is expected, fails once more than remaining bytes were read, or where the
+// scanner refuses it.
 type headLimit struct {
 	source    io.Reader
 	active    bool
 	remaining int
-	folds     responsehead.FoldScanner
-	folded    error
+	scanner   responsehead.Scanner
+	invalid   error
 }
 
 // begin expects a head, which starts with the bytes that were read before and are still buffered.
 func (l *headLimit) begin(buffered []byte) {
 	l.active, l.remaining = true, maxHeadBytes
-	l.folds.Begin()
-	_, l.folded = l.folds.Scan(buffered)
+	l.scanner.Begin()
+	_, l.invalid = l.scanner.Scan(buffered)
 }
 
 // Read implements io.Reader.
@@ -105,14 +105,14 @@
 	if l.remaining <= 0 {
 		return 0, ErrHeadTooLong
 	}
-	if l.folded != nil {
-		return 0, l.folded
+	if l.invalid != nil {
+		return 0, l.invalid
 	}
 	n, err := l.source.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
-	if sound, folded := l.folds.Scan(p[:n]); folded != nil {
-		l.folded = folded
-		return sound, folded
+	if sound, invalid := l.scanner.Scan(p[:n]); invalid != nil {
+		l.invalid = invalid
+		return sound, invalid
 	}
 	return n, err
 }
@@ -362,8 +362,8 @@
 		if err != nil && c.limit.remaining <= 0 {
 			return nil, ErrHeadTooLong // the parser reports the cut line as malformed
 		}
-		if c.limit.folded != nil {
-			return nil, c.limit.folded
+		if c.limit.invalid != nil {
+			return nil, c.limit.invalid
 		}
 		if err != nil {
 			return nil, err
--- a/internal/edge/broken_heads_test.go
+++ b/internal/edge/broken_heads_test.go
@@ -129,3 +129,39 @@
 		})
 	}
 }
+
+// Guards against an answer of HTTP/1.0 that claims to come in chunks, which that version does not have: net/http ignores the field, so
+// that the caller got the sizes of the chunks as a part of the body.
+func TestAnswerOfAnOldVersionInChunksIsNoAnswer(t *testing.T) {
+	head := "HTTP/%s 200 OK\r\n" + platform.HeaderRequestID + ": %s\r\n" + platform.HeaderSeal + ": seal\r\n"
+	for _, version := range []string{"1.0", "0.9"} {
+		for name, rest := range map[string]string{
+			"chunks":             "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+			"in small letters":   "transfer-encoding:chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+			"chunks with length": "Transfer-Encoding: chunked\r\nContent-Length: 14\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+			"chunks of events":   "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(eventsText(1, 2)), eventsText(1, 2)),
+		} {
+			t.Run(version+"/"+name, func(t *testing.T) {
+				callerGetsNoAnswer(t, func(id string) string { return fmt.Sprintf(head, version, id) + rest })
+			})
+		}
+	}
+}
+
+// Guards against answers of HTTP/1.0 without chunks being refused: servers of that version exist.
+func TestAnswerOfAnOldVersionIsPassedOn(t *testing.T) {
+	for _, length := range []string{"Content-Length: 4\r\n", ""} {
+		is := is.New(t)
+		p, url := startProxy(t)
+		useRawServers(p, startRawServer(t, func(_ *rawServer, c net.Conn, _ int, id string, _ *http.Request) bool {
+			_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.0 200 OK\r\n%s: %s\r\n%s: seal\r\nTransfer-Encodings: 1\r\nTransfer: 1\r\n%s\r\nbody",
+				platform.HeaderRequestID, id, platform.HeaderSeal, length))
+			return false
+		}))
+		status, header, body, err := send(t, url, "/once/x")
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(header.Get(platform.HeaderSeal), "seal")
+		is.Equal(body, "body")
+	}
+}
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -14,8 +14,8 @@
 
 var _ http.RoundTripper = (*Transport)(nil)
 
-// NewTransport returns a Transport over base, which must not be used otherwise. Over TLS it does not find folded lines, which net/http
-// then joins as HTTP allows.
+// NewTransport returns a Transport over base, which must not be used otherwise. Over TLS the bytes of heads are
+// hidden from it, so that it finds nothing of what Scanner does.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -66,19 +66,19 @@
 // CloseIdleConnections closes the idle connections; http.Client looks for this method.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// scannedConn is a connection to a server that fails at a folded line in a head.
+// scannedConn is a connection to a server that fails where a Scanner refuses a head.
 type scannedConn struct {
 	net.Conn
-	mu     sync.Mutex // net/http reads from a goroutine of its own
-	folds  FoldScanner
-	folded error
+	mu      sync.Mutex // net/http reads from a goroutine of its own
+	scanner Scanner
+	invalid error
 }
 
 // expectHead makes the next bytes those of a head.
 func (c *scannedConn) expectHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.folds.Begin()
+	c.scanner.Begin()
 }
 
 // Read implements net.Conn.
@@ -86,12 +86,12 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.folded != nil {
-		return 0, c.folded
+	if c.invalid != nil {
+		return 0, c.invalid
 	}
-	if sound, folded := c.folds.Scan(p[:n]); folded != nil {
-		c.folded = folded
-		return sound, folded
+	if sound, invalid := c.scanner.Scan(p[:n]); invalid != nil {
+		c.invalid = invalid
+		return sound, invalid
 	}
 	return n, err
 }
