--- a/internal/responsehead/scanner.go
+++ b/internal/responsehead/scanner.go
@@ -3,7 +3,8 @@
 import "bytes"
 
 // Scanner finds what net/http leaves no trace of in the bytes of response heads:
-//   - A line that begins with a blank. net/http joins it to the field before, though the server may have sent another field.
+//   - A line that begins with a blank (obsolete line folding). net/http joins it to the field before, though the server may have sent
+//     another field.
 //   - Transfer-Encoding in a response older than HTTP/1.1, which has no such field. net/http drops it, and the sizes of chunks become a
 //     part of the body.
 //
@@ -32,7 +33,7 @@
 	lineStart                      // the first byte of a line after the status line
 	lineReturn                     // a line that began with a carriage return
 	fieldName                      // the name of a field of an old response that is chunksField so far
-	lineRest                       // a line without anything more to be found
+	lineRest                       // a line that is accepted as far as this scanner goes
 )
 
 // Begin makes the scanner take the next bytes for those of a head.
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -14,8 +14,8 @@
 
 var _ http.RoundTripper = (*Transport)(nil)
 
-// NewTransport returns a Transport over base, which must not be used otherwise. Over TLS the bytes of heads are
-// hidden from it, so that it finds nothing of what Scanner does.
+// NewTransport returns a Transport over base, which must not be used otherwise. Over TLS no Scanner is used, as only net/http sees
+// the bytes of the heads.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
