--- a/review/harness3/draining.go
+++ b/review/harness3/draining.go
@@ -15,7 +15,11 @@
 	"github.com/banyanfront/banyanfront/platform"
 )
 
-const callersHost = "orders.example"
+const (
+	callersHost = "orders.example"
+	// downTime is the time from the kill of a process to its restart.
+	downTime = 300 * time.Millisecond
+)
 
 // plainConfiguration has one route of a kind to the service pedidos.
 func plainConfiguration(version uint64, kind routes.Kind) []byte {
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -20,7 +20,7 @@
 		fmt.Fprintln(os.Stderr, "usage: harness3 CASE RECORD")
 		os.Exit(failed)
 	}
-	cases := map[string]func(*recorder) int{"founding": founding, "draining": draining, "replacing": replacing, "firstack": firstAck, "events": events}
+	cases := map[string]func(*recorder) int{"firstack": firstAck, "leaving": leaving, "replacing": replacing, "events": events, "draining": draining}
 	run := cases[os.Args[1]]
 	rec, err := newRecorder(os.Args[2])
 	if run == nil || err != nil {
