--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -253,6 +253,7 @@
 func (f *fleet) replaceConfiguration(ctx context.Context, version uint64, body []byte) bool {
 	for n := rand.IntN(len(f.controls)); ctx.Err() == nil; n++ {
 		status := post(f.controlURL(n%len(f.controls))+platform.ReplaceConfigurationPath, body)
+		f.rec.printf("operator sends configuration %d to %s: answer %d", version, f.controls[n%len(f.controls)].name, status)
 		if status == http.StatusOK {
 			f.rec.printf("configuration %d acknowledged by %s", version, f.controls[n%len(f.controls)].name)
 			return true
@@ -269,7 +270,10 @@
 func (f *fleet) readConfiguration(ctx context.Context) []byte {
 	for n := rand.IntN(len(f.controls)); ctx.Err() == nil; n++ {
 		response, err := shortClient.Get(f.controlURL(n%len(f.controls)) + platform.ReadConfigurationPath)
-		if err == nil {
+		if err != nil {
+			f.rec.printf("operator reads at %s: no answer", f.controls[n%len(f.controls)].name)
+		} else {
+			f.rec.printf("operator reads at %s: answer %d", f.controls[n%len(f.controls)].name, response.StatusCode)
 			body, readErr := io.ReadAll(response.Body)
 			_ = response.Body.Close()
 			if readErr == nil && response.StatusCode == http.StatusOK {
