--- a/review/harness3/fleet.go
+++ b/review/harness3/fleet.go
@@ -249,21 +249,22 @@
 // controlURL returns the address of a control instance for operators and servers.
 func (f *fleet) controlURL(n int) string { return "http://" + f.controls[n].settings.ControlListen }
 
-// replaceConfiguration sends a configuration to the control instances in turn until it is acknowledged or the context ends.
-func (f *fleet) replaceConfiguration(ctx context.Context, version uint64, body []byte) bool {
+// replaceConfiguration sends a configuration to the control instances in turn until one acknowledges it or the context ends. It returns that
+// one, or nil.
+func (f *fleet) replaceConfiguration(ctx context.Context, version uint64, body []byte) *proc {
 	for n := rand.IntN(len(f.controls)); ctx.Err() == nil; n++ {
 		status := post(f.controlURL(n%len(f.controls))+platform.ReplaceConfigurationPath, body)
 		f.rec.printf("operator sends configuration %d to %s: answer %d", version, f.controls[n%len(f.controls)].name, status)
 		if status == http.StatusOK {
 			f.rec.printf("configuration %d acknowledged by %s", version, f.controls[n%len(f.controls)].name)
-			return true
+			return f.controls[n%len(f.controls)]
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(100 * time.Millisecond):
 		}
 	}
-	return false
+	return nil
 }
 
 // readConfiguration reads the configuration from the control instances in turn until one returns it or the context ends.
