Entry instances: an answer that ends before the whole request is not complete

What callers saw: a server answered a long request at once with 200 and no length, sent a part of the body and reset the connection while the request was still being written. Callers got the part as a complete answer, of orders, reads and streams alike.

Cause: a body without a length ends with its connection, and the client took each io.EOF for that end. Linux reports a reset to one call only: the write of the request took ECONNRESET, and the next read found the end of the connection. And a server that closes the connection before it has received the whole request ends it in order; the reset follows as soon as more of the request arrives, when the reader has returned. Bodies with a length or chunks were not affected, nor was a reset while nothing was being written.

Change: package responseend. At the end of a body without a length, the reader waits until the request was written without an error and the server has acknowledged all of it; an error of the write, or a connection that was reset meanwhile, breaks the answer off. A server that answers early, ends its side of the connection and receives the rest of the request is served as before.

--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/banyanfront/banyanfront/internal/responseend"
 	"github.com/banyanfront/banyanfront/internal/responsehead"
 )
 
@@ -175,8 +176,8 @@
 	client          *Client
 	conn            *conn
 	detach          func() bool // detaches the connection from the context; false if the context has ended
-	bodyWritten     chan error  // result of writing a long request body, nil for short ones
-	closeConnection bool        // the connection must not be reused
+	upload          *responseend.Upload
+	closeConnection bool // the connection must not be reused
 	closed          bool
 }
 
@@ -223,11 +224,11 @@
 
 // exchange writes the request and reads response heads until the one that answers it.
 func (c *Client) exchange(connection *conn, request *Request) (*Response, *Failure) {
-	bodyWritten, failure := connection.write(request)
+	upload, failure := connection.write(request)
 	if failure != nil {
 		return nil, failure
 	}
-	response := &Response{client: c, conn: connection, Reused: connection.reused, bodyWritten: bodyWritten}
+	response := &Response{client: c, conn: connection, Reused: connection.reused, upload: upload}
 	for skipped := 0; ; skipped++ {
 		httpResponse, err := connection.readHead(request.Method)
 		if err != nil {
@@ -243,6 +244,9 @@
 				response.Length = -1 // it is the length of another response's body
 			}
 			response.Framed = httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0
+			if !response.Framed && httpResponse.Body != http.NoBody {
+				response.Body = &unframedBody{r: httpResponse.Body, conn: connection.Conn, upload: upload}
+			}
 			response.closeConnection = response.closeConnection || httpResponse.Close || !response.Framed || !response.Identified
 			connection.idleTimeout = idleTimeout(httpResponse.Header)
 			return response, nil
@@ -258,6 +262,24 @@
 	}
 }
 
+// unframedBody is a body that extends to the end of its connection, and fails where that end does not show that it is complete.
+type unframedBody struct {
+	r      io.Reader
+	conn   net.Conn
+	upload *responseend.Upload
+}
+
+// Read implements io.Reader.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if err == io.EOF {
+		if broken := b.upload.CheckEnd(b.conn); broken != nil {
+			err = broken
+		}
+	}
+	return n, err
+}
+
 // idleTimeout returns how long an idle connection may still be reused, with a margin to the server's own timeout.
 func idleTimeout(header http.Header) time.Duration {
 	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
@@ -303,8 +325,8 @@
 // headBytes is the initial size of the buffer for a request head.
 const headBytes = 1 << 10
 
-// write sends the request. The result of writing a long body is sent to the returned channel, which is nil for short ones.
-func (c *conn) write(r *Request) (chan error, *Failure) {
+// write sends the request. The returned upload of a long body goes on after the return.
+func (c *conn) write(r *Request) (*responseend.Upload, *Failure) {
 	length := 0
 	for _, piece := range r.Body {
 		length += len(piece)
@@ -336,20 +358,21 @@
 	if n, err := c.Write(head); err != nil {
 		return nil, &Failure{Sent: n > 0, Err: err}
 	}
+	upload := responseend.NewUpload()
 	if inline {
-		return nil, nil
+		upload.Finish(nil)
+		return upload, nil
 	}
-	bodyWritten := make(chan error, 1)
 	go func() {
 		for _, piece := range r.Body {
 			if _, err := c.Write(piece); err != nil {
-				bodyWritten <- err
+				upload.Finish(err)
 				return
 			}
 		}
-		bodyWritten <- nil
+		upload.Finish(nil)
 	}()
-	return bodyWritten, nil
+	return upload, nil
 }
 
 // readHead reads the head of the next final response and skips interim ones.
@@ -386,18 +409,10 @@
 	}
 	r.closed = true
 	detached := r.detach() // false once the context has ended
-	if r.bodyWritten != nil {
-		select {
-		case err := <-r.bodyWritten:
-			complete = complete && err == nil
-		default:
-			complete = false // the rest of the request body is still being written
-		}
-	}
 	if !detached {
 		reset(r.conn.Conn)
 	}
-	if !detached || !complete || r.closeConnection || r.conn.r.Buffered() > 0 {
+	if !detached || !complete || !r.upload.Written() || r.closeConnection || r.conn.r.Buffered() > 0 {
 		r.client.discard(r.conn)
 		return
 	}
--- /dev/null
+++ b/internal/edge/early_answers_test.go
@@ -0,0 +1,95 @@
+package edge
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/platform"
+)
+
+// longBodyBytes is more than the send buffer of a client and the receive buffer of an early server hold, so that the upload stops where
+// the server does not read.
+const longBodyBytes = 4 << 20
+
+// startEarlyServer starts a server that passes each connection to answer once it has read the head of a request, with the rest of the
+// connection in r.
+func startEarlyServer(t *testing.T, answer func(c *net.TCPConn, r *bufio.Reader, request *http.Request)) *rawServer {
+	smallBuffer := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		return errors.Join(raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) }), err)
+	}}
+	listener, err := smallBuffer.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &rawServer{address: listener.Addr().String(), runs: map[string]int{}}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				if request, err := http.ReadRequest(r); err == nil {
+					s.run(request.Header.Get(platform.HeaderRequestID))
+					answer(c.(*net.TCPConn), r, request)
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+// writeUnframed writes the head of a sealed answer without a length, and a part of its body.
+func writeUnframed(w io.Writer, request *http.Request, status int, body string) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d Status\r\n%s: %s\r\n%s: seal\r\n\r\n%s", status, platform.HeaderRequestID,
+		request.Header.Get(platform.HeaderRequestID), platform.HeaderSeal, body)
+}
+
+// Guards against a part of an answer without a length being passed on as the whole answer: its server reset the connection while the
+// long body of the request was still being sent, and the write of the body took the error that the read should have had.
+func TestAnswerThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
+	long := make([]byte, longBodyBytes)
+	for name, end := range map[string]func(c *net.TCPConn, r *bufio.Reader){
+		"reset at once":      func(c *net.TCPConn, _ *bufio.Reader) { _ = c.SetLinger(0) },
+		"closed unread":      func(*net.TCPConn, *bufio.Reader) {},
+		"reset after a part": func(c *net.TCPConn, r *bufio.Reader) { _, _ = r.Discard(1 << 20); _ = c.SetLinger(0) },
+		"reset after its end": func(c *net.TCPConn, _ *bufio.Reader) {
+			_ = c.CloseWrite()
+			time.Sleep(5 * time.Millisecond) // the proxy finds the end before the reset
+			_ = c.SetLinger(0)
+		},
+	} {
+		for route, part := range map[string]string{"once": "a part", "safe": "a part", "stream": eventsText(1, 2), "broken": eventsText(1, 2)} {
+			t.Run(name+"/"+route, func(t *testing.T) {
+				is := is.New(t)
+				s := startEarlyServer(t, func(c *net.TCPConn, r *bufio.Reader, request *http.Request) {
+					writeUnframed(c, request, http.StatusOK, part)
+					end(c, r)
+				})
+				for range 5 {
+					p, url := startProxy(t)
+					useRawServers(p, s)
+					status, _, body, err := sendBody(t, bytes.NewReader(long), url, "/"+route+"/x")
+					t.Log(status, err)
+					is.True(status != http.StatusOK || err != nil)
+					is.True(body == "" || body == part)
+				}
+				is.True(s.ran("r1") > 0)
+			})
+		}
+	}
+}
