Agents, rank processes: an answer that ends before the whole request is not complete

What callers saw: through an agent, a part of an answer without a length as the whole, where its server had ended or reset the connection while a long request was still being written; the attempt counted as done, one with a key too. A rank process took an order with a large expert map for carried out.

Cause: as on the entry instances. http.Transport reports a failed write to the reader of the body only by closing the connection, so that a read that finds the end before that reports a complete body. Over TLS, crypto/tls takes the end of the connection for that of the body even without close_notify.

Change: the connections of responsehead.Transport check that end with package responseend: in Read, because http.Transport closes the connection as soon as it has returned the end. Closing ends the wait. Over TLS the connection below is checked; an end with close_notify counts as the server's.

--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -2,20 +2,26 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
+	"sync/atomic"
+
+	"github.com/banyanfront/banyanfront/internal/responseend"
 )
 
-// Transport is an http.Transport that returns an Error in place of a response with an invalid head.
+// Transport is an http.Transport that returns an Error in place of a response with an invalid head. The body of a response without a length
+// fails with responseend.ErrBrokenOff where the end of its connection does not show that it is complete.
 type Transport struct{ base *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
 
 // NewTransport returns a Transport over base, which must not be used otherwise. Over TLS no Scanner is used, as only net/http sees
-// the bytes of the heads.
+// the bytes of the heads, and an end that the server announces with close_notify is not checked.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -34,11 +40,24 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	interims := 0
+	var connection *scannedConn // http.Transport may change it before it returns the response
+	var upload atomic.Pointer[responseend.Upload]
 	trace := &httptrace.ClientTrace{
 		// Called before the request is written, so that no byte of its response has been read.
 		GotConn: func(info httptrace.GotConnInfo) {
-			if c, ok := info.Conn.(*scannedConn); ok {
-				c.expectHead()
+			raw, encrypted := info.Conn, false
+			if c, ok := info.Conn.(*tls.Conn); ok {
+				raw, encrypted = c.NetConn(), true
+			}
+			if c, ok := raw.(*scannedConn); ok {
+				connection = c
+				upload.Store(c.beginRequest(!encrypted))
+			}
+		},
+		// Called from the goroutine that writes. http.Transport closes the connection after an error.
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if u := upload.Load(); u != nil && info.Err == nil {
+				u.Finish(nil)
 			}
 		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
@@ -60,38 +79,102 @@
 		t.base.CloseIdleConnections() // the connection is among them if the response had no body
 		return nil, err
 	}
+	if framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0; !framed && connection != nil {
+		connection.checkEnd()
+	}
 	return response, nil
 }
 
 // CloseIdleConnections closes the idle connections; http.Client looks for this method.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// scannedConn is a connection to a server that fails where a Scanner refuses a head.
+// scannedConn is a connection to a server that fails where a Scanner refuses a head, and at an end that does not show that the response is
+// complete.
 type scannedConn struct {
 	net.Conn
-	mu      sync.Mutex // net/http reads from a goroutine of its own
-	scanner Scanner
-	invalid error
+	mu          sync.Mutex // net/http reads and writes from goroutines of its own
+	scanner     Scanner
+	invalid     error
+	upload      *responseend.Upload // of the latest request, nil before it
+	endsMessage bool                // the end of the connection is that of the response
 }
 
-// expectHead makes the next bytes those of a head.
-func (c *scannedConn) expectHead() {
+// beginRequest returns the upload of a new request. If expectHead is set, the next bytes are those of a head.
+func (c *scannedConn) beginRequest(expectHead bool) *responseend.Upload {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.scanner.Begin()
+	if expectHead {
+		c.scanner.Begin()
+	}
+	c.upload, c.endsMessage = responseend.NewUpload(), false
+	return c.upload
+}
+
+// checkEnd makes Read check the end of the connection. net/http does not read it before RoundTrip returns.
+func (c *scannedConn) checkEnd() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endsMessage = true
 }
 
 // Read implements net.Conn.
 func (c *scannedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if sound, invalid := c.scan(p[:n]); invalid != nil {
+		return sound, invalid
+	}
+	if err == io.EOF {
+		if upload := c.uploadToCheck(); upload != nil {
+			if broken := upload.CheckEnd(c.Conn); broken != nil {
+				err = broken
+			}
+		}
+	}
+	return n, err
+}
+
+// scan passes what was read to the scanner. After an error it returns that again, and that nothing is sound.
+func (c *scannedConn) scan(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.invalid != nil {
 		return 0, c.invalid
 	}
-	if sound, invalid := c.scanner.Scan(p[:n]); invalid != nil {
-		c.invalid = invalid
-		return sound, invalid
+	sound, err := c.scanner.Scan(b)
+	c.invalid = err
+	return sound, err
+}
+
+// uploadToCheck returns the upload of the latest request if its response ends with the connection.
+func (c *scannedConn) uploadToCheck() *responseend.Upload {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.endsMessage {
+		return nil
+	}
+	return c.upload
+}
+
+// Write implements net.Conn.
+func (c *scannedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.finishUpload(err)
 	}
 	return n, err
 }
+
+// Close implements net.Conn.
+func (c *scannedConn) Close() error {
+	c.finishUpload(net.ErrClosed)
+	return c.Conn.Close()
+}
+
+// finishUpload ends the upload of the latest request with an error, unless it has ended.
+func (c *scannedConn) finishUpload(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.upload != nil {
+		c.upload.Finish(err)
+	}
+}
--- a/internal/responsehead/transport_test.go
+++ b/internal/responsehead/transport_test.go
@@ -2,15 +2,22 @@
 
 import (
 	"bufio"
+	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/internal/responseend"
 )
 
 // startServer starts a server that passes each connection to serve once it has read a request from it, and returns its URL.
@@ -103,3 +110,96 @@
 		is.Equal(len(response.Header), 3)
 	}
 }
+
+// resetConn is a connection that is reset while a long request is written. The error is reported to the write only, and only after a read
+// has found the end.
+type resetConn struct {
+	net.Conn  // nil
+	response  io.Reader
+	requested chan struct{} // closed with the first write
+	ended     chan struct{} // closed with the first read that finds the end
+	closed    chan struct{}
+}
+
+func newResetConn(response string) *resetConn {
+	return &resetConn{response: strings.NewReader(response), requested: make(chan struct{}), ended: make(chan struct{}), closed: make(chan struct{})}
+}
+
+func (c *resetConn) Read(p []byte) (int, error) {
+	select {
+	case <-c.requested:
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+	n, err := c.response.Read(p)
+	if err == io.EOF {
+		close(c.ended)
+	}
+	return n, err
+}
+
+func (c *resetConn) Write(p []byte) (int, error) {
+	select {
+	case <-c.requested:
+	default:
+		close(c.requested)
+		return len(p), nil
+	}
+	select {
+	case <-c.ended:
+		return 0, syscall.ECONNRESET
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+func (c *resetConn) Close() error {
+	close(c.closed)
+	return nil
+}
+
+// Guards against a response without a length that counts as complete although its connection was reset: the error went to the write of the
+// request, and the read found the end of the connection.
+func TestResetThatOnlyAWriteReportsBreaksTheResponse(t *testing.T) {
+	is := is.New(t)
+	client := &http.Client{Transport: NewTransport(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		return newResetConn("HTTP/1.1 200 OK\r\n\r\na part"), nil
+	}})}
+	response, err := client.Post("http://server/", "text/plain", strings.NewReader(strings.Repeat("b", 1<<20)))
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.Equal(string(body), "a part")
+	is.True(errors.Is(err, responseend.ErrBrokenOff))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+	is.NoErr(response.Body.Close())
+}
+
+// Guards against a response over TLS that counts as complete although its connection broke while the request was being written: crypto/tls
+// takes the end of the connection for that of the response, even without close_notify.
+func TestResetOverTLSBreaksTheResponse(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\na part")
+		tcp := c.(*tls.Conn).NetConn().(*net.TCPConn)
+		_ = tcp.CloseWrite()
+		time.Sleep(5 * time.Millisecond) // the client finds the end before the reset
+		_ = tcp.SetLinger(0)
+		_ = tcp.Close()
+	}))
+	defer server.Close()
+	base := server.Client().Transport.(*http.Transport).Clone()
+	base.DialContext, base.ForceAttemptHTTP2, base.TLSNextProto = nil, false, map[string]func(string, *tls.Conn) http.RoundTripper{}
+	client := &http.Client{Transport: NewTransport(base)}
+	defer client.CloseIdleConnections()
+	for range 5 {
+		response, err := client.Post(server.URL, "text/plain", strings.NewReader(strings.Repeat("b", 16<<20)))
+		is.NoErr(err)
+		_, err = io.ReadAll(response.Body)
+		is.True(errors.Is(err, responseend.ErrBrokenOff))
+		is.NoErr(response.Body.Close())
+	}
+}
