A refusal without a length is retried at once

Cause: the proof is in the head, but the body was read to its end so that the connection could be used again. A body without a length ends with its connection, which is never used again.

Change: the body of such a refusal is not read; its connection is closed.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -294,8 +294,12 @@
 	fields := log.Fields{"request": c.id, "server": server, "status": response.Status, "load": a.choice.Load,
 		"told": response.Header.Get(platform.HeaderLoad), "faulty": response.Header.Get(platform.HeaderFaultyServer),
 		"heardMs": a.started.Sub(a.choice.AnnouncedAt).Milliseconds(), "afterMs": time.Since(a.started).Milliseconds()}
-	_, err := readAll(response.Body, response.Length, maxBufferedBytes)
-	c.release(a, err == nil)
+	complete := false
+	if response.Framed { // else its end may be long in coming, and the connection is not reused
+		_, err := readAll(response.Body, response.Length, maxBufferedBytes)
+		complete = err == nil
+	}
+	c.release(a, complete)
 	faulty := response.Header.Get(platform.HeaderFaultyServer)
 	switch {
 	case misdirected:
--- a/internal/edge/early_answers_test.go
+++ b/internal/edge/early_answers_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -93,3 +94,37 @@
 		}
 	}
 }
+
+// Guards against a call that waits for the end of a refusal without a length although its head says all: the server keeps the connection
+// open, or takes no more of the request.
+func TestRefusalWithoutALengthIsRetriedAtOnce(t *testing.T) {
+	long := make([]byte, longBodyBytes)
+	for name, half := range map[string]bool{"open": false, "half closed": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			released := make(chan struct{})
+			var requests atomic.Int32
+			answer := func(c *net.TCPConn, r *bufio.Reader, request *http.Request) {
+				if requests.Add(1) > 1 {
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = io.WriteString(c, sealedAnswer(request.Header.Get(platform.HeaderRequestID)))
+					return
+				}
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\n%s: 1\r\n%s: %s\r\n\r\nbusy", platform.HeaderNotRun, platform.HeaderRequestID,
+					request.Header.Get(platform.HeaderRequestID))
+				if half {
+					_ = c.CloseWrite()
+				}
+				<-released
+			}
+			defer close(released)
+			p, url := startProxy(t)
+			useRawServers(p, startEarlyServer(t, answer), startEarlyServer(t, answer))
+			started := time.Now()
+			status, _, _, err := sendBody(t, bytes.NewReader(long), url, "/unsafe/x")
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+			is.True(time.Since(started) < time.Second)
+		})
+	}
+}
