Answers with a field name in their trailer that HTTP does not allow are broken off

What callers saw: a whole answer in chunks, or a whole stream, though the trailer behind it held a field whose name had a blank. Trailers are not passed on, so that no such line reached callers; with a control byte in the name, the answer was broken off already.

Cause: the names were checked in heads and interim heads only, and net/textproto accepts blanks.

Change: the body of a response in chunks checks the names of its trailer at its end, in the entry instance's client and the transport of agents and rank processes. As in heads, such a server is in trouble, and what follows on its connection belongs to no request: it is closed.

Evidence: on the parent commit three of 15 cases of TestAnswerWithABrokenNameInItsTrailerIsNoAnswer fail and two of seven of TestAnswerWithABrokenNameInItsTrailerIsRefused: those with blanks. The others, and TestAnswerWithATrailerIsPassedOn, held before.

--- a/internal/agent/broken_heads_test.go
+++ b/internal/agent/broken_heads_test.go
@@ -140,3 +140,22 @@
 	answerIsRefused(t, "HTTP/1.0 200 OK\r\nContent-Length: 27\r\ntransfer-encoding : chunked\r\n\r\n"+`{"kvUsed":0.5,"stepTime":1}`)
 	answerIsRefused(t, "HTTP/1.0 200 OK\r\nContent-Length: 27\r\ntransfer-encoding: chunked\r\n\r\n"+`{"kvUsed":0.5,"stepTime":1}`)
 }
+
+// Guards against an answer in whose trailer the name of a field holds a byte that no name can have: those with blanks were passed over.
+func TestAnswerWithABrokenNameInItsTrailerIsRefused(t *testing.T) {
+	const chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+	for _, line := range []string{"X Field: 1", "X-Field : 1", "X-Field\t: 1", "X\x00Field: 1", "X-Field\x01: 1", "X\rField: 1", "X(Field): 1"} {
+		t.Run(line, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				for trailer, outcome := range map[string]protocol.Outcome{line: protocol.OutcomeFailed, "X-Field: 1": protocol.OutcomeDone} {
+					a := agentBefore(t, chunks+trailer+"\r\n\r\n")
+					defer a.backend.close()
+					st := &recordingStream{}
+					a.StreamOpened(st, &protocol.Open{Attempt: "attempt", Incarnation: 7, Method: "POST", Path: "/x", DeadlineMS: 1000})
+					is.Equal(st.end.Outcome, outcome)
+				}
+			})
+		})
+	}
+}
--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -395,6 +395,7 @@
 			return nil, err
 		}
 		if !responsehead.IsInterim(response.StatusCode) {
+			responsehead.CheckTrailer(response, nil) // the connection of a response that was not read to its end is closed
 			return response, responsehead.CheckFinal(response.StatusCode)
 		}
 	}
--- a/internal/edge/broken_heads_test.go
+++ b/internal/edge/broken_heads_test.go
@@ -165,3 +165,45 @@
 		is.Equal(body, "body")
 	}
 }
+
+// answerWithTrailer returns the bytes of a sealed answer in chunks, with the lines of a trailer.
+func answerWithTrailer(id, body, lines string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n", platform.HeaderRequestID, id,
+		platform.HeaderSeal, len(body), body, lines)
+}
+
+// Guards against an answer in whose trailer the name of a field holds a byte that no name can have: those with blanks were passed over.
+func TestAnswerWithABrokenNameInItsTrailerIsNoAnswer(t *testing.T) {
+	for _, line := range brokenNames {
+		t.Run(line, func(t *testing.T) {
+			callerGetsNoAnswer(t, func(id string) string { return answerWithTrailer(id, "body", line+"\r\n") })
+			for _, route := range []string{"stream", "broken"} {
+				is := is.New(t)
+				p, url := startProxy(t)
+				useRawServers(p, startRawServer(t, func(_ *rawServer, c net.Conn, _ int, id string, _ *http.Request) bool {
+					_, _ = io.WriteString(c, answerWithTrailer(id, eventsText(1, 2), line+"\r\n"))
+					return true
+				}))
+				_, _, body, err := send(t, url, "/"+route+"/x")
+				is.True(err != nil) // not complete
+				is.Equal(body, eventsText(1, 2))
+			}
+		})
+	}
+}
+
+// Guards against a sound trailer that breaks its answer.
+func TestAnswerWithATrailerIsPassedOn(t *testing.T) {
+	for route, want := range map[string]string{"once": "body", "stream": eventsText(1, 2)} {
+		is := is.New(t)
+		p, url := startProxy(t)
+		useRawServers(p, startRawServer(t, func(_ *rawServer, c net.Conn, _ int, id string, _ *http.Request) bool {
+			_, _ = io.WriteString(c, answerWithTrailer(id, want, "X-Field: 1\r\n"))
+			return true
+		}))
+		status, _, body, err := send(t, url, "/"+route+"/x")
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, want)
+	}
+}
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -82,6 +82,7 @@
 	if framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0; !framed && connection != nil {
 		connection.checkEnd()
 	}
+	CheckTrailer(response, t.base.CloseIdleConnections) // its connection is among them by the end of the body
 	return response, nil
 }
 
--- a/internal/responsehead/transport_test.go
+++ b/internal/responsehead/transport_test.go
@@ -95,6 +95,25 @@
 	}
 }
 
+// Guards against a connection that is used again after an invalid trailer.
+func TestConnectionIsClosedAfterAnInvalidTrailer(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan error, 1)
+	url := startServer(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Field: 1\r\n\r\n")
+		_, err := r.ReadByte()
+		closed <- err
+	})
+	response, err := newClient(t).Get(url)
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.Equal(string(body), "body")
+	var invalid *Error
+	is.True(errors.As(err, &invalid))
+	is.NoErr(response.Body.Close())
+	is.True(<-closed != nil)
+}
+
 // Guards against sound responses being refused, with interim ones before them.
 func TestSoundResponsesArePassedOn(t *testing.T) {
 	for _, status := range []string{"200 OK", "204 None", "304 Same", "404 None", "500 Failed", "599 Other"} {
