--- a/internal/edge/faulty_answers_test.go
+++ b/internal/edge/faulty_answers_test.go
@@ -166,6 +166,10 @@
 		"500 unframed":   "HTTP/1.1 500 Failed\r\n%s: %s\r\n%s: seal\r\n\r\n",
 		"200 unsealed":   "HTTP/1.1 200 OK\r\n%s: %s\r\nX-Other%s: x\r\nContent-Length: 28\r\n\r\n",
 		"200 no events":  "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\n\r\n",
+		"000":            "HTTP/1.1 000 \r\n%s: %s\r\n%s: seal\r\nContent-Length: 28\r\n\r\n",
+		"blank in name":  "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nX Field: 1\r\nContent-Length: 28\r\n\r\n",
+		"length unread":  "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Length : 28\r\n\r\nid: 3\ndata: 3\n\n",
+		"control byte":   "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nX\x01Field: 1\r\n\r\nid: 3\ndata: 3\n\n",
 		"no head at all": "%[4]s%[5]s",
 		"nothing":        "",
 	} {
