Broken-off answers to callers of HTTP/1.0 end with a reset

What callers saw: over HTTP/1.0, a part of a stream, or of an answer too long to be buffered, as the whole, where the server had broken it off and the entry instance aborted it.

Cause: HTTP/1.0 has no chunks, so that an answer without a length ends with its connection. net/http ends that in order when a handler aborts, and when the server is closed.

Change: while such a caller is served, the end of the connection is a reset (SO_LINGER 0); the end of the handler makes it one in order again. An aborted answer resets the connection at once, as TLS would announce an end in order first. Over TLS, closing the server still does.

TestAbortedAnswerToAnOldCallerIsResetOverTLS fails without the line that closes the connection. TestWholeAnswerToAnOldCallerEndsInOrder guards whole answers.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -49,7 +49,13 @@
 			<-r.Context().Done()
 		}
 	})
-	guard := gate.Guard(connections)
+	_, address := startHandler(t, gate.Guard(connections), handler)
+	return address, results
+}
+
+// startHandler starts a guarded server and returns it with its address.
+func startHandler(t *testing.T, guard *Guard, handler http.HandlerFunc) (*http.Server, string) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -58,7 +64,7 @@
 	guard.Configure(server)
 	go func() { _ = server.Serve(guard.Listener(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return listener.Addr().String(), results
+	return server, listener.Addr().String()
 }
 
 // send opens a connection and writes text to it.
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -175,10 +175,30 @@
 			// For handlers that leave the body unread: net/http reads it before it responds.
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.gate.idle()))
 		}
+		if c := connOf(r); c != nil && !r.ProtoAtLeast(1, 1) {
+			defer c.resetUnlessComplete()()
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// resetUnlessComplete makes the end of the connection a reset until the returned function is called; if that happens in a panic, the
+// connection is reset at once. HTTP/1.0 has no chunks, so that its callers take an end in order for the end of the answer.
+func (c *conn) resetUnlessComplete() func() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return func() {}
+	}
+	_ = tcp.SetLinger(0)
+	return func() {
+		if aborted := recover(); aborted != nil {
+			_ = c.Close() // else TLS announces an end in order
+			panic(aborted)
+		}
+		_ = tcp.SetLinger(-1)
+	}
+}
+
 // unwrap returns the guarded connection below a TLS connection, nil if there is none.
 func unwrap(c net.Conn) *conn {
 	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
