Tests: one way to start servers that write their own bytes

The connection of responsehead.Transport says expectEnd for what it is told, as CheckEnd is the check itself.

--- a/internal/agent/early_answers_test.go
+++ b/internal/agent/early_answers_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/internal/protocol"
+	"github.com/banyanfront/banyanfront/internal/tcptest"
 )
 
 // longBodyBytes is more than the socket buffers of both ends hold.
@@ -24,33 +25,19 @@
 func agentBeforeEarlyServer(t *testing.T, answer string, end func(c *net.TCPConn, r *bufio.Reader)) *Agent {
 	t.Helper()
 	log.SetHandler(discard.Default)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
+	address := tcptest.Start(t, func(c *net.TCPConn) {
+		r := bufio.NewReader(c)
+		for line := "x"; line != "\r\n"; {
+			var err error
+			if line, err = r.ReadString('\n'); err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				for line := "x"; line != "\r\n"; {
-					var err error
-					if line, err = r.ReadString('\n'); err != nil {
-						return
-					}
-				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+answer)
-				end(c.(*net.TCPConn), r)
-			}()
 		}
-	}()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+answer)
+		end(c, r)
+	})
 	a, err := New(Config{Announcement: fleet.Announcement{Server: "engine", Incarnation: 7, Capacity: 32},
-		BackendURL: "http://" + listener.Addr().String(), ReportInterval: 2 * time.Second, FirstTokenBound: time.Second})
+		BackendURL: "http://" + address, ReportInterval: 2 * time.Second, FirstTokenBound: time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/early_answers_test.go
+++ b/internal/edge/early_answers_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/banyanfront/banyanfront/internal/tcptest"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
@@ -29,28 +30,14 @@
 		var err error
 		return errors.Join(raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) }), err)
 	}}
-	listener, err := smallBuffer.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &rawServer{address: listener.Addr().String(), runs: map[string]int{}}
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				if request, err := http.ReadRequest(r); err == nil {
-					s.run(request.Header.Get(platform.HeaderRequestID))
-					answer(c.(*net.TCPConn), r, request)
-				}
-			}()
+	s := &rawServer{runs: map[string]int{}}
+	s.address = tcptest.StartWith(t, &smallBuffer, func(c *net.TCPConn) {
+		r := bufio.NewReader(c)
+		if request, err := http.ReadRequest(r); err == nil {
+			s.run(request.Header.Get(platform.HeaderRequestID))
+			answer(c, r, request)
 		}
-	}()
+	})
 	return s
 }
 
--- a/internal/edge/faulty_answers_test.go
+++ b/internal/edge/faulty_answers_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/banyanfront/banyanfront/decide/dispatch"
 	"github.com/banyanfront/banyanfront/decide/registry"
+	"github.com/banyanfront/banyanfront/internal/tcptest"
 	"github.com/banyanfront/banyanfront/platform"
 )
 
@@ -40,33 +41,19 @@
 // startRawServer starts a server. answer writes the answer to the n-th request of a connection, from 0, and returns false to close
 // the connection.
 func startRawServer(t *testing.T, answer func(s *rawServer, c net.Conn, n int, id string, r *http.Request) bool) *rawServer {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &rawServer{address: listener.Addr().String(), runs: map[string]int{}}
-	go func() {
-		for {
-			c, err := listener.Accept()
+	s := &rawServer{runs: map[string]int{}}
+	s.address = tcptest.Start(t, func(c *net.TCPConn) {
+		r := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			request, err := http.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				for n := 0; ; n++ {
-					request, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if _, err := io.Copy(io.Discard, request.Body); err != nil || !answer(s, c, n, request.Header.Get(platform.HeaderRequestID), request) {
-						return
-					}
-				}
-			}()
+			if _, err := io.Copy(io.Discard, request.Body); err != nil || !answer(s, c, n, request.Header.Get(platform.HeaderRequestID), request) {
+				return
+			}
 		}
-	}()
+	})
 	return s
 }
 
--- a/internal/responsehead/trailer.go
+++ b/internal/responsehead/trailer.go
@@ -6,8 +6,8 @@
 	"slices"
 )
 
-// CheckTrailer makes the body of a response in chunks fail at its end with an Error if the trailer has an invalid field name. refused, which
-// may be nil, is called then.
+// CheckTrailer makes the body of a response in chunks fail at its end with an Error if the trailer has an invalid field name. refused is
+// called then unless it is nil.
 func CheckTrailer(response *http.Response, refused func()) {
 	if slices.Contains(response.TransferEncoding, "chunked") {
 		response.Body = &trailerBody{ReadCloser: response.Body, response: response, refused: refused}
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -54,7 +54,8 @@
 				upload.Store(c.beginRequest(!encrypted))
 			}
 		},
-		// Called from the goroutine that writes. http.Transport closes the connection after an error.
+		// Called from the goroutine that writes. After an error http.Transport closes the connection; else it only flushes a request that
+		// fits in its buffer.
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			if u := upload.Load(); u != nil && info.Err == nil {
 				u.Finish(nil)
@@ -80,7 +81,7 @@
 		return nil, err
 	}
 	if framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0; !framed && connection != nil {
-		connection.checkEnd()
+		connection.expectEnd()
 	}
 	CheckTrailer(response, t.base.CloseIdleConnections) // its connection is among them by the end of the body
 	return response, nil
@@ -111,8 +112,8 @@
 	return c.upload
 }
 
-// checkEnd makes Read check the end of the connection. net/http does not read it before RoundTrip returns.
-func (c *scannedConn) checkEnd() {
+// expectEnd makes Read check the end of the connection. net/http does not read it before RoundTrip returns.
+func (c *scannedConn) expectEnd() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endsMessage = true
--- a/internal/responsehead/transport_test.go
+++ b/internal/responsehead/transport_test.go
@@ -18,32 +18,18 @@
 	"github.com/matryer/is"
 
 	"github.com/banyanfront/banyanfront/internal/responseend"
+	"github.com/banyanfront/banyanfront/internal/tcptest"
 )
 
 // startServer starts a server that passes each connection to serve once it has read a request from it, and returns its URL.
 func startServer(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				if _, err := http.ReadRequest(r); err == nil {
-					serve(c, r)
-				}
-			}()
+	return "http://" + tcptest.Start(t, func(c *net.TCPConn) {
+		r := bufio.NewReader(c)
+		if _, err := http.ReadRequest(r); err == nil {
+			serve(c, r)
 		}
-	}()
-	return "http://" + listener.Addr().String()
+	})
 }
 
 // newClient returns a client of a Transport that is closed with the test.
