Ends of responses: one piece of code for what both clients ask

responseend.Framed replaces the same condition in the entry instance's client and in responsehead.Transport, and CheckEnd returns io.EOF where the response is complete, so that both put its result in place of the error. The Transport keeps the connection of a request only, not its upload beside it; the check of trailers has one state less; the guard looks its connection up once. golang.org/x/sys names TCP_USER_TIMEOUT and the state of a closed connection, so that our own constants go. No change of behaviour.

--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -243,7 +243,7 @@
 			if response.Length = httpResponse.ContentLength; request.Method == http.MethodHead {
 				response.Length = -1 // it is the length of another response's body
 			}
-			response.Framed = httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0
+			response.Framed = responseend.Framed(httpResponse)
 			if !response.Framed && httpResponse.Body != http.NoBody {
 				response.Body = &unframedBody{r: httpResponse.Body, conn: connection.Conn, upload: upload}
 			}
@@ -273,9 +273,7 @@
 func (b *unframedBody) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
 	if err == io.EOF {
-		if broken := b.upload.CheckEnd(b.conn); broken != nil {
-			err = broken
-		}
+		err = b.upload.CheckEnd(b.conn)
 	}
 	return n, err
 }
--- a/internal/backendhttp/socket.go
+++ b/internal/backendhttp/socket.go
@@ -5,16 +5,15 @@
 	"net"
 	"syscall"
 	"time"
-)
 
-// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall does not define.
-const tcpUserTimeout = 18
+	"golang.org/x/sys/unix"
+)
 
 // setUserTimeout limits how long sent data may stay unacknowledged. It is a net.Dialer.Control function.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var setErr error
 	err := raw.Control(func(fd uintptr) {
-		setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout/time.Millisecond))
+		setErr = syscall.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout/time.Millisecond))
 	})
 	return errors.Join(err, setErr)
 }
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -170,14 +170,14 @@
 				panic(http.ErrAbortHandler) // closed for another connection
 			}
 			defer c.endHead()
+			if !r.ProtoAtLeast(1, 1) {
+				defer c.resetUnlessComplete()()
+			}
 		}
 		if r.ContentLength != 0 {
 			// For handlers that leave the body unread: net/http reads it before it responds.
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.gate.idle()))
 		}
-		if c := connOf(r); c != nil && !r.ProtoAtLeast(1, 1) {
-			defer c.resetUnlessComplete()()
-		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/responseend/responseend.go
+++ b/internal/responseend/responseend.go
@@ -8,7 +8,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -57,8 +59,13 @@
 	}
 }
 
-// CheckEnd is called when a read of the connection has returned io.EOF within a response without a length. It waits until the server has
-// received the whole request, and returns an ErrBrokenOff if that does not happen. Closing the connection ends the wait.
+// Framed reports whether a response tells the end of its body by a length or chunks. The body of any other ends with its connection.
+func Framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// CheckEnd is called when a read of the connection has returned io.EOF within a response that is not framed. It waits until the server has
+// received the whole request, and returns io.EOF, or an ErrBrokenOff if that does not happen. Closing the connection ends the wait.
 func (u *Upload) CheckEnd(c net.Conn) error {
 	<-u.written
 	if u.err != nil {
@@ -67,7 +74,7 @@
 	if err := awaitReceipt(c); err != nil {
 		return brokenOff("socket", err)
 	}
-	return nil
+	return io.EOF
 }
 
 // Intervals of the questions whether the peer has acknowledged all data; the kernel sends no notice of it.
@@ -76,9 +83,6 @@
 	maxReceiptInterval   = 16 * time.Millisecond
 )
 
-// tcpClose is the state TCP_CLOSE of Linux: the connection was reset, or the kernel has given it up.
-const tcpClose = 7
-
 // awaitReceipt waits until the peer has acknowledged all data that was written to c. It returns nil without a wait if c is no TCP
 // connection.
 func awaitReceipt(c net.Conn) error {
@@ -99,7 +103,7 @@
 			return err
 		case infoErr != nil:
 			return nil
-		case info.State == tcpClose:
+		case info.State == unix.BPF_TCP_CLOSE: // reset, or given up by the kernel
 			return syscall.ECONNRESET
 		case info.Unacked == 0 && info.Notsent_bytes == 0:
 			return nil
--- a/internal/responsehead/trailer.go
+++ b/internal/responsehead/trailer.go
@@ -19,7 +19,6 @@
 	io.ReadCloser
 	response *http.Response
 	refused  func()
-	ended    bool
 	invalid  error
 }
 
@@ -29,8 +28,7 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if !b.ended {
-		b.ended = true
+	if b.invalid == nil {
 		b.invalid = CheckNames(b.response.Trailer) // net/http has read the trailer by now
 		if b.invalid != nil && b.refused != nil {
 			b.refused()
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -40,8 +40,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	interims := 0
-	var connection *scannedConn // http.Transport may change it before it returns the response
-	var upload atomic.Pointer[responseend.Upload]
+	var connection atomic.Pointer[scannedConn] // http.Transport may change it before it returns the response
 	trace := &httptrace.ClientTrace{
 		// Called before the request is written, so that no byte of its response has been read.
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -50,15 +49,15 @@
 				raw, encrypted = c.NetConn(), true
 			}
 			if c, ok := raw.(*scannedConn); ok {
-				connection = c
-				upload.Store(c.beginRequest(!encrypted))
+				c.beginRequest(!encrypted)
+				connection.Store(c)
 			}
 		},
 		// Called from the goroutine that writes. After an error http.Transport closes the connection; else it only flushes a request that
 		// fits in its buffer.
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if u := upload.Load(); u != nil && info.Err == nil {
-				u.Finish(nil)
+			if c := connection.Load(); c != nil && info.Err == nil {
+				c.finishUpload(nil)
 			}
 		},
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
@@ -80,8 +79,8 @@
 		t.base.CloseIdleConnections() // the connection is among them if the response had no body
 		return nil, err
 	}
-	if framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0; !framed && connection != nil {
-		connection.expectEnd()
+	if c := connection.Load(); c != nil && !responseend.Framed(response) {
+		c.expectEnd()
 	}
 	CheckTrailer(response, t.base.CloseIdleConnections) // its connection is among them by the end of the body
 	return response, nil
@@ -101,15 +100,14 @@
 	endsMessage bool                // the end of the connection is that of the response
 }
 
-// beginRequest returns the upload of a new request. If expectHead is set, the next bytes are those of a head.
-func (c *scannedConn) beginRequest(expectHead bool) *responseend.Upload {
+// beginRequest begins the upload of a new request. If expectHead is set, the next bytes are those of a head.
+func (c *scannedConn) beginRequest(expectHead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if expectHead {
 		c.scanner.Begin()
 	}
 	c.upload, c.endsMessage = responseend.NewUpload(), false
-	return c.upload
 }
 
 // expectEnd makes Read check the end of the connection. net/http does not read it before RoundTrip returns.
@@ -127,9 +125,7 @@
 	}
 	if err == io.EOF {
 		if upload := c.uploadToCheck(); upload != nil {
-			if broken := upload.CheckEnd(c.Conn); broken != nil {
-				err = broken
-			}
+			err = upload.CheckEnd(c.Conn)
 		}
 	}
 	return n, err
@@ -172,7 +168,7 @@
 	return c.Conn.Close()
 }
 
-// finishUpload ends the upload of the latest request with an error, unless it has ended.
+// finishUpload ends the upload of the latest request, unless it has ended. err is nil if the request was written to its end.
 func (c *scannedConn) finishUpload(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
