Tests: one set of stand-ins for servers that break off during an upload

The ways in which they end, and the connection whose reset only a write reports, stood in up to five test files; they are in package tcptest now. Heads of requests are read by http.ReadRequest instead of by hand, three agent tests share the making of their agent, and a handler finds its server in the context of the request.

--- a/internal/agent/broken_heads_test.go
+++ b/internal/agent/broken_heads_test.go
@@ -31,31 +31,36 @@
 	return s.attemptStream.Send(ctx, m)
 }
 
-// agentBefore returns an agent beside a server that sends the same bytes in answer to each request.
-func agentBefore(t *testing.T, answer string) *Agent {
+// newAgent returns an agent beside the server at a URL, to which dial connects; nil is the network.
+func newAgent(t *testing.T, url string, dial func(context.Context, string, string) (net.Conn, error)) *Agent {
 	t.Helper()
 	log.SetHandler(discard.Default)
-	a, err := New(Config{Announcement: fleet.Announcement{Server: "engine", Incarnation: 7, Capacity: 32}, BackendURL: "http://engine",
-		ReportInterval: 2 * time.Second, FirstTokenBound: time.Second,
-		Dial: func(context.Context, string, string) (net.Conn, error) {
-			near, far := net.Pipe()
-			go func() {
-				defer func() { _ = far.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(far))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(far, answer)
-			}()
-			return near, nil
-		}})
+	a, err := New(Config{Announcement: fleet.Announcement{Server: "engine", Incarnation: 7, Capacity: 32}, BackendURL: url,
+		ReportInterval: 2 * time.Second, FirstTokenBound: time.Second, Dial: dial})
 	if err != nil {
 		t.Fatal(err)
 	}
 	return a
 }
 
+// agentBefore returns an agent beside a server that sends the same bytes in answer to each request.
+func agentBefore(t *testing.T, answer string) *Agent {
+	t.Helper()
+	return newAgent(t, "http://engine", func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer func() { _ = far.Close() }()
+			request, err := http.ReadRequest(bufio.NewReader(far))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(far, answer)
+		}()
+		return near, nil
+	})
+}
+
 // answerIsRefused checks that each reader of the agent takes the answer of its server for a failure.
 func answerIsRefused(t *testing.T, answer string) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/agent/early_answers_test.go
+++ b/internal/agent/early_answers_test.go
@@ -5,14 +5,11 @@
 	"bytes"
 	"io"
 	"net"
+	"net/http"
 	"testing"
-	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
-	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/tcptest"
 )
@@ -24,23 +21,15 @@
 // connection to end.
 func agentBeforeEarlyServer(t *testing.T, answer string, end func(c *net.TCPConn, r *bufio.Reader)) *Agent {
 	t.Helper()
-	log.SetHandler(discard.Default)
 	address := tcptest.Start(t, func(c *net.TCPConn) {
 		r := bufio.NewReader(c)
-		for line := "x"; line != "\r\n"; {
-			var err error
-			if line, err = r.ReadString('\n'); err != nil {
-				return
-			}
+		if _, err := http.ReadRequest(r); err != nil {
+			return
 		}
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+answer)
 		end(c, r)
 	})
-	a, err := New(Config{Announcement: fleet.Announcement{Server: "engine", Incarnation: 7, Capacity: 32},
-		BackendURL: "http://" + address, ReportInterval: 2 * time.Second, FirstTokenBound: time.Second})
-	if err != nil {
-		t.Fatal(err)
-	}
+	a := newAgent(t, "http://"+address, nil)
 	t.Cleanup(a.backend.close)
 	return a
 }
@@ -54,16 +43,7 @@
 // Guards against a part of an answer without a length that counts as the whole: its server reset the connection while the long body of the
 // request was still being sent, and the write of the body took the error that the read should have had.
 func TestAnswerThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
-	for name, end := range map[string]func(c *net.TCPConn, r *bufio.Reader){
-		"reset at once":      func(c *net.TCPConn, _ *bufio.Reader) { _ = c.SetLinger(0) },
-		"closed unread":      func(*net.TCPConn, *bufio.Reader) {},
-		"reset after a part": func(c *net.TCPConn, r *bufio.Reader) { _, _ = r.Discard(1 << 20); _ = c.SetLinger(0) },
-		"reset after its end": func(c *net.TCPConn, _ *bufio.Reader) {
-			_ = c.CloseWrite()
-			time.Sleep(5 * time.Millisecond) // the agent finds the end before the reset
-			_ = c.SetLinger(0)
-		},
-	} {
+	for name, end := range tcptest.EndsDuringUpload {
 		for key, outcome := range map[string]protocol.Outcome{"": protocol.OutcomeFailed, "order-1": protocol.OutcomeUnknown} {
 			t.Run(name+"/"+key, func(t *testing.T) {
 				is := is.New(t)
--- a/internal/agent/named_limit_test.go
+++ b/internal/agent/named_limit_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/banyanfront/banyanfront/decide/fleet"
 	"github.com/banyanfront/banyanfront/internal/protocol"
 	"github.com/banyanfront/banyanfront/internal/transport"
 )
@@ -73,14 +72,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		server := &limitedServer{}
-		a, err := New(Config{Announcement: fleet.Announcement{Server: "engine", Incarnation: 7, Capacity: 32}, BackendURL: "http://engine",
-			ReportInterval: 2 * time.Second, FirstTokenBound: time.Second,
-			Dial: func(context.Context, string, string) (net.Conn, error) {
-				near, far := net.Pipe()
-				go server.serve(far)
-				return near, nil
-			}})
-		is.NoErr(err)
+		a := newAgent(t, "http://engine", func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go server.serve(far)
+			return near, nil
+		})
 		press := func(d time.Duration) (notRun int) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 				st := &attemptStream{}
--- a/internal/backendhttp/unframed_test.go
+++ b/internal/backendhttp/unframed_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -15,32 +15,9 @@
 	"github.com/matryer/is"
 
 	"github.com/banyanfront/banyanfront/internal/responseend"
+	"github.com/banyanfront/banyanfront/internal/tcptest"
 )
 
-// resetConn is a connection whose reset is reported to the write of a long body only, and only after a read has found the end.
-type resetConn struct {
-	byteConn
-	ended    chan struct{} // closed with the first read that finds the end
-	headSent bool
-}
-
-func (c *resetConn) Read(p []byte) (int, error) {
-	n, err := c.byteConn.Read(p)
-	if err == io.EOF {
-		close(c.ended)
-	}
-	return n, err
-}
-
-func (c *resetConn) Write(p []byte) (int, error) {
-	if !c.headSent {
-		c.headSent = true
-		return len(p), nil
-	}
-	<-c.ended
-	return 0, syscall.ECONNRESET
-}
-
 // longRequest returns a request whose body is written while the response is read.
 func longRequest(id string, length int) *Request {
 	r := request(id)
@@ -52,7 +29,7 @@
 // body, and the read found the end of the connection.
 func TestResetThatOnlyAWriteReportsBreaksTheResponse(t *testing.T) {
 	is := is.New(t)
-	c := &resetConn{byteConn: byteConn{Reader: bytes.NewReader([]byte("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\na part"))}, ended: make(chan struct{})}
+	c := tcptest.NewResetConn("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\na part")
 	response, failure := NewClient(requestIDHeader).exchange(newConn(c, "k"), longRequest("1", 1<<20))
 	is.Equal(failure, nil)
 	body, err := io.ReadAll(response.Body)
@@ -66,11 +43,8 @@
 func sendToEarlyServer(t *testing.T, ctx context.Context, length int, rest func(c *net.TCPConn, r *bufio.Reader)) (string, error) {
 	t.Helper()
 	address := startServer(t, func(c net.Conn, r *bufio.Reader) {
-		for line := "x"; line != "\r\n"; {
-			var err error
-			if line, err = r.ReadString('\n'); err != nil {
-				return
-			}
+		if _, err := http.ReadRequest(r); err != nil {
+			return
 		}
 		tcp := c.(*net.TCPConn)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nanswer")
--- a/internal/edge/early_answers_test.go
+++ b/internal/edge/early_answers_test.go
@@ -42,8 +42,8 @@
 }
 
 // writeUnframed writes the head of a sealed answer without a length, and a part of its body.
-func writeUnframed(w io.Writer, request *http.Request, status int, body string) {
-	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d Status\r\n%s: %s\r\n%s: seal\r\n\r\n%s", status, platform.HeaderRequestID,
+func writeUnframed(w io.Writer, request *http.Request, body string) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\n\r\n%s", platform.HeaderRequestID,
 		request.Header.Get(platform.HeaderRequestID), platform.HeaderSeal, body)
 }
 
@@ -51,21 +51,12 @@
 // long body of the request was still being sent, and the write of the body took the error that the read should have had.
 func TestAnswerThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
 	long := make([]byte, longBodyBytes)
-	for name, end := range map[string]func(c *net.TCPConn, r *bufio.Reader){
-		"reset at once":      func(c *net.TCPConn, _ *bufio.Reader) { _ = c.SetLinger(0) },
-		"closed unread":      func(*net.TCPConn, *bufio.Reader) {},
-		"reset after a part": func(c *net.TCPConn, r *bufio.Reader) { _, _ = r.Discard(1 << 20); _ = c.SetLinger(0) },
-		"reset after its end": func(c *net.TCPConn, _ *bufio.Reader) {
-			_ = c.CloseWrite()
-			time.Sleep(5 * time.Millisecond) // the proxy finds the end before the reset
-			_ = c.SetLinger(0)
-		},
-	} {
+	for name, end := range tcptest.EndsDuringUpload {
 		for route, part := range map[string]string{"once": "a part", "safe": "a part", "stream": eventsText(1, 2), "broken": eventsText(1, 2)} {
 			t.Run(name+"/"+route, func(t *testing.T) {
 				is := is.New(t)
 				s := startEarlyServer(t, func(c *net.TCPConn, r *bufio.Reader, request *http.Request) {
-					writeUnframed(c, request, http.StatusOK, part)
+					writeUnframed(c, request, part)
 					end(c, r)
 				})
 				for range 5 {
--- a/internal/intake/aborted_test.go
+++ b/internal/intake/aborted_test.go
@@ -14,22 +14,21 @@
 // Guards against a part of an answer that a caller of HTTP/1.0 takes for the whole: that version has no chunks, so that the end of the
 // connection is the end of an answer without a length, unless the connection is reset.
 func TestAbortedAnswerToAnOldCallerIsReset(t *testing.T) {
-	for name, abort := range map[string]func(server *http.Server, r *http.Request){
-		"aborted":      func(*http.Server, *http.Request) { panic(http.ErrAbortHandler) },
-		"server ended": func(server *http.Server, r *http.Request) { _ = server.Close(); <-r.Context().Done() },
+	for name, abort := range map[string]func(r *http.Request){
+		"aborted": func(*http.Request) { panic(http.ErrAbortHandler) },
+		"server ended": func(r *http.Request) {
+			_ = r.Context().Value(http.ServerContextKey).(*http.Server).Close()
+			<-r.Context().Done()
+		},
 	} {
 		for _, part := range []string{"", "a part"} {
 			t.Run(name+"/"+part, func(t *testing.T) {
 				is := is.New(t)
-				var server *http.Server
-				started := make(chan struct{})
-				server, address := startHandler(t, NewGate(64<<20, 1024).Guard(4), func(w http.ResponseWriter, r *http.Request) {
-					<-started
+				address := startHandler(t, NewGate(64<<20, 1024).Guard(4), func(w http.ResponseWriter, r *http.Request) {
 					_, _ = io.WriteString(w, part)
 					_ = http.NewResponseController(w).Flush()
-					abort(server, r)
+					abort(r)
 				})
-				close(started)
 				_, err := io.ReadAll(send(t, address, "GET / HTTP/1.0\r\nHost: h\r\n\r\n"))
 				is.True(err != nil)
 			})
@@ -41,7 +40,7 @@
 func TestWholeAnswerToAnOldCallerEndsInOrder(t *testing.T) {
 	is := is.New(t)
 	long := make([]byte, 1<<20)
-	_, address := startHandler(t, NewGate(64<<20, 1024).Guard(4), func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(long) })
+	address := startHandler(t, NewGate(64<<20, 1024).Guard(4), func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(long) })
 	c := send(t, address, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
 	time.Sleep(20 * time.Millisecond) // the handler ends while the socket buffers hold a part
 	answer, err := io.ReadAll(c)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -49,12 +49,11 @@
 			<-r.Context().Done()
 		}
 	})
-	_, address := startHandler(t, gate.Guard(connections), handler)
-	return address, results
+	return startHandler(t, gate.Guard(connections), handler), results
 }
 
-// startHandler starts a guarded server and returns it with its address.
-func startHandler(t *testing.T, guard *Guard, handler http.HandlerFunc) (*http.Server, string) {
+// startHandler starts a guarded server and returns its address.
+func startHandler(t *testing.T, guard *Guard, handler http.HandlerFunc) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -64,7 +63,7 @@
 	guard.Configure(server)
 	go func() { _ = server.Serve(guard.Listener(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return server, listener.Addr().String()
+	return listener.Addr().String()
 }
 
 // send opens a connection and writes text to it.
--- a/internal/responsehead/transport_test.go
+++ b/internal/responsehead/transport_test.go
@@ -13,7 +13,6 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -116,59 +115,12 @@
 	}
 }
 
-// resetConn is a connection that is reset while a long request is written. The error is reported to the write only, and only after a read
-// has found the end.
-type resetConn struct {
-	net.Conn  // nil
-	response  io.Reader
-	requested chan struct{} // closed with the first write
-	ended     chan struct{} // closed with the first read that finds the end
-	closed    chan struct{}
-}
-
-func newResetConn(response string) *resetConn {
-	return &resetConn{response: strings.NewReader(response), requested: make(chan struct{}), ended: make(chan struct{}), closed: make(chan struct{})}
-}
-
-func (c *resetConn) Read(p []byte) (int, error) {
-	select {
-	case <-c.requested:
-	case <-c.closed:
-		return 0, net.ErrClosed
-	}
-	n, err := c.response.Read(p)
-	if err == io.EOF {
-		close(c.ended)
-	}
-	return n, err
-}
-
-func (c *resetConn) Write(p []byte) (int, error) {
-	select {
-	case <-c.requested:
-	default:
-		close(c.requested)
-		return len(p), nil
-	}
-	select {
-	case <-c.ended:
-		return 0, syscall.ECONNRESET
-	case <-c.closed:
-		return 0, net.ErrClosed
-	}
-}
-
-func (c *resetConn) Close() error {
-	close(c.closed)
-	return nil
-}
-
 // Guards against a response without a length that counts as complete although its connection was reset: the error went to the write of the
 // request, and the read found the end of the connection.
 func TestResetThatOnlyAWriteReportsBreaksTheResponse(t *testing.T) {
 	is := is.New(t)
 	client := &http.Client{Transport: NewTransport(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
-		return newResetConn("HTTP/1.1 200 OK\r\n\r\na part"), nil
+		return tcptest.NewResetConn("HTTP/1.1 200 OK\r\n\r\na part"), nil
 	}})}
 	response, err := client.Post("http://server/", "text/plain", strings.NewReader(strings.Repeat("b", 1<<20)))
 	is.NoErr(err)
@@ -191,10 +143,8 @@
 		}
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\na part")
 		tcp := c.(*tls.Conn).NetConn().(*net.TCPConn)
-		_ = tcp.CloseWrite()
 		<-taken
-		time.Sleep(5 * time.Millisecond) // the client finds the end before the reset
-		_ = tcp.SetLinger(0)
+		tcptest.EndThenReset(tcp)
 		_ = tcp.Close()
 	}))
 	defer server.Close()
