A control instance that stops hands its vote to a learner first

Cause: the stopped instance stayed a voter, and its successor a learner, until it had been silent for 2.5 s.

Change: a stopping voter asks the leader for a replacement and waits, 3 s at most, until a learner that has caught up votes in its place; it becomes a learner itself, so that a restart in its place costs no copy. Without such a learner it stops at once, as before. If the time is not enough, acknowledgements wait while the successor runs and doesn't vote. A voter that knows of its demotion stands for election until that is committed: it may hold the newest log, and refused all others (found by the exploration, in a series of departures with a loss of power; without the change of canCampaign two kinds of it fail).

Evidence: TestStoppedVoterIsReplacedBeforeItEnds fails without the hand-over ("b does not vote after 8s"). TestVotersRestartOneAfterTheOther: five restarts with and without a spare.

--- a/decide/consensus/durability_test.go
+++ b/decide/consensus/durability_test.go
@@ -301,6 +301,9 @@
 		}
 		return g.tolerate // the successor has taken its place
 	}},
+	{"a voter leaves", func(g *testGroup, replaced, _ ID) {
+		retire(g, replaced)
+	}, departIfReplaced, func(g *testGroup, _ ID) int { return g.tolerate }},
 }
 
 // growing promotes learners until there are enough voters to bear the tolerated losses, as after the founding of a group.
@@ -316,29 +319,50 @@
 
 func nothing(*testGroup, ID) {}
 
+// retire lets a voter ask for its replacement; departIfReplaced ends it.
+func retire(g *testGroup, id ID) {
+	if m := g.members[id]; m.node.role == Leader {
+		m.node.TransferLeadership(g.now, 0)
+		g.runUntil(100, func() bool { return m.node.role != Leader && g.leader() != nil })
+		g.acknowledges()
+	}
+	g.propose(&Change{Retire: id})
+}
+
+// departIfReplaced ends a member for good once it sees that it no longer votes.
+func departIfReplaced(g *testGroup, id ID) {
+	if m := g.members[id]; m != nil && m.node != nil {
+		if s := m.node.Status(); !s.Members.IsVoter(id) && s.Commit == s.Last {
+			delete(g.members, id)
+		}
+	}
+}
+
 // Explores the orders of a member change, losses and darkness on small groups: at the rounds of the change, each set of
 // disks that may be lost by then is lost, with and without a loss of power everywhere else, while one member or none is slow.
 // Guards against an acknowledgement that does not survive it, and against a group that never acknowledges again: with three
-// voters, the group had only two between the removal of one and the promotion of its successor.
+// voters, the group had only two between the removal of one and the promotion of its successor, or two of three ran after
+// one had left.
 func TestAcknowledgedChangesSurviveLossesDuringMemberChanges(t *testing.T) {
-	explore := func(voters, learners, tolerate int, change memberChange) {
-		name := fmt.Sprintf("%d voters, %d learners, %s", voters, learners, change.name)
+	explore := func(voters, learners, tolerate int, change memberChange, series bool) {
+		name := fmt.Sprintf("%d voters, %d learners, %s, series %v", voters, learners, change.name, series)
 		t.Run(name, func(t *testing.T) {
 			runs := 0
 			for slow := range ID(voters + learners + 1) {
 				for _, replaced := range []ID{1, 2} {
-					runs += exploreChange(t, voters, learners, tolerate, slow, replaced, change)
+					runs += exploreChange(t, voters, learners, tolerate, slow, replaced, change, series)
 				}
 			}
 			t.Log(runs, "runs")
 		})
 	}
 	for _, change := range memberChanges {
-		explore(3, 1, 1, change)
-		explore(3, 3, 1, change)
-		explore(5, 1, 2, change)
+		explore(3, 1, 1, change, false)
+		explore(3, 3, 1, change, false)
+		explore(3, 3, 1, change, true)
+		explore(5, 1, 2, change, false)
 	}
-	explore(3, 3, 2, growing)
+	explore(3, 3, 2, growing, false)
 }
 
 // exploredRounds returns the distance between the rounds of a change that are explored. EXPLORE_ALL=1 explores each.
@@ -355,7 +379,7 @@
 }
 
 // exploreChange runs one change with losses at each of its rounds, and returns the number of runs.
-func exploreChange(t *testing.T, voters, learners, tolerate int, slow, replaced ID, change memberChange) (runs int) {
+func exploreChange(t *testing.T, voters, learners, tolerate int, slow, replaced ID, change memberChange, series bool) (runs int) {
 	const window = 24 // rounds, in which each change has ended; with a slow member most of it
 	for moment := 0; moment < window; moment += exploredRounds(tolerate, slow) {
 		for victims := 0; ; victims++ {
@@ -363,10 +387,13 @@
 			for _, dark := range []bool{false, true} {
 				g := newTestGroup(voters, learners, tolerate, slow)
 				change.begin(g, replaced, ID(voters+1))
-				for range moment {
+				for round := range moment {
 					g.propose(nil)
 					g.round()
 					change.step(g, replaced)
+					if series && round == moment/2 && g.members[3] != nil {
+						g.propose(&Change{Retire: 3})
+					}
 				}
 				sets := subsets(g.ids(), change.losses(g, replaced))
 				if victims >= len(sets) {
--- a/decide/consensus/election.go
+++ b/decide/consensus/election.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 func (n *Node) resetElectionDeadline() {
 	jitter := time.Duration(n.cfg.Rand.Int64N(int64(n.cfg.ElectionTimeout)))
@@ -14,8 +17,13 @@
 	n.electionDeadline = n.now.Add(minimum + time.Duration(n.cfg.Rand.Int64N(int64(n.cfg.ElectionTimeout-minimum))))
 }
 
-// canCampaign reports whether the member is a voter in the current configuration and has no snapshot to install.
-func (n *Node) canCampaign() bool { return n.Members().IsVoter(n.cfg.ID) && n.pendingInstall == nil }
+// canCampaign reports whether the member is a voter and has no snapshot to install. A voter that knows of its demotion as
+// long as that is not committed counts as well: it may be the only one left that the others can elect, as its log is newer
+// than theirs. Its own vote counts by its newest configuration only, so it does not count then.
+func (n *Node) canCampaign() bool {
+	isVoter := func(m Members) bool { return m.IsVoter(n.cfg.ID) }
+	return n.pendingInstall == nil && slices.ContainsFunc(n.possibleConfigurations(), isVoter)
+}
 
 // hasCurrentLeader reports whether a message from the leader arrived within the minimum election timeout, or the member
 // itself is the leader. A leader that loses its majority steps down, so being leader is sufficient.
--- a/decide/consensus/members.go
+++ b/decide/consensus/members.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Change is a requested change of the configuration; exactly one field is set, apart from Replaces.
+// Change is a requested change of the configuration; exactly one field is set, apart from Replaces and Retiring.
 type Change struct {
 	Add        *Member `cbor:"1,keyasint,omitempty"` // added as a learner, whatever its Learner field
 	Promote    ID      `cbor:"2,keyasint,omitempty"`
@@ -14,6 +14,10 @@
 	SetAddress *Member `cbor:"4,keyasint,omitempty"` // changes the address of the member with this ID
 	// Replaces, with Promote, names a voter that the leader takes out just after it has promoted the learner.
 	Replaces ID `cbor:"5,keyasint,omitempty"`
+	// Retire makes a learner that has caught up replace a voter. The voter stays in the group as a learner.
+	Retire ID `cbor:"6,keyasint,omitempty"`
+	// demote makes a voter a learner.
+	demote ID
 }
 
 // maxLearnerLagEntries is how far a learner may be behind the commit index when it becomes a voter. It cannot be 0,
@@ -36,6 +40,14 @@
 			return m, fmt.Errorf("member %x is already in the group", add.ID)
 		}
 		next.List = append(next.List, add)
+	case c.Retire != 0:
+		member := next.Find(c.Retire)
+		if member == nil || member.Learner {
+			return m, fmt.Errorf("member %x is not a voter of the group", c.Retire)
+		}
+		member.Retiring = true
+		successor := next.Find(c.Promote)
+		successor.Promote, successor.Replaces = true, c.Retire
 	case c.Promote != 0:
 		member := next.Find(c.Promote)
 		if member == nil || !member.Learner {
@@ -45,7 +57,11 @@
 			member.Promote, member.Replaces = true, c.Replaces
 			break
 		}
-		member.Learner, member.Promote = false, false // Replaces is dropped with the member that it names
+		member.Learner, member.Promote, member.Retiring = false, false, false // Replaces is dropped with the member that it names
+	case c.demote != 0:
+		member := next.Find(c.demote)
+		member.Learner, member.Retiring = true, false
+		next.dropReplacement(c.demote)
 	case c.Remove != 0:
 		member := next.Find(c.Remove)
 		if member == nil {
@@ -86,6 +102,11 @@
 		return "the leader has not yet committed an entry of its term; try again", false
 	}
 	change := *e.Change
+	if change.Retire != 0 {
+		if change.Promote = n.successor(); change.Promote == 0 {
+			return "no learner has caught up to replace the voter; restart it in its place, or add a member first", true
+		}
+	}
 	next, err := n.Members().withChange(change)
 	if err != nil {
 		return err.Error(), true
@@ -102,7 +123,7 @@
 func (n *Node) checkVoters(next Members, change Change) (reason string, invalid bool) {
 	active := n.activeVoters(next)
 	switch {
-	case change.Promote != 0 && !n.caughtUp(change.Promote):
+	case change.Promote != 0 && change.Retire == 0 && !n.caughtUp(change.Promote):
 		return fmt.Sprintf("learner %x has not caught up; try again", change.Promote), false
 	case next.Voters() > n.Members().Voters() && active < next.majority():
 		return fmt.Sprintf("only %d of the %d voters would answer; try again", active, next.Voters()), false
@@ -118,6 +139,20 @@
 	return "", false
 }
 
+// successor returns the learner that replaces a retiring voter, 0 if none has caught up.
+func (n *Node) successor() ID {
+	var best *Member
+	for _, member := range n.Members().List {
+		if member.Learner && !member.Promote && n.caughtUp(member.ID) && (best == nil || n.matchIndex(member.ID) > n.matchIndex(best.ID)) {
+			best = &member
+		}
+	}
+	if best == nil {
+		return 0
+	}
+	return best.ID
+}
+
 // caughtUp reports whether a learner has nearly all committed entries and has replied recently.
 func (n *Node) caughtUp(id ID) bool {
 	p := n.peers[id]
@@ -152,6 +187,8 @@
 		return Change{Remove: replaced.ID}, true
 	case member.Learner:
 		return Change{Promote: member.ID}, member.Promote && n.caughtUp(member.ID)
+	case replaced != nil && replaced.Retiring:
+		return Change{demote: replaced.ID}, true
 	default:
 		return Change{Remove: member.Replaces}, replaced != nil
 	}
--- a/decide/consensus/types.go
+++ b/decide/consensus/types.go
@@ -23,8 +23,11 @@
 	Learner bool   `cbor:"3,keyasint,omitempty"` // receives the log and does not vote
 	// Promote asks the leader to make the learner a voter as soon as it has caught up.
 	Promote bool `cbor:"4,keyasint,omitempty"`
-	// Replaces names the member that the leader removes just after it has promoted this learner.
+	// Replaces names the member that the leader takes out just after it has promoted this learner: a voter that has asked
+	// for it becomes a learner, another one is removed.
 	Replaces ID `cbor:"5,keyasint,omitempty"`
+	// Retiring is set for a voter that has asked that a learner replace it.
+	Retiring bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Members is the configuration of the group. Values are shared and must not be changed.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -203,8 +203,12 @@
 	}
 }
 
-// Close hands leadership over and stops this instance's member of the agreement group.
-func (d *Directory) Close() { d.member.Close() }
+// Close hands over the vote and the leadership of this instance's member of the agreement group, and stops it. Sessions to
+// the other control instances must still be open.
+func (d *Directory) Close() {
+	d.member.HandOverVote()
+	d.member.Close()
+}
 
 // upkeep advances founding and joining, expires servers, and updates sessions, voters and the roster.
 func (d *Directory) upkeep(now time.Time) {
--- a/internal/directory/rejoin_test.go
+++ b/internal/directory/rejoin_test.go
@@ -149,7 +149,13 @@
 	}
 	n.cancel()
 	<-n.done
+	n.member.Close()
+}
+
+// stop ends an instance as planned.
+func (f *controlFleet) stop(n *controlNode) {
 	n.Close()
+	f.crash(n)
 }
 
 func (f *controlFleet) stopAll() {
@@ -337,6 +343,69 @@
 	}
 }
 
+// Guards against an acknowledged change that is lost with one disk after a planned replacement: a voter that stopped stayed one, and
+// its successor a learner, until it had been silent for 2.5 s.
+func TestStoppedVoterIsReplacedBeforeItEnds(t *testing.T) {
+	for _, leaves := range []string{"a", "b", "c"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newControlFleet(t, 3)
+			defer f.stopAll()
+			f.startFounders("a", "b", "c")
+			time.Sleep(5 * time.Second)
+			f.start("d", emptyDisk(4), false, "a", "b", "c")
+			time.Sleep(5 * time.Second)
+			is.NoErr(f.commit(1))
+			f.stop(f.nodes[leaves])
+			is.NoErr(f.commit(2))
+			lost := "a"
+			if leaves == "a" {
+				lost = "b"
+			}
+			f.crash(f.nodes[lost])
+			f.waitForVote(f.start(lost, emptyDisk(5), false, "b", "c", "d"), 2*rejoinLimit, lost+" with an empty disk")
+			is.NoErr(f.commit(3))
+			for _, n := range f.nodes {
+				state, err := n.ConfirmedState(context.Background())
+				is.NoErr(err)
+				is.Equal(state.Version, uint64(3))
+			}
+		})
+	}
+}
+
+// Guards against stops that wait for a successor that does not exist, and against a restart after which the group has one
+// voter less or the restarted instance no part in it.
+func TestVotersRestartOneAfterTheOther(t *testing.T) {
+	for _, spare := range []string{"", "d"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newControlFleet(t, 3)
+			defer f.stopAll()
+			running := []string{"a", "b", "c"}
+			f.startFounders(running...)
+			time.Sleep(5 * time.Second)
+			if spare != "" {
+				f.start(spare, emptyDisk(4), false, running...)
+				time.Sleep(5 * time.Second)
+			}
+			for i, address := range []string{"a", "b", "c", "a", "b"} {
+				n := f.nodes[address]
+				stopped := time.Now()
+				f.stop(n)
+				if spare == "" {
+					is.True(time.Since(stopped) < time.Second) // no successor, so the stop waits for none
+				}
+				is.NoErr(f.commit(uint64(i) + 1))
+				f.start(address, n.disk, false, running...)
+				time.Sleep(2 * time.Second)
+				counts := countVoters(n.member.Replica().Status().Members, nil, 3)
+				is.Equal(counts.Voters, 3)
+			}
+		})
+	}
+}
+
 // Guards against a first change that is acknowledged while fewer instances vote than the tolerated losses need, although more have
 // started: two disks of the three founders took it.
 func TestFirstChangeIsAcknowledgedOnceEnoughInstancesVote(t *testing.T) {
--- a/internal/groupmember/member.go
+++ b/internal/groupmember/member.go
@@ -21,8 +21,14 @@
 	"github.com/banyanfront/banyanfront/internal/transport"
 )
 
-// joinTimeout limits the wait until a membership change for a joiner is committed.
-const joinTimeout = 10 * time.Second
+const (
+	// joinTimeout limits the wait until a membership change for a joiner is committed.
+	joinTimeout = 10 * time.Second
+	// leaveTimeout limits how long a stop waits until a learner has taken over this member's vote.
+	leaveTimeout = 3 * time.Second
+	// leavePollInterval is the interval at which a stopping member looks whether it still is a voter.
+	leavePollInterval = 10 * time.Millisecond
+)
 
 // Sessions looks up sessions to control instances.
 type Sessions interface {
@@ -491,6 +497,55 @@
 // ID returns the member identifier of the data folder.
 func (m *Member) ID() consensus.ID { return consensus.ID(m.id.Load()) }
 
+// HandOverVote makes a learner that has caught up a voter in this member's place, if there is one: whether a stopped
+// process comes back is unknown, and without its successor's vote the group would bear one loss less. The member stays
+// in the group as a learner, so a restart in the same place costs nothing.
+func (m *Member) HandOverVote() {
+	r := m.replica.Load()
+	if r == nil {
+		return
+	}
+	self := m.ID()
+	status := r.Status()
+	if !status.Members.IsVoter(self) || !slices.ContainsFunc(status.Members.List, func(x consensus.Member) bool { return x.Learner }) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if status.Leader == self && r.TransferLeadership(ctx, 0) == nil {
+		m.waitFor(ctx, func(s replica.Status) bool { return s.Leader != 0 && s.Leader != self })
+	}
+	if err := r.ChangeMembers(ctx, consensus.Change{Retire: self}); err != nil {
+		log.WithError(err).Info("this member stops as a voter")
+		return
+	}
+	if m.waitFor(ctx, func(s replica.Status) bool { return !s.Members.IsVoter(self) && s.Commit == s.Last }) {
+		log.WithField("member", uint64(self)).Info("a learner has taken over the vote of this member, which stops")
+	} else {
+		log.WithField("member", uint64(self)).Warn("no learner took over the vote of this member in time; it stops as a voter")
+	}
+}
+
+// waitFor returns once the condition holds for this member's status, and false if the context ends before.
+func (m *Member) waitFor(ctx context.Context, condition func(replica.Status) bool) bool {
+	poll := time.NewTicker(leavePollInterval)
+	defer poll.Stop()
+	for {
+		r := m.replica.Load()
+		if r == nil {
+			return false
+		}
+		if condition(r.Status()) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-poll.C:
+		}
+	}
+}
+
 // Close hands leadership over and stops the replica. The member remains in the group.
 func (m *Member) Close() {
 	m.lifecycle <- struct{}{}
