A part of prompts that crashes servers is quarantined in a quiet hour, too

Cause: two ends counted as separate only with an answer of the service in between, and the way around that was closed below 40 requests in a window, and for a part that most requests have.

Change: three ends 1 s apart suffice for a part on which no answer is known, if the service has answered others in the last 10 min; the rate of requests does not enter. Such a quarantine begins with 1 min.

Evidence: TestPartIsQuarantinedInAQuietHour failed before (20 ends of 20, 3 are enough), TestAnswerLiftsAQuarantineOfAQuietHour as well. The tests on services that answer nothing hold unchanged.

--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -7,7 +7,10 @@
 // The ends that it explains then no longer count against other parts.
 //
 // Where no answer of the service begins between two ends, as nothing does while a lock-step group is closed, the second fact
-// says nothing. A part that few requests have is then quarantined by the first fact alone, after one end more.
+// says nothing. A part that few requests have is then quarantined by the first fact alone, after one end more. In a quiet hour the
+// next answer may be a minute away, and most requests may have the part at fault. So the same holds for a part on which no answer has
+// ever begun, provided that the service has answered other requests lately: one that is broken as a whole would put all parts into
+// quarantine. Such a quarantine is short at first, as it may hit a part that many sound requests have.
 //
 // A whole request that comes again is a part of its own, which RequestPart names by a digest. Other requests do not share it, so a
 // wrong guess costs less than with a part of prompts, and less evidence suffices: three ends count, however soon they follow one
@@ -47,6 +50,10 @@
 	maxQuarantine   = 2 * time.Hour
 	// firstRequestQuarantine is firstQuarantine for whole requests: few callers are affected by a trial, and by a wrong guess.
 	firstRequestQuarantine = time.Minute
+	// firstCommonQuarantine is firstQuarantine for parts that many requests have, found without answers between the ends.
+	firstCommonQuarantine = time.Minute
+	// answersFor is how long an answer shows that the service answers requests without a part.
+	answersFor = 10 * time.Minute
 	// forgetAfter is the time without a report after which a suspicion is dropped.
 	forgetAfter = 10 * time.Minute
 	// soundFor is how long an answer on a part vouches for it.
@@ -178,6 +185,13 @@
 	return float64(c.byPart[key.Part]+c.byPartBefore[key.Part]) <= maxRareRatio*float64(c.total+c.totalBefore)
 }
 
+// standsOut reports whether a part distinguishes requests with it although nothing was answered between the ends of engines: few
+// requests have it, or the service answers others and has never answered one with it.
+func (t *Tracker) standsOut(at time.Time, s *Suspicion) bool {
+	began := t.beganAt[s.Service]
+	return t.isRare(s.Key) || !s.AnsweredBefore && !began.IsZero() && at.Sub(began) <= answersFor
+}
+
 // RecordEnd records that an engine ended at a time with a request open whose answer had not begun. It returns those of the
 // request's parts for which this is news, and those that it puts into quarantine. openFor is the time since the request was sent to
 // the engine.
@@ -203,7 +217,7 @@
 			continue
 		}
 		if t.countEnd(at, at.Add(-openFor), s) {
-			s.quarantine(at)
+			t.quarantine(at, s)
 			together = append(together, part)
 		}
 	}
@@ -235,7 +249,7 @@
 		s.recurred = s.recurred || s.UnansweredEnds > 0 && at.Sub(s.LastUnansweredAt) >= minEndsApart
 		s.UnansweredEnds++
 		s.LastUnansweredAt = at
-		enough = enough || s.UnansweredEnds >= needed && (isRequest(s.Part) || t.isRare(s.Key))
+		enough = enough || s.UnansweredEnds >= needed && (isRequest(s.Part) || t.standsOut(at, s))
 	}
 	if isRequest(s.Part) && s.recurred && len(s.Engines) >= needed { // copies of it were open at ends that count as one
 		s.UnansweredEnds = max(s.UnansweredEnds, needed)
@@ -254,10 +268,13 @@
 }
 
 // quarantine begins the next quarantine of the part.
-func (s *Suspicion) quarantine(at time.Time) {
+func (t *Tracker) quarantine(at time.Time, s *Suspicion) {
 	first := firstQuarantine
-	if isRequest(s.Part) {
+	switch {
+	case isRequest(s.Part):
 		first = firstRequestQuarantine
+	case s.Ends < s.endsNeeded() && !t.isRare(s.Key):
+		first = firstCommonQuarantine
 	}
 	s.QuarantinedUntil = at.Add(min(first<<min(s.Quarantines, 16), maxQuarantine))
 	s.Quarantines++
@@ -433,7 +450,7 @@
 	}
 	t.mergeWeighed(now, s)
 	if !s.InForce(now) && s.Ends > before && s.Ends >= s.endsNeeded() {
-		s.quarantine(now)
+		t.quarantine(now, s)
 	}
 	if !inForce && s.InForce(now) {
 		t.explain(s, s.Engines...)
--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -85,6 +85,51 @@
 	is.Equal(quarantined(tracker, 60, "system", "subject1", "subject2"), "")
 }
 
+// Guards against a harmful part that ends an engine with each request until the next sound answer, in a quiet hour or when most requests
+// have it: that the part stands out among many requests, or that something is answered between the ends, cannot be waited for.
+func TestPartIsQuarantinedInAQuietHour(t *testing.T) {
+	for _, pause := range []float64{1.5, 60} { // seconds between the requests with the part
+		for _, requests := range []int{0, 200} { // more of them, which have waited without being sent to an engine
+			is := is.New(t)
+			tracker := New()
+			begun(tracker, 0, "shared")
+			seconds, ends := 1.0, 0
+			for ; ends < 20 && quarantined(tracker, seconds+1, "shared", "bad") == ""; ends++ {
+				for range 1 + requests {
+					tracker.RecordRequest(at(seconds), "s", []string{"shared", "bad"})
+				}
+				end(tracker, seconds, ends, "shared", "bad")
+				if quarantined(tracker, seconds+1, "shared", "bad") == "" {
+					seconds += pause
+				}
+			}
+			is.Equal(ends, endsToQuarantine+moreEndsUnanswered)
+			is.Equal(quarantined(tracker, seconds+1, "shared", "other"), "") // sound requests share the other part
+			released := seconds + firstCommonQuarantine.Seconds() + 1
+			is.Equal(quarantined(tracker, released, "shared", "bad"), "") // tried again after a minute
+			tracker.Expire(at(released))
+			end(tracker, released, ends, "shared", "bad")
+			is.Equal(quarantined(tracker, released+2*firstCommonQuarantine.Seconds()-1, "bad"), "bad") // and one more end suffices
+		}
+	}
+}
+
+// Guards against a part that stays quarantined, or keeps its suspicion, although it was answered.
+func TestAnswerLiftsAQuarantineOfAQuietHour(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	begun(tracker, 0, "elsewhere")
+	for n := range endsToQuarantine + moreEndsUnanswered {
+		end(tracker, 10+20*float64(n), n, "new")
+	}
+	is.Equal(quarantined(tracker, 60, "new"), "new")
+	begun(tracker, 61, "new")
+	is.Equal(quarantined(tracker, 62, "new"), "")
+	for n := range 8 {
+		is.Equal(len(end(tracker, 70+20*float64(n), 10+n, "new")), 0) // it was answered before
+	}
+}
+
 // Guards against a report that counts twice: several entry instances see the same end, and each control instance relays it.
 func TestRepeatedReportsOfAnEndCountOnce(t *testing.T) {
 	is := is.New(t)
--- a/decide/quarantine/stake.go
+++ b/decide/quarantine/stake.go
@@ -25,7 +25,7 @@
 		if !isRequest(part) || s == nil || s.InForce(at) {
 			continue
 		}
-		s.quarantine(at)
+		t.quarantine(at, s)
 		s.weighedAt = at
 		quarantined = append(quarantined, part)
 	}
--- a/decide/quarantine/trial.go
+++ b/decide/quarantine/trial.go
@@ -7,8 +7,8 @@
 
 // Trial returns the key under which requests with the parts are sent one at a time by all processes together, empty if they are not limited.
 // That is so if as many servers have ended with one of the parts as put it into quarantine, but too close to each other: they may have
-// had another cause in common, or crashed under several of these requests. A part that many requests have, or that was answered before,
-// is not limited: it was open at servers that ended for another reason, too.
+// had another cause in common, or crashed under several of these requests. A part that was answered before is not limited, nor one that
+// many requests have in a service that answers nothing: it was open at servers that ended for another reason, too.
 func (t *Tracker) Trial(now time.Time, service string, parts []string) string {
 	if len(t.suspicions) == 0 {
 		return ""
@@ -22,7 +22,7 @@
 		switch {
 		case isRequest(part) && len(s.Engines) >= s.endsNeeded()+moreEndsUnanswered:
 			return trialPrefix + part
-		case !isRequest(part) && !s.AnsweredBefore && len(s.Engines) >= s.endsNeeded() && t.isRare(key):
+		case !isRequest(part) && !s.AnsweredBefore && len(s.Engines) >= s.endsNeeded() && t.standsOut(now, s):
 			return trialPrefix + service + "/" + part
 		}
 	}
