Requests that crash servers after the first event of an answer are quarantined

Cause: the first event lifted the suspicion, and ends after it were not looked at.

Change: a part of prompts counts as sound once an answer on it has gone on for 1 s or is complete, a whole request once an answer is complete. Until then ends count, also after the first event and at resumed attempts. A stream that had begun needs three ends, is resumed at once as before, and its ends are not weighed against a group's outage: it is open for long, beside many others.

--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -1,10 +1,11 @@
 // Package quarantine finds the parts of prompts, and the whole requests, that crash servers, and keeps them from the next one.
 //
 // An engine that crashes ends all requests that are open there, so a single end says little: the part at fault is one of
-// those in a request on which no answer had begun. Two facts tell it from the others. It was open at each end, while
-// others meet an engine's end by chance; and no answer ever begins on it, while an answer on any other part lifts the
-// suspicion from it. So a part is quarantined once engines have ended twice with it, without an answer on it in between.
-// The ends that it explains then no longer count against other parts.
+// those in a request whose answer had not begun, or only just. Two facts tell it from the others. It was open at each end, while
+// others meet an engine's end by chance; and no answer on it ever goes on, while an answer on any other part that does, or is
+// complete, lifts the suspicion from it. The first event alone proves nothing: an engine may crash right after it. So a part is
+// quarantined once engines have ended twice with it, without an answer on it in between. The ends that it explains then no longer
+// count against other parts.
 //
 // Where no answer of the service begins between two ends, as nothing does while a lock-step group is closed, the second fact
 // says nothing. A part that few requests have is then quarantined by the first fact alone, after one end more. In a quiet hour the
@@ -14,7 +15,8 @@
 //
 // A whole request that comes again is a part of its own, which RequestPart names by a digest. Other requests do not share it, so a
 // wrong guess costs less than with a part of prompts, and less evidence suffices: three ends count, however soon they follow one
-// another, if the request was sent to each server after the end before. Nothing is kept of requests under which no server has ended.
+// another, if the request was sent to each server after the end before. Ends count however far the answer had come, and only a
+// complete answer lifts the suspicion. Nothing is kept of requests under which no server has ended.
 //
 // A Tracker is merged with those of other processes: reports may arrive late, repeatedly and in any order.
 package quarantine
@@ -27,8 +29,8 @@
 )
 
 const (
-	// endsToQuarantine is the number of separate ends after which a part is quarantined on which no answer is known to have
-	// begun, and endsIfAnswered that for other parts. Those share prompts with the part at fault more often than they have
+	// endsToQuarantine is the number of separate ends after which a part is quarantined for which no answer is known to
+	// vouch, and endsIfAnswered that for other parts. Those share prompts with the part at fault more often than they have
 	// turned harmful themselves.
 	endsToQuarantine = 2
 	endsIfAnswered   = 4
@@ -58,6 +60,8 @@
 	forgetAfter = 10 * time.Minute
 	// soundFor is how long an answer on a part vouches for it.
 	soundFor = 10 * time.Minute
+	// SoundAfter is how long an answer has to go on after its first event to vouch for the parts of its prompt.
+	SoundAfter = time.Second
 	// maxParts limits the suspected parts, and maxSound twice the sound ones, of all services together.
 	maxParts = 4096
 	maxSound = 8192
@@ -108,7 +112,7 @@
 	Quarantines      int
 	weighedAt        time.Time // of the end that has put it into quarantine because much was at stake; zero if another reason has
 	recurred         bool      // an end came minEndsApart after the one before, or later
-	AnsweredBefore   bool      // an answer began on the part before the first of these ends
+	AnsweredBefore   bool      // an answer vouched for the part before the first of these ends
 	// With holds other parts of the same requests that are suspected to the same degree. While there are any, only requests with
 	// all of them are in quarantine: one with fewer shows which part it is.
 	With    []string
@@ -136,8 +140,8 @@
 // Tracker holds the suspected and the sound parts. It is not safe for concurrent use.
 type Tracker struct {
 	suspicions map[Key]*Suspicion   // by Key.index
-	beganAt    map[string]time.Time // newest answer begun on any part, by service
-	// sound holds when an answer has last begun on a part; soundBefore is the generation before it, dropped as a whole.
+	answeredAt map[string]time.Time // newest answer that vouches for any part, by service
+	// sound holds when an answer has last vouched for a part; soundBefore is the generation before it, dropped as a whole.
 	sound, soundBefore map[Key]time.Time
 	explained          map[Engine]bool // engines that ended with a part that is quarantined by now
 	requests           map[string]*requestCounts
@@ -153,7 +157,7 @@
 
 // New returns a tracker without suspicions.
 func New() *Tracker {
-	return &Tracker{suspicions: map[Key]*Suspicion{}, beganAt: map[string]time.Time{}, sound: map[Key]time.Time{},
+	return &Tracker{suspicions: map[Key]*Suspicion{}, answeredAt: map[string]time.Time{}, sound: map[Key]time.Time{},
 		soundBefore: map[Key]time.Time{}, explained: map[Engine]bool{}, requests: map[string]*requestCounts{}}
 }
 
@@ -188,14 +192,25 @@
 // standsOut reports whether a part distinguishes requests with it although nothing was answered between the ends of engines: few
 // requests have it, or the service answers others and has never answered one with it.
 func (t *Tracker) standsOut(at time.Time, s *Suspicion) bool {
-	began := t.beganAt[s.Service]
-	return t.isRare(s.Key) || !s.AnsweredBefore && !began.IsZero() && at.Sub(began) <= answersFor
+	answered := t.answeredAt[s.Service]
+	return t.isRare(s.Key) || !s.AnsweredBefore && !answered.IsZero() && at.Sub(answered) <= answersFor
 }
 
-// RecordEnd records that an engine ended at a time with a request open whose answer had not begun. It returns those of the
-// request's parts for which this is news, and those that it puts into quarantine. openFor is the time since the request was sent to
-// the engine.
-func (t *Tracker) RecordEnd(at time.Time, openFor time.Duration, service string, engine Engine, parts []string) (news, quarantined []string) {
+// End is the end of an engine at which a request was open.
+type End struct {
+	At      time.Time
+	OpenFor time.Duration // since the request was sent to the engine
+	Service string
+	Engine  Engine
+	Parts   []string // of the request, without those for which its answer vouches already
+	// Answering is set if events of the answer had come, from this engine or an earlier one.
+	Answering bool
+}
+
+// RecordEnd records the end of an engine. It returns those of the request's parts for which this is news, and those that it puts into
+// quarantine.
+func (t *Tracker) RecordEnd(end End) (news, quarantined []string) {
+	at, service, engine, parts := end.At, end.Service, end.Engine, end.Parts
 	t.noteEnd(at, engine)
 	var together []string // put into quarantine by the same end
 	for _, part := range parts {
@@ -216,7 +231,7 @@
 			quarantined = append(quarantined, part)
 			continue
 		}
-		if t.countEnd(at, at.Add(-openFor), s) {
+		if t.countEnd(&end, s) {
 			t.quarantine(at, s)
 			together = append(together, part)
 		}
@@ -232,13 +247,15 @@
 	return news, quarantined
 }
 
-// countEnd counts an end if it is separate from those before, and reports whether that suffices for a quarantine. sentAt is the time
-// at which the request was sent to the engine.
-func (t *Tracker) countEnd(at, sentAt time.Time, s *Suspicion) bool {
+// countEnd counts an end if it is separate from those before, and reports whether that suffices for a quarantine.
+func (t *Tracker) countEnd(end *End, s *Suspicion) bool {
+	at, sentAt := end.At, end.At.Add(-end.OpenFor)
 	// While no answer of the service begins, nothing distinguishes a part from the others: engines that crash as they start, or a
 	// group that is broken again and again, would put all parts into quarantine.
 	// Answers in between say little, too, if the ends are close: other servers answer while some crash together.
-	separate := s.Ends == 0 || s.isApart(at, sentAt, s.LastEndAt) && at.Sub(s.LastEndAt) >= minEndsApart && t.beganAt[s.Service].After(s.LastEndAt)
+	// A stream that is being answered is open for long, and two engines may end in that time by chance.
+	separate := s.Ends == 0 || s.isApart(at, sentAt, s.LastEndAt) && at.Sub(s.LastEndAt) >= minEndsApart &&
+		t.answeredAt[s.Service].After(s.LastEndAt) && !(end.Answering && isRequest(s.Part))
 	if separate {
 		s.Ends++
 		s.LastEndAt = at
@@ -338,10 +355,11 @@
 	}
 }
 
-// RecordBegun records that an answer has begun on all of the parts. It returns the suspicions that this lifts.
-func (t *Tracker) RecordBegun(at time.Time, service string, parts []string) (lifted []Suspicion) {
-	if at.After(t.beganAt[service]) {
-		t.beganAt[service] = at
+// RecordAnswer records that an answer vouches for all of the parts: it is complete, or has gone on for SoundAfter if the parts are only
+// those of a prompt. It returns the suspicions that this lifts.
+func (t *Tracker) RecordAnswer(at time.Time, service string, parts []string) (lifted []Suspicion) {
+	if at.After(t.answeredAt[service]) {
+		t.answeredAt[service] = at
 	}
 	for _, part := range parts {
 		if s := t.lift(at, Key{service, part}); s != nil {
@@ -373,7 +391,7 @@
 	return s
 }
 
-// soundAt returns when an answer has last begun on a part, the zero time if none is recorded.
+// soundAt returns when an answer has last vouched for a part, the zero time if none is recorded.
 func (t *Tracker) soundAt(key Key) time.Time {
 	if at, ok := t.sound[key.index()]; ok {
 		return at
@@ -381,7 +399,7 @@
 	return t.soundBefore[key.index()]
 }
 
-// IsSound reports whether answers have begun on all of the parts lately, other than the whole request, and none is suspected.
+// IsSound reports whether answers have vouched for all of the parts lately, other than the whole request, and none is suspected.
 func (t *Tracker) IsSound(now time.Time, service string, parts []string) bool {
 	for _, part := range parts {
 		key := Key{service, part}
@@ -469,7 +487,7 @@
 	if other.LastEndAt.Before(earlier) {
 		earlier = other.LastEndAt
 	}
-	return apart >= minEndsApart && t.beganAt[s.Service].After(earlier)
+	return apart >= minEndsApart && t.answeredAt[s.Service].After(earlier)
 }
 
 // Counts returns the number of parts under suspicion, and of those in quarantine.
@@ -520,13 +538,20 @@
 		case s.Quarantines > 0 && (s.Ends >= s.endsNeeded() || s.UnansweredEnds > s.endsNeeded()):
 			s.Ends, s.UnansweredEnds = s.endsNeeded()-1, s.endsNeeded()
 			released = append(released, s.Key)
-		case now.Sub(s.LastEndAt) > forgetAfter && now.Sub(s.QuarantinedUntil) > maxQuarantine:
+		case now.Sub(latest(s.LastEndAt, s.LastUnansweredAt)) > forgetAfter && now.Sub(s.QuarantinedUntil) > maxQuarantine:
 			delete(t.suspicions, key)
 		}
 	}
 	return released
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // dropOldest drops the suspicion whose last end is the oldest, if possible of a part that was never quarantined: one prompt of
 // many parts must not end the quarantine of another.
 func (t *Tracker) dropOldest() {
--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -20,11 +20,11 @@
 
 // end records an end of an engine and returns the parts that it puts into quarantine.
 func end(t *Tracker, seconds float64, n int, parts ...string) []string {
-	_, quarantined := t.RecordEnd(at(seconds), 0, "s", engine(n), parts)
+	_, quarantined := t.RecordEnd(End{At: at(seconds), Service: "s", Engine: engine(n), Parts: parts})
 	return quarantined
 }
 
-func begun(t *Tracker, seconds float64, parts ...string) { t.RecordBegun(at(seconds), "s", parts) }
+func answered(t *Tracker, seconds float64, parts ...string) { t.RecordAnswer(at(seconds), "s", parts) }
 
 func quarantined(t *Tracker, seconds float64, parts ...string) string {
 	return quarantinedAt(t, seconds, "s", parts...)
@@ -40,7 +40,7 @@
 	is := is.New(t)
 	tracker := New()
 	is.Equal(len(end(tracker, 0, 1, "bad", "neighbour")), 0)
-	begun(tracker, 3, "neighbour")
+	answered(tracker, 3, "neighbour")
 	is.Equal(end(tracker, 4, 2, "bad", "another"), []string{"bad"})
 	is.Equal(quarantined(tracker, 5, "first", "bad"), "bad")
 	is.Equal(quarantined(tracker, 5, "first", "neighbour", "another"), "")
@@ -53,7 +53,7 @@
 	is := is.New(t)
 	tracker := New()
 	for n := range 12 {
-		begun(tracker, float64(n)*0.05, "elsewhere")
+		answered(tracker, float64(n)*0.05, "elsewhere")
 		is.Equal(len(end(tracker, float64(n)*0.05+0.01, n, "p", "q")), 0)
 	}
 }
@@ -92,7 +92,7 @@
 		for _, requests := range []int{0, 200} { // more of them, which have waited without being sent to an engine
 			is := is.New(t)
 			tracker := New()
-			begun(tracker, 0, "shared")
+			answered(tracker, 0, "shared")
 			seconds, ends := 1.0, 0
 			for ; ends < 20 && quarantined(tracker, seconds+1, "shared", "bad") == ""; ends++ {
 				for range 1 + requests {
@@ -118,12 +118,12 @@
 func TestAnswerLiftsAQuarantineOfAQuietHour(t *testing.T) {
 	is := is.New(t)
 	tracker := New()
-	begun(tracker, 0, "elsewhere")
+	answered(tracker, 0, "elsewhere")
 	for n := range endsToQuarantine + moreEndsUnanswered {
 		end(tracker, 10+20*float64(n), n, "new")
 	}
 	is.Equal(quarantined(tracker, 60, "new"), "new")
-	begun(tracker, 61, "new")
+	answered(tracker, 61, "new")
 	is.Equal(quarantined(tracker, 62, "new"), "")
 	for n := range 8 {
 		is.Equal(len(end(tracker, 70+20*float64(n), 10+n, "new")), 0) // it was answered before
@@ -136,7 +136,7 @@
 	tracker := New()
 	for n := range 8 {
 		is.Equal(len(end(tracker, float64(n)*2, 1, "p")), 0)
-		begun(tracker, float64(n)*2+1, "elsewhere")
+		answered(tracker, float64(n)*2+1, "elsewhere")
 	}
 }
 
@@ -144,15 +144,15 @@
 func TestPartsThatShareAPromptWithTheOneAtFaultAreCleared(t *testing.T) {
 	is := is.New(t)
 	tracker := New()
-	begun(tracker, 0, "shared")
+	answered(tracker, 0, "shared")
 	for n := range 2 {
 		end(tracker, 5+5*float64(n), n, "shared", "bad", fmt.Sprint("own", n))
-		begun(tracker, 9+5*float64(n), "elsewhere") // no answer on the shared part
+		answered(tracker, 9+5*float64(n), "elsewhere") // no answer on the shared part
 	}
 	is.Equal(quarantined(tracker, 20, "bad"), "bad")
 	for n := range 20 { // requests with the part that were on their way
 		end(tracker, 20+5*float64(n), 10+n, "shared", "bad")
-		begun(tracker, 21+5*float64(n), "elsewhere")
+		answered(tracker, 21+5*float64(n), "elsewhere")
 		is.Equal(quarantined(tracker, 22+5*float64(n), "shared", "own0", "own1"), "")
 	}
 }
@@ -164,7 +164,7 @@
 	suspected := func() *Tracker {
 		tracker := New()
 		end(tracker, 0, 1, "a", "b")
-		begun(tracker, 1, "elsewhere")
+		answered(tracker, 1, "elsewhere")
 		end(tracker, 2, 2, "a", "b")
 		is.True(quarantined(tracker, 3, "a", "b") != "")
 		is.Equal(quarantined(tracker, 3, "a", "own"), "")
@@ -172,7 +172,7 @@
 		return tracker
 	}
 	tracker := suspected()
-	begun(tracker, 4, "a")
+	answered(tracker, 4, "a")
 	is.Equal(quarantined(tracker, 5, "a"), "")
 	is.Equal(quarantined(tracker, 5, "b"), "b")
 	tracker = suspected()
@@ -196,9 +196,9 @@
 func TestPartThatWasSoundIsQuarantinedAfterMoreEnds(t *testing.T) {
 	is := is.New(t)
 	tracker := New()
-	begun(tracker, 0, "p")
+	answered(tracker, 0, "p")
 	for n := range endsIfAnswered {
-		begun(tracker, 9+float64(n)*10, "elsewhere")
+		answered(tracker, 9+float64(n)*10, "elsewhere")
 		is.Equal(len(end(tracker, 10+float64(n)*10, n, "p")) > 0, n == endsIfAnswered-1)
 	}
 }
@@ -209,7 +209,7 @@
 	is := is.New(t)
 	tracker := New()
 	end(tracker, 0, 0, "bad")
-	begun(tracker, 1, "elsewhere")
+	answered(tracker, 1, "elsewhere")
 	end(tracker, 2, 1, "bad")
 	now, duration := 2.0, firstQuarantine.Seconds()
 	for n := range 6 {
@@ -217,13 +217,13 @@
 		now += duration + 1
 		is.Equal(len(tracker.Expire(at(now))), 1)
 		is.Equal(quarantined(tracker, now, "bad"), "")
-		begun(tracker, now, "elsewhere")
+		answered(tracker, now, "elsewhere")
 		is.Equal(end(tracker, now+1, 10+n, "bad"), []string{"bad"})
 		now, duration = now+1, min(2*duration, maxQuarantine.Seconds())
 	}
 	now += duration + 1
 	tracker.Expire(at(now))
-	begun(tracker, now, "bad")
+	answered(tracker, now, "bad")
 	is.Equal(len(tracker.Suspicions()), 0)
 	is.True(tracker.IsSound(at(now), "s", []string{"bad"}))
 }
@@ -233,13 +233,13 @@
 	is := is.New(t)
 	tracker := New()
 	for n := range 2 * maxParts {
-		tracker.RecordEnd(at(float64(n)), 0, "s", engine(n), []string{fmt.Sprint(n)})
-		begun(tracker, float64(n), fmt.Sprint("sound", n))
+		tracker.RecordEnd(End{At: at(float64(n)), Service: "s", Engine: engine(n), Parts: []string{fmt.Sprint(n)}})
+		answered(tracker, float64(n), fmt.Sprint("sound", n))
 	}
 	is.Equal(len(tracker.Suspicions()), maxParts)
 	is.True(len(tracker.sound)+len(tracker.soundBefore) <= 2*maxSound)
 	end(tracker, 20000, 1, "p")
-	begun(tracker, 20001, "elsewhere")
+	answered(tracker, 20001, "elsewhere")
 	end(tracker, 20002, 2, "p")
 	is.Equal(quarantined(tracker, 20003, "p"), "p")
 	var many []string
@@ -262,7 +262,7 @@
 	old, started := New(), New()
 	end(old, 0, 1, "bad")
 	end(old, 0, 1, "half")
-	begun(old, 1, "elsewhere")
+	answered(old, 1, "elsewhere")
 	end(old, 2, 2, "bad")
 	for _, s := range old.Suspicions() {
 		news, _ := started.Merge(at(3), s)
@@ -272,7 +272,7 @@
 	}
 	is.Equal(quarantined(started, 4, "bad"), "bad")
 	is.Equal(quarantined(started, 4, "half"), "")
-	lifted := started.RecordBegun(at(5), "s", []string{"bad"})
+	lifted := started.RecordAnswer(at(5), "s", []string{"bad"})
 	is.Equal(len(lifted), 1)
 	is.Equal(lifted[0].Part, "bad")
 	news, inForce := started.Merge(at(6), old.Suspicions()[0])
@@ -285,8 +285,8 @@
 	is := is.New(t)
 	left, right := New(), New()
 	end(left, 0, 1, "bad")
-	begun(left, 1, "elsewhere")
-	begun(right, 1, "elsewhere")
+	answered(left, 1, "elsewhere")
+	answered(right, 1, "elsewhere")
 	end(right, 4, 2, "bad")
 	s, _ := left.Get("s", "bad")
 	_, inForce := right.Merge(at(5), s)
@@ -296,7 +296,7 @@
 	left, right = New(), New()
 	for _, tracker := range []*Tracker{left, right} {
 		end(tracker, 0, 1, "bad")
-		begun(tracker, 1, "elsewhere")
+		answered(tracker, 1, "elsewhere")
 	}
 	s, _ = left.Get("s", "bad")
 	_, inForce = right.Merge(at(5), s)
@@ -337,9 +337,9 @@
 			return false
 		}
 		if r.engine.Server == "" {
-			f.instances[r.to].RecordBegun(at(r.due), "s", r.parts)
+			f.instances[r.to].RecordAnswer(at(r.due), "s", r.parts)
 		} else {
-			f.instances[r.to].RecordEnd(at(r.at), 0, "s", r.engine, r.parts)
+			f.instances[r.to].RecordEnd(End{At: at(r.at), Service: "s", Engine: r.engine, Parts: r.parts})
 		}
 		return true
 	})
@@ -372,7 +372,7 @@
 			}
 			if !harmful && f.random.IntN(400) > 0 { // else it is killed by accident
 				sound++
-				if lifted := f.instances[i].RecordBegun(at(now), "s", parts); len(lifted) > 0 {
+				if lifted := f.instances[i].RecordAnswer(at(now), "s", parts); len(lifted) > 0 {
 					var sound []string
 					for _, s := range lifted {
 						sound = append(sound, s.Part)
@@ -387,7 +387,7 @@
 				parts = append(parts, fmt.Sprint("subject", f.random.IntN(40))) // of a neighbour at the same engine
 			}
 			e := engine(engines)
-			if news, _ := f.instances[i].RecordEnd(at(now), 0, "s", e, parts); len(news) > 0 {
+			if news, _ := f.instances[i].RecordEnd(End{At: at(now), Service: "s", Engine: e, Parts: parts}); len(news) > 0 {
 				f.broadcast(i, now, e, news)
 			}
 			if seed%2 == 0 {
--- a/decide/quarantine/request_test.go
+++ b/decide/quarantine/request_test.go
@@ -11,7 +11,8 @@
 
 // endOf records the end of a server while a request had been open there for a time, and reports whether the request is quarantined.
 func endOf(t *Tracker, seconds, openFor float64, n int, request string) bool {
-	_, quarantined := t.RecordEnd(at(seconds), time.Duration(openFor*float64(time.Second)), "s", engine(n), []string{RequestPart(request)})
+	_, quarantined := t.RecordEnd(End{At: at(seconds), OpenFor: time.Duration(openFor * float64(time.Second)), Service: "s", Engine: engine(n),
+		Parts: []string{RequestPart(request)}})
 	return len(quarantined) > 0
 }
 
@@ -32,7 +33,7 @@
 	is := is.New(t)
 	tracker := New()
 	is.True(!endOf(tracker, 0, 0.05, 1, "bad"))
-	begun(tracker, 1, RequestPart("other"))
+	answered(tracker, 1, RequestPart("other"))
 	is.True(endOf(tracker, 2, 0.05, 2, "bad"))
 }
 
@@ -53,6 +54,34 @@
 	is.True(!endOf(tracker, 3.5, 0.05, 2, "sound")) // two servers only, and nothing is answered in between
 }
 
+// Guards against a request that ends server after server once its answer has begun, and against a sound stream that is refused since two
+// servers have ended under it in its long time, with answers to others in between.
+func TestRequestThatEndsServersWhileItIsAnswered(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	part := RequestPart("stream")
+	end := func(seconds float64, n int) bool {
+		_, quarantined := tracker.RecordEnd(End{At: at(seconds), OpenFor: 500 * time.Millisecond, Service: "s", Engine: engine(n), Parts: []string{part},
+			Answering: true})
+		return len(quarantined) > 0
+	}
+	is.True(!end(0, 1))
+	answered(tracker, 1, RequestPart("other"))
+	is.True(!end(2, 2))
+	answered(tracker, 3, RequestPart("other"))
+	tracker.Expire(at(4))
+	is.True(end(5, 3))
+	is.True(quarantined(tracker, 6, part) != "")
+	is.Equal(quarantined(tracker, 6, RequestPart("other")), "")
+
+	tracker = New()
+	for n := range 8 {
+		is.True(!end(10*float64(n), 2*n))
+		is.True(!end(10*float64(n)+2, 2*n+1))
+		answered(tracker, 10*float64(n)+4, part) // it is complete at the third server
+	}
+}
+
 // Guards against copies of a request that crash a server each while it is not in quarantine yet, and against a sound one of which the copies
 // are still sent one at a time after an answer.
 func TestCopiesAreTriedOneAtATime(t *testing.T) {
@@ -66,7 +95,7 @@
 	is.True(IsTrial(trial))
 	is.Equal(tracker.Trial(at(1), "other", []string{part}), trial) // whatever service it is sent to
 	is.Equal(tracker.Trial(at(1), "s", []string{"a0", RequestPart("other")}), "")
-	begun(tracker, 2, part)
+	answered(tracker, 2, part)
 	is.Equal(tracker.Trial(at(3), "s", []string{part}), "")
 	for n := range 4 {
 		endOf(tracker, 4+1.5*float64(n), 0.05, 10+n, "bad")
@@ -90,7 +119,7 @@
 	is.True(IsTrial(tracker.Trial(at(3), "s", []string{"common", "rare"})))
 	is.Equal(tracker.Trial(at(3), "s", []string{"common", "own1"}), "")
 	is.Equal(tracker.Trial(at(3), "other", []string{"rare"}), "")
-	begun(tracker, 4, "rare")
+	answered(tracker, 4, "rare")
 	is.Equal(tracker.Trial(at(5), "s", []string{"rare"}), "")
 	for n := range endsIfAnswered {
 		end(tracker, 6+0.1*float64(n), 10+n, "rare")
@@ -114,9 +143,9 @@
 	is := is.New(t)
 	tracker := New()
 	is.True(!endOf(tracker, 0, 0.05, 1, "sound"))
-	begun(tracker, 0.1, RequestPart("other"))
+	answered(tracker, 0.1, RequestPart("other"))
 	is.True(!endOf(tracker, 0.3, 0.2, 2, "sound"))
-	begun(tracker, 1, RequestPart("other"))
+	answered(tracker, 1, RequestPart("other"))
 	is.True(endOf(tracker, 2, 0.05, 3, "sound"))
 }
 
@@ -127,7 +156,7 @@
 	tracker := New()
 	endOf(tracker, 0, 0.05, 1, "sound")
 	endOf(tracker, 1, 0.05, 2, "sound")
-	begun(tracker, 2, RequestPart("sound"))
+	answered(tracker, 2, RequestPart("sound"))
 	is.True(!endOf(tracker, 3, 0.05, 3, "sound"))
 
 	for n := range 3 {
@@ -146,7 +175,7 @@
 	is := is.New(t)
 	tracker, part := New(), RequestPart("bad")
 	for n, service := range []string{"v1", "v2", "v1"} {
-		_, q := tracker.RecordEnd(at(float64(n)), 50*time.Millisecond, service, engine(n), []string{part})
+		_, q := tracker.RecordEnd(End{At: at(float64(n)), OpenFor: 50 * time.Millisecond, Service: service, Engine: engine(n), Parts: []string{part}})
 		is.Equal(len(q) > 0, n == 2)
 		is.True(!tracker.IsSound(at(float64(n)), "v3", []string{part}))
 	}
@@ -155,7 +184,7 @@
 	s, _ := tracker.Get("v2", part)
 	other.Merge(at(3), s)
 	is.Equal(quarantinedAt(other, 3, "v3", part), part)
-	is.Equal(len(tracker.RecordBegun(at(4), "v3", []string{part})), 1)
+	is.Equal(len(tracker.RecordAnswer(at(4), "v3", []string{part})), 1)
 	is.Equal(quarantinedAt(tracker, 5, "v1", part), "")
 	is.True(tracker.IsSound(at(6), "v1", []string{part}))
 }
@@ -167,7 +196,7 @@
 	for n := range 100_000 {
 		parts := []string{RequestPart(fmt.Sprint(n))}
 		tracker.RecordRequest(at(float64(n)*0.01), "s", parts)
-		tracker.RecordBegun(at(float64(n)*0.01), "s", parts)
+		tracker.RecordAnswer(at(float64(n)*0.01), "s", parts)
 	}
 	is.Equal(len(tracker.sound)+len(tracker.soundBefore)+len(tracker.suspicions)+len(tracker.requests["s"].byPart), 0)
 }
@@ -179,14 +208,14 @@
 	tracker := New()
 	for n := range 2 {
 		end(tracker, 2*float64(n), n, "bad", RequestPart(fmt.Sprint("r", n)))
-		begun(tracker, 2*float64(n)+1, "other")
+		answered(tracker, 2*float64(n)+1, "other")
 	}
 	is.True(quarantined(tracker, 5, "bad", RequestPart("r9")) != "")
 
 	tracker = New()
 	for n := range 2 {
 		end(tracker, 2*float64(n), n, "subject", RequestPart("bad"))
-		begun(tracker, 2*float64(n)+1, "other")
+		answered(tracker, 2*float64(n)+1, "other")
 	}
 	is.True(quarantined(tracker, 5, "subject", RequestPart("bad")) != "")
 	is.Equal(quarantined(tracker, 5, "subject", RequestPart("r9")), "")
@@ -260,7 +289,7 @@
 			}
 		case f.starts[server] == started:
 			for _, other := range f.instances {
-				begun(other, f.now, part)
+				answered(other, f.now, part)
 			}
 			return
 		}
@@ -269,7 +298,7 @@
 		isSound := t.IsSound(at(f.now), "s", []string{part})
 		endedAt := f.now
 		report := func(t *Tracker) {
-			if _, q := t.RecordEnd(at(endedAt), openFor, "s", e, []string{part}); len(q) > 0 {
+			if _, q := t.RecordEnd(End{At: at(endedAt), OpenFor: openFor, Service: "s", Engine: e, Parts: []string{part}}); len(q) > 0 {
 				s, _ := t.Get("s", part)
 				f.after(crashNewsDelay, func() {
 					for _, other := range f.instances {
--- a/decide/quarantine/stake_test.go
+++ b/decide/quarantine/stake_test.go
@@ -57,7 +57,7 @@
 	is.Equal(quarantined(tracker, 2*end+3, bad), bad) // longer the second time
 
 	tracker, _ = weigh(400)
-	begun(tracker, 0.5, bad) // a copy that was open elsewhere is answered
+	answered(tracker, 0.5, bad) // a copy that was open elsewhere is answered
 	is.Equal(quarantined(tracker, 1, bad), "")
 	is.Equal(tracker.WeighEnd(at(2), "s", []string{bad}, 400), []string(nil)) // not suspected any more
 }
--- a/internal/directory/prompt_parts.go
+++ b/internal/directory/prompt_parts.go
@@ -19,7 +19,8 @@
 		engine := quarantine.Engine{Server: e.Server, StartedAtMillis: e.StartedAtMillis}
 		var parts []string
 		endedAt := now.Add(-time.Duration(e.AgeMS * float64(time.Millisecond)))
-		parts, quarantined = t.RecordEnd(endedAt, time.Duration(e.OpenMS*float64(time.Millisecond)), m.Service, engine, e.Parts)
+		parts, quarantined = t.RecordEnd(quarantine.End{At: endedAt, OpenFor: time.Duration(e.OpenMS * float64(time.Millisecond)), Service: m.Service,
+			Engine: engine, Parts: e.Parts, Answering: e.Answering})
 		quarantined = append(quarantined, t.WeighEnd(endedAt, m.Service, parts, e.AtStake)...)
 		if len(parts) > 0 {
 			ended := *e
@@ -37,7 +38,7 @@
 		}
 	}
 	if len(m.Answered) > 0 {
-		news.Answered = LiftedParts(now, t.RecordBegun(now, m.Service, m.Answered))
+		news.Answered = LiftedParts(now, t.RecordAnswer(now, m.Service, m.Answered))
 	}
 	logQuarantined(now, t, m.Service, quarantined)
 	if news.Ended == nil && len(news.Suspected) == 0 && len(news.Answered) == 0 {
@@ -56,7 +57,7 @@
 			}
 			log.WithFields(log.Fields{"service": service, "part": part, "ends": s.Ends, "engines": engines, "quarantines": s.Quarantines, "with": s.With,
 				"forMs": s.QuarantinedUntil.Sub(now).Milliseconds()}).
-				Warn("part of prompts quarantined: engines end before an answer on it begins; requests with it are refused")
+				Warn("part of prompts quarantined: engines end under it; requests with it are refused")
 		}
 	}
 }
@@ -68,7 +69,7 @@
 		parts = append(parts, s.Part)
 		if s.InForce(now) { // others are suspected for a moment at each end of an engine
 			log.WithFields(log.Fields{"service": s.Service, "part": s.Part, "ends": s.Ends}).
-				Warn("quarantine of a part of prompts is lifted: an answer on it has begun")
+				Warn("quarantine of a part of prompts is lifted: an answer vouches for it")
 		}
 	}
 	return parts
--- a/internal/directory/prompt_parts_test.go
+++ b/internal/directory/prompt_parts_test.go
@@ -136,7 +136,8 @@
 	tracker, now := quarantine.New(), time.Now()
 	for n := range 3000 {
 		for e := range 16 {
-			tracker.RecordEnd(now, 0, "s", quarantine.Engine{Server: fmt.Sprint("i-0123456789abcdef", e), StartedAtMillis: now.UnixMilli()}, []string{fmt.Sprint("part", n)})
+			engine := quarantine.Engine{Server: fmt.Sprint("i-0123456789abcdef", e), StartedAtMillis: now.UnixMilli()}
+			tracker.RecordEnd(quarantine.End{At: now, Service: "s", Engine: engine, Parts: []string{fmt.Sprint("part", n)}})
 		}
 	}
 	other, known := quarantine.New(), 0
--- a/internal/directory/server_limits_test.go
+++ b/internal/directory/server_limits_test.go
@@ -173,7 +173,7 @@
 		trial := func(request string) string {
 			parts := []string{quarantine.RequestPart(request)}
 			for n := range 3 {
-				tracker.RecordEnd(time.Now(), time.Second, "s", quarantine.Engine{Server: fmt.Sprint(n)}, parts)
+				tracker.RecordEnd(quarantine.End{At: time.Now(), OpenFor: time.Second, Service: "s", Engine: quarantine.Engine{Server: fmt.Sprint(n)}, Parts: parts})
 			}
 			return tracker.Trial(time.Now(), "s", parts)
 		}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -64,6 +64,10 @@
 	// withdrawn is set if the attempt was cancelled because a part of the prompt has been quarantined.
 	withdrawn atomic.Bool
 	cancelled bool // before its release: by the caller, a timeout, the watchdog, or as withdrawn
+	// answeringSince is when the first event of its answer was forwarded, zero before. vouches is set once the answer has gone on for
+	// long enough to vouch for the parts of the prompt.
+	answeringSince time.Time
+	vouches        bool
 }
 
 // refuse responds to a call that has not run on any server.
--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -90,8 +90,11 @@
 		return false
 	}
 	c.recordStatus(a)
-	if success {
-		c.recordAnswerBegun(a)
+	switch {
+	case success && unread:
+		c.recordVouched(time.Now(), c.promptParts)
+	case success:
+		c.recordAnswered()
 	}
 	c.recordResult(a, strconv.Itoa(response.Status))
 	unproved := promisesNotRun(response.Status) // the server did not prove that the request has not run
--- a/internal/edge/prompt_parts.go
+++ b/internal/edge/prompt_parts.go
@@ -121,52 +121,78 @@
 	delete(p.waiting, a)
 }
 
-// recordAnswerBegun records that an answer to the call has begun, which lifts the suspicion from it and from all parts of its
-// prompt.
-func (c *call) recordAnswerBegun(a *attempt) {
-	if c.answerBegun {
-		return
+// recordAnswering records that an event of an answer was forwarded. Once the answer has gone on for long enough, it vouches for the parts
+// of the prompt.
+func (c *call) recordAnswering(a *attempt) {
+	now := time.Now()
+	if a.answeringSince.IsZero() {
+		a.answeringSince, c.answerBegun = now, true
+		c.proxy.parts.forget(a, c)
+	}
+	if !a.vouches && now.Sub(a.answeringSince) >= quarantine.SoundAfter {
+		a.vouches = true
+		c.recordVouched(now, c.promptParts)
 	}
+}
+
+// recordAnswered records that the answer to the call is complete, which vouches for the request and all parts of its prompt.
+func (c *call) recordAnswered() {
 	c.answerBegun = true
+	c.recordVouched(time.Now(), c.proxy.parts.suspectParts(c))
+}
+
+// recordVouched lifts the suspicion from parts of the call, and tells the others if there was one.
+func (c *call) recordVouched(now time.Time, parts []string) {
 	p := c.proxy
-	parts := p.parts.suspectParts(c)
 	p.parts.mu.Lock()
-	delete(p.parts.waiting, a)
-	now := time.Now()
-	lifted := directory.LiftedParts(now, p.parts.tracker.RecordBegun(now, c.service, parts))
+	lifted := directory.LiftedParts(now, p.parts.tracker.RecordAnswer(now, c.service, parts))
 	p.parts.mu.Unlock()
 	if len(lifted) > 0 {
 		p.sendPromptParts(&protocol.PromptParts{Service: c.service, Answered: lifted})
 	}
 }
 
-// checkEngineEnd finds out whether the server of a broken attempt has ended before an answer began, and records it for the call and
-// the parts of its prompt. A call is not sent on to the next server then if it may be the reason: an earlier server has ended under
-// it, or no answer is known to have begun on one of its parts.
+// checkEngineEnd finds out whether the server of a broken attempt has ended, and records it for the call and those parts of its prompt
+// for which the answer does not vouch. A call whose answer had not begun is not sent on to the next server then if it may be the
+// reason: an earlier server has ended under it, or no answer is known to vouch for one of its parts. A stream that had begun is
+// resumed at once: it is open for long, so one end says little.
 func (c *call) checkEngineEnd(a *attempt) {
-	if c.answerBegun || a.cancelled {
+	if a.cancelled {
 		return
 	}
-	brokenAt := time.Now()
-	p, engine, parts, service := c.proxy, a.choice.Server, c.parts(), c.service
+	end := engineEnd{attempt: a, at: time.Now(), service: c.service, request: c.id, answering: c.answerBegun, parts: c.parts()}
+	if a.vouches {
+		end.parts = slices.DeleteFunc(slices.Clone(end.parts), func(part string) bool { return slices.Contains(c.promptParts, part) })
+	}
+	p, engine := c.proxy, a.choice.Server
 	p.parts.mu.Lock()
-	sound := p.parts.tracker.IsSound(time.Now(), service, parts)
+	sound := p.parts.tracker.IsSound(time.Now(), end.service, end.parts)
 	p.parts.mu.Unlock()
-	limit := p.connectionLimit(c.view, service)
+	limit := p.connectionLimit(c.view, end.service)
 	check := func() bool {
 		ended, _, _ := p.parts.checks.Do(engine.Server, func() (any, error) { return p.hasEnded(engine, limit), nil })
 		if ended == true {
-			p.recordEngineEnd(a, brokenAt, service, parts, c.id)
+			p.recordEngineEnd(end)
 		}
 		return ended == true
 	}
-	if sound {
+	if sound || end.answering {
 		go check()
 		return
 	}
 	c.endedEngine = check()
 }
 
+// engineEnd is the end of the server of an attempt while the request was open there.
+type engineEnd struct {
+	attempt   *attempt
+	at        time.Time
+	service   string
+	request   string // its identifier, for the log
+	answering bool   // events of the answer had come, from this server or an earlier one
+	parts     []string
+}
+
 // hasEnded reports whether the process of an engine has ended: its machine refuses connections. An accepted connection is kept
 // for a request.
 func (p *Proxy) hasEnded(engine registry.Announcement, maxConnections int) bool {
@@ -175,17 +201,19 @@
 	return errors.Is(p.client.Connect(ctx, engine.Server, engine.Address, maxConnections), syscall.ECONNREFUSED)
 }
 
-// recordEngineEnd records that the server of an attempt ended at a time while a request with the parts was open there, whose answer
-// had not begun.
-func (p *Proxy) recordEngineEnd(a *attempt, endedAt time.Time, service string, parts []string, request string) {
-	engine, atStake := a.choice.Server, 0.0
-	p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) { atStake = d.AtStake(now, a.choice) })
-	ended := &protocol.PromptParts{Service: service, Ended: &protocol.EndedEngine{Server: engine.Server,
-		StartedAtMillis: engine.StartedAtMillis, Parts: parts, AgeMS: inMilliseconds(time.Since(endedAt)), OpenMS: inMilliseconds(endedAt.Sub(a.started)),
-		AtStake: atStake}}
+// recordEngineEnd records the end of a server, and tells the others. What is at stake counts only before the answer: a stream that was
+// being answered shares the server with many others, any of which may be the reason.
+func (p *Proxy) recordEngineEnd(end engineEnd) {
+	engine, atStake := end.attempt.choice.Server, 0.0
+	if !end.answering {
+		p.withDispatcher(func(now time.Time, d *dispatch.Dispatcher) { atStake = d.AtStake(now, end.attempt.choice) })
+	}
+	ended := &protocol.PromptParts{Service: end.service, Ended: &protocol.EndedEngine{Server: engine.Server,
+		StartedAtMillis: engine.StartedAtMillis, Parts: end.parts, AgeMS: inMilliseconds(time.Since(end.at)),
+		OpenMS: inMilliseconds(end.at.Sub(end.attempt.started)), AtStake: atStake, Answering: end.answering}}
 	metrics.GetOrCreateCounter(`banyanfront_edge_engine_ends_total`).Inc()
-	log.WithFields(log.Fields{"request": request, "server": engine.Server, "parts": parts, "atStake": math.Round(atStake)}).
-		Warn("engine ended before an answer to the request began; the request and the parts of its prompt are suspected")
+	log.WithFields(log.Fields{"request": end.request, "server": engine.Server, "parts": end.parts, "answering": end.answering,
+		"atStake": math.Round(atStake)}).Warn("engine ended before an answer to the request was complete; the request and the parts of its prompt are suspected")
 	p.sendPromptParts(p.applyPromptParts(time.Now(), ended, true)...)
 }
 
--- a/internal/edge/quarantine_test.go
+++ b/internal/edge/quarantine_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,6 +33,10 @@
 	harmfulPart = "bad0"
 	// harmfulPath is the path of a plain request that ends them as they begin to run it.
 	harmfulPath = "/safe/bad"
+	// lateHarmfulPath is the path of a stream that ends them after the first event of each answer, and lateHarmfulPart the part of
+	// prompts that does.
+	lateHarmfulPath = "/stream/bad"
+	lateHarmfulPart = "bad1"
 	// unluckyPath is the path of a plain request under which the first engine ends that has it, by accident.
 	unluckyPath = "/safe/unlucky"
 )
@@ -116,6 +121,13 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	if r.URL.Path == lateHarmfulPath || strings.Contains(r.Header.Get(platform.HeaderPrompt), lateHarmfulPart) {
+		last, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent))
+		events(w, last+1, last+1)
+		time.Sleep(20 * time.Millisecond)
+		f.end(e)
+		panic(http.ErrAbortHandler)
+	}
 	if strings.HasPrefix(r.URL.Path, "/safe/") {
 		_, _ = io.WriteString(w, "ok")
 		return
@@ -312,6 +324,32 @@
 	is.True(refused >= 8)
 }
 
+// Guards against requests that are sent on without end since they crash their servers after the first event: that event was taken for
+// the proof that the request, or the part of its prompt, is sound. Each client attempt ends two servers, as the stream is resumed.
+func TestRequestsThatEndServersAfterTheirFirstEventAreRefused(t *testing.T) {
+	for _, harmful := range []struct{ path, part string }{{lateHarmfulPath, "own0"}, {"/stream/x", lateHarmfulPart}} {
+		is := is.New(t)
+		proxies, urls := startRelayedProxies(t, 2)
+		f := startEngineFleet(t, 6, proxies...)
+		refused := 0
+		for n := range 10 {
+			status, header, _, _ := send(t, urls[n%2], harmful.path, prompt(1, "a0", harmful.part)...)
+			if status == http.StatusServiceUnavailable {
+				refused++
+				is.True(header.Get(platform.HeaderRetryAfter) != "")
+			}
+			time.Sleep(300 * time.Millisecond) // the server that ended is no longer avoided, and another one has been announced
+			status, _, body, err := send(t, urls[n%2], "/stream/x", prompt(100+n, "a0", "c0")...)
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+			is.Equal(body, eventsText(1, 3))
+			time.Sleep(300 * time.Millisecond)
+		}
+		is.True(f.endCount() <= 6)
+		is.True(refused >= 6)
+	}
+}
+
 // Guards against copies of a request that come at all entry instances at once, after copies that were open together have ended their
 // servers: these ends may have a common cause, so the request is not in quarantine, and each copy would end another server. Once an answer
 // to one has begun, all are served.
--- a/internal/edge/stream.go
+++ b/internal/edge/stream.go
@@ -139,7 +139,7 @@
 		s.writeHead(a.response, -1)
 		s.proxy.withDispatcher(func(_ time.Time, d *dispatch.Dispatcher) { d.RecordSuccess(a.choice) })
 	}
-	s.recordAnswerBegun(a)
+	s.recordAnswering(a)
 	if _, err := s.w.Write(e.raw); err != nil {
 		return err
 	}
@@ -169,6 +169,9 @@
 func (s *relay) handleEnd(a *attempt, err error) bool {
 	if errors.Is(err, errStreamEnd) {
 		s.finish(a, true, "complete at "+s.lastEventID)
+		if s.answerBegun {
+			s.recordAnswered()
+		}
 		if !s.headSent {
 			s.headSent = true
 			s.writeHead(a.response, -1)
--- a/internal/protocol/codec_test.go
+++ b/internal/protocol/codec_test.go
@@ -51,7 +51,7 @@
 		&RankOrder{Group: "g", Order: experts.RankOrder{Rank: 1, Operation: experts.OrderPrepare, Version: 2}, Map: experts.RankLists{{{0}, {1}}}.Encode()},
 		&RankDone{Group: "g", Order: experts.RankOrder{Rank: 1, Operation: experts.OrderArm, Step: 3}, Result: experts.OrderDone},
 		&GroupLoads{Service: "s", Group: "g", Requests: []byte{0, 3, UnknownGroupLoad}},
-		&PromptParts{Service: "s", Ended: &EndedEngine{Server: "i", StartedAtMillis: 5, Parts: []string{"a"}, AgeMS: 1.5, OpenMS: 40}, Answered: []string{"b"},
+		&PromptParts{Service: "s", Ended: &EndedEngine{Server: "i", StartedAtMillis: 5, Parts: []string{"a"}, AgeMS: 1.5, OpenMS: 40, Answering: true}, Answered: []string{"b"},
 			Suspected: []PartSuspicion{{Part: "c", Ends: 2, LastEndAgeMS: 3, RemainingMS: 4, Quarantines: 1, AnsweredBefore: true,
 				Engines: []quarantine.Engine{{Server: "i", StartedAtMillis: 5}}, With: []string{"d"}, UnansweredEnds: 3}}},
 		&ServerLimits{Limits: []ServerLimit{{Server: "i", StartedAtMillis: 5, RequestsPerSecond: 2.5}}},
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -399,7 +399,7 @@
 	Ended *EndedEngine `cbor:"2,keyasint,omitempty"`
 	// Suspected holds what is known of suspected and quarantined parts. It is sent to an instance that may not know it.
 	Suspected []PartSuspicion `cbor:"3,keyasint,omitempty"`
-	// Answered holds parts that were suspected, and on which an answer has begun.
+	// Answered holds parts that were suspected, and for which an answer vouches.
 	Answered []string `cbor:"4,keyasint,omitempty"`
 }
 
@@ -411,6 +411,7 @@
 	AgeMS           float64  `cbor:"4,keyasint,omitempty"` // time since the end
 	OpenMS          float64  `cbor:"5,keyasint,omitempty"` // time for which a request with the parts had been open there
 	AtStake         float64  `cbor:"6,keyasint,omitempty"` // requests that such an end costs, as the sender estimates
+	Answering       bool     `cbor:"7,keyasint,omitempty"` // events of the answer had come
 }
 
 // PartSuspicion is a quarantine.Suspicion, with times relative to the sending of the message.
