Joiners that come together no longer exceed the number of voters

Three control instances that joined a group of three within moments, with five voters wanted, all became voters: six. Cause: admit counted the voters of the moment, not the learners that are about to vote. Seen once in TestFirstChangeIsAcknowledgedOnceEnoughInstancesVote (6 != 5). Change: they count. Evidence: TestAdmissionKeepsQuorum with learners that will vote; the other test three times.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -58,6 +58,9 @@
 	is.True(d.admit(joiner, members, map[consensus.ID]time.Duration{3: suspectAfter + 1}).Refuse)
 	d.config.Voters = 5
 	is.True(!d.admit(joiner, members, nil).Learner)
+	promoted := func(id consensus.ID) consensus.Member { return consensus.Member{ID: id, Learner: true, Promote: true} }
+	is.True(!d.admit(joiner, groupOf(append(members.List, promoted(7))...), nil).Learner)
+	is.True(d.admit(joiner, groupOf(append(members.List, promoted(7), promoted(8))...), nil).Learner) // these two will vote
 }
 
 // Guards against a group that does not regain the configured number of voters, or exceeds it: with a silent voter and its
--- a/internal/directory/members.go
+++ b/internal/directory/members.go
@@ -36,7 +36,7 @@
 // voter, as an additional voter while there are fewer than configured, otherwise as a learner.
 func (d *Directory) admit(joiner bootstrap.Member, members consensus.Members, silence map[consensus.ID]time.Duration) groupmember.Admission {
 	if at := groupmember.MemberAtAddress(joiner, members); at != 0 {
-		return groupmember.Admission{Replaces: at, Learner: !members.IsVoter(at) && members.Voters() >= d.config.Voters}
+		return groupmember.Admission{Replaces: at, Learner: !members.IsVoter(at) && futureVoters(members) >= d.config.Voters}
 	}
 	suspected := false
 	for _, m := range members.List {
@@ -48,7 +48,18 @@
 	if suspected {
 		return groupmember.Admission{Refuse: true} // the joiner retries
 	}
-	return groupmember.Admission{Learner: members.Voters() >= d.config.Voters}
+	return groupmember.Admission{Learner: futureVoters(members) >= d.config.Voters}
+}
+
+// futureVoters returns the number of voters once the learners that are to be promoted, and replace nobody, have become voters.
+func futureVoters(members consensus.Members) int {
+	voters := members.Voters()
+	for _, m := range members.List {
+		if m.Learner && m.Promote && !members.IsVoter(m.Replaces) {
+			voters++
+		}
+	}
+	return voters
 }
 
 // SetSeeds replaces the inner addresses of control instances after a change of the settings. The founders remain those
