That a server leaves is acknowledged once it is agreed on

Cause: announcements are kept in the memory of the process that receives them, and a server that has deregistered repeats nothing.

Change: draining and deregistered are commands of the replicated log, acknowledged once durable; all control instances take them over, also after a restart. The receiving one tells the entry instances at once, as before. The newest 2,048 departures are kept; no clock decides.

Two tests of announcements now wait until the group is founded, since no departure is acknowledged before; their checks are the same.

--- a/decide/controlstate/controlstate.go
+++ b/decide/controlstate/controlstate.go
@@ -1,11 +1,13 @@
 // Package controlstate is the replicated state of the control instances of a fleet without agents: the current routing
-// configuration, the evacuated data centres and the coordinators of lock-step groups. It is a deterministic state machine: the same commands at the same log
-// indexes give the same state on every instance.
+// configuration, the evacuated data centres, the coordinators of lock-step groups and the servers that have said that they leave. It is a
+// deterministic state machine: the same commands at the same log indexes give the same state on every instance.
 package controlstate
 
 import (
 	"cmp"
 	"slices"
+
+	"github.com/banyanfront/banyanfront/decide/registry"
 )
 
 // Command changes the state. Exactly one field is set.
@@ -14,6 +16,8 @@
 	Evacuate  *Evacuate  `cbor:"2,keyasint,omitempty"`
 	// Coordinate assigns coordinators; the Lease of each is set when the command is applied.
 	Coordinate []Coordinator `cbor:"3,keyasint,omitempty"`
+	// Depart is the announcement of a server that it leaves: it drains or has deregistered.
+	Depart *registry.Announcement `cbor:"4,keyasint,omitempty"`
 }
 
 // Configure replaces the routing configuration if its version is higher than the current one.
@@ -53,6 +57,16 @@
 	Lease uint64 `cbor:"4,keyasint,omitempty"`
 }
 
+// Departure is the newest announcement of a server that leaves. It has been acknowledged, so it must outlive the instance that received it.
+type Departure struct {
+	Announcement registry.Announcement `cbor:"1,keyasint"`
+	Index        uint64                `cbor:"2,keyasint"` // log index of its command
+}
+
+// maxDepartures limits the departures that are kept, of which the oldest are dropped. A departure matters as long as the server serves and
+// its announcements arrive late, some seconds; this many leave within minutes when a whole fleet is replaced.
+const maxDepartures = 2048
+
 // State is the result of the commands applied so far. Slices are shared between copies and must not be modified.
 type State struct {
 	Index      uint64   `cbor:"1,keyasint"` // log index of the last change of what requests are routed by
@@ -64,6 +78,8 @@
 	Coordinators []Coordinator `cbor:"6,keyasint,omitempty"`
 	// EvacuationOrders are sorted by data centre.
 	EvacuationOrders []EvacuationOrder `cbor:"7,keyasint,omitempty"`
+	// Departures are sorted by Index. Entry instances get them as announcements, so that their changes leave State.Index as it is.
+	Departures []Departure `cbor:"8,keyasint,omitempty"`
 }
 
 // EvacuationOrder returns the log index of the newest order for a data centre, 0 if there was none.
@@ -124,6 +140,30 @@
 	return s
 }
 
+// recordDeparture returns the state after the announcement of a server that leaves, and whether it is newer than what is known.
+func (s State) recordDeparture(index uint64, a registry.Announcement) (State, bool) {
+	same := func(d Departure) bool { return d.Announcement.Server == a.Server }
+	i := slices.IndexFunc(s.Departures, same)
+	if i >= 0 && !a.Supersedes(&s.Departures[i].Announcement) && a.StartedAtMillis != 0 { // without a start it may be another process
+		return s, false
+	}
+	s.Departures = append(slices.DeleteFunc(slices.Clone(s.Departures), same), Departure{a, index})
+	s.Departures = s.Departures[max(0, len(s.Departures)-maxDepartures):]
+	return s, true
+}
+
+// DeparturesAfter returns the departures of log entries after index.
+func (s State) DeparturesAfter(index uint64) []Departure {
+	i, _ := slices.BinarySearchFunc(s.Departures, index+1, func(d Departure, index uint64) int { return cmp.Compare(d.Index, index) })
+	return s.Departures[i:]
+}
+
+// ForEntryInstances returns the part of the state that entry instances need.
+func (s State) ForEntryInstances() State {
+	s.Departures = nil
+	return s
+}
+
 // Apply returns the state after a command and whether the command changed it.
 func (s State) Apply(index uint64, c Command) (State, bool) {
 	switch {
@@ -151,6 +191,8 @@
 		}
 	case len(c.Coordinate) > 0:
 		return s.assign(index, c.Coordinate), true
+	case c.Depart != nil:
+		return s.recordDeparture(index, *c.Depart)
 	default:
 		return s, false
 	}
--- a/decide/controlstate/controlstate_test.go
+++ b/decide/controlstate/controlstate_test.go
@@ -1,9 +1,12 @@
 package controlstate
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/banyanfront/banyanfront/decide/registry"
 )
 
 func configure(version uint64, body string) Command {
@@ -92,3 +95,29 @@
 	is.Equal(second.Coordinator("a"), Coordinator{})
 	is.Equal(first.Coordinator("b").Lease, uint64(4)) // earlier states are not modified
 }
+
+// Guards against a departure that an older announcement of the server takes back, one that makes entry instances fetch the whole state,
+// and a state that grows with each server that has ever left.
+func TestDeparturesAreKept(t *testing.T) {
+	is := is.New(t)
+	s := State{Index: 3}
+	depart := func(index uint64, server string, state registry.State, sequence uint64) bool {
+		next, changed := s.Apply(index, Command{Depart: &registry.Announcement{Server: server, StartedAtMillis: 5, Sequence: sequence, State: state}})
+		is.Equal(next.Index, uint64(3))
+		s = next
+		return changed
+	}
+	is.True(depart(4, "a", registry.Draining, 7))
+	is.True(depart(5, "b", registry.Draining, 1))
+	is.True(depart(6, "a", registry.Deregistered, 0))
+	is.True(!depart(7, "a", registry.Draining, 8))
+	is.Equal(len(s.Departures), 2)
+	is.Equal(s.DeparturesAfter(5), []Departure{{registry.Announcement{Server: "a", StartedAtMillis: 5, State: registry.Deregistered}, 6}})
+	is.Equal(len(s.DeparturesAfter(6)), 0)
+	is.Equal(len(s.ForEntryInstances().Departures), 0)
+	for i := range uint64(3 * maxDepartures) {
+		depart(8+i, fmt.Sprint(i), registry.Deregistered, 0)
+	}
+	is.Equal(len(s.Departures), maxDepartures)
+	is.Equal(s.Departures[0].Index, uint64(8+2*maxDepartures))
+}
--- a/internal/directory/api.go
+++ b/internal/directory/api.go
@@ -115,19 +115,35 @@
 		refuseAnnouncement(w, server, err)
 		return
 	}
-	a.acceptAnnouncement(w, announcement)
+	a.acceptAnnouncement(w, r, announcement)
 }
 
-// acceptAnnouncement records an announcement and acknowledges it, unless other instances could not read it.
-func (a *api) acceptAnnouncement(w http.ResponseWriter, announcement registry.Announcement) {
+// acceptAnnouncement records an announcement and acknowledges it, unless other instances could not read it. That a server leaves is
+// acknowledged once it is agreed on: the server counts on it when this instance is gone, and may say nothing more.
+func (a *api) acceptAnnouncement(w http.ResponseWriter, r *http.Request, announcement registry.Announcement) {
 	if err := announcement.Validate(); err != nil {
 		refuseAnnouncement(w, announcement.Server, err)
 		return
 	}
+	if announcement.StartedAtMillis == 0 {
+		announcement.StartedAtMillis = a.startOf(announcement.Server)
+	}
 	a.HandleAnnouncement(announcement)
+	if announcement.State != registry.Ready && !a.commit(w, r, departureID(announcement), controlstate.Command{Depart: &announcement}) {
+		return
+	}
 	writeJSON(w, http.StatusOK, []byte("{}"))
 }
 
+// departureID identifies the command for a server that leaves: that it goes on draining is no news. If the start of its process is
+// unknown, it may be another process with the same name.
+func departureID(a registry.Announcement) string {
+	if a.StartedAtMillis == 0 {
+		return "departure/" + rand.Text()
+	}
+	return fmt.Sprintf("departure/%s/%d/%d", a.Server, a.StartedAtMillis, a.State)
+}
+
 func refuseAnnouncement(w http.ResponseWriter, server string, err error) {
 	log.WithError(err).WithField("server", strconv.QuoteToASCII(server)).Warn("invalid announcement; no server is added or updated")
 	writeError(w, http.StatusBadRequest, err)
@@ -140,7 +156,7 @@
 		return
 	}
 	defer body.Close()
-	a.acceptAnnouncement(w, platform.DecodeDeregistration(server, body.Bytes()))
+	a.acceptAnnouncement(w, r, platform.DecodeDeregistration(server, body.Bytes()))
 }
 
 func (a *api) replaceConfiguration(w http.ResponseWriter, r *http.Request) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -96,6 +96,7 @@
 	rankSessions        map[transport.Session]bool     // sessions from rank processes, which run beside the ranks of a group
 	controlSessions     map[transport.Session]string   // sessions with control instances, with their inner addresses
 	reportedAddresses   map[transport.Session][]string // control instances that the other side of a session knows
+	departuresMerged    uint64                         // log index up to which agreed departures are part of servers
 	announcementsSentAt time.Time
 	stateSentAt         time.Time
 	sentRoster          *protocol.ControlInstances
@@ -217,6 +218,7 @@
 	for _, id := range d.servers.Expire(now) {
 		log.WithField("server", id).Info("backend server dropped: too many announcements missed")
 	}
+	d.mergeDepartures(now)
 	ExpirePromptParts(now, d.promptParts)
 	d.quarantines.keep(now, d.promptParts.Quarantines())
 	d.expireServerLimits(now)
@@ -330,7 +332,7 @@
 		}
 		return
 	}
-	data, err := EncodeState(*state)
+	data, err := EncodeState(state.ForEntryInstances())
 	if err != nil {
 		log.WithError(err).Error("the agreed state could not be encoded")
 		return
@@ -362,8 +364,22 @@
 		Info("agreed state changed")
 	d.statePending.Store(true)
 	select {
-	case d.events <- func(time.Time) { d.broadcastRoster() }: // does nothing unless the coordinators of groups have changed
-	default: // the loop is far behind, and tells of both when it gets there
+	case d.events <- d.applyState:
+	default: // the loop is far behind, and does so when it gets there
+	}
+}
+
+// applyState tells of changed coordinators of groups, and takes over agreed departures of servers. It does nothing without either.
+func (d *Directory) applyState(now time.Time) {
+	d.broadcastRoster()
+	d.mergeDepartures(now)
+}
+
+// mergeDepartures takes over the departures of servers that other control instances have acknowledged, or this one before a restart.
+func (d *Directory) mergeDepartures(now time.Time) {
+	for _, departure := range d.State().DeparturesAfter(d.departuresMerged) {
+		d.recordAnnouncement(now, departure.Announcement)
+		d.departuresMerged = departure.Index
 	}
 }
 
@@ -429,12 +445,32 @@
 
 // HandleAnnouncement records an announcement of a backend server and schedules it for the entry instances.
 func (d *Directory) HandleAnnouncement(a registry.Announcement) {
-	d.post(func(now time.Time) {
-		if RecordAnnouncement(d.servers, now, 0, a) {
-			d.unsentChange = true
+	d.post(func(now time.Time) { d.recordAnnouncement(now, a) })
+}
+
+// startOf returns the start of the process of a server, as far as it has announced it here, 0 if it has not.
+func (d *Directory) startOf(server string) int64 {
+	started := make(chan int64, 1)
+	d.post(func(time.Time) {
+		if known := d.servers.Get(server); known != nil {
+			started <- known.StartedAtMillis
+		} else {
+			started <- 0
 		}
-		d.unsent[a.Server] = true
 	})
+	select {
+	case at := <-started:
+		return at
+	case <-d.done:
+		return 0
+	}
+}
+
+func (d *Directory) recordAnnouncement(now time.Time, a registry.Announcement) {
+	if RecordAnnouncement(d.servers, now, 0, a) {
+		d.unsentChange = true
+	}
+	d.unsent[a.Server] = true
 }
 
 // proposeTimeout limits the wait until a change is committed.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -160,6 +160,16 @@
 	return d, server
 }
 
+// awaitGroup returns once the group of a single instance is founded: it agrees on nothing before that.
+func awaitGroup(d *Directory) {
+	for {
+		if _, err := d.ConfirmedState(context.Background()); err == nil {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 func call(t *testing.T, method, url, body string) (int, string) {
 	t.Helper()
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
@@ -249,6 +259,7 @@
 func TestAnnouncementsBecomeServers(t *testing.T) {
 	is := is.New(t)
 	d, server := startSingleInstance(t)
+	awaitGroup(d)
 	path := func(pattern, id string) string { return server.URL + pathOf(pattern, id) }
 	status, _ := call(t, http.MethodPost, path(platform.AnnouncePath, "i1"),
 		`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready","sequence":1,"born":7}`)
@@ -373,6 +384,7 @@
 func TestForeignAnnouncementDoesNotHideALeave(t *testing.T) {
 	is := is.New(t)
 	d, server := startSingleInstance(t)
+	awaitGroup(d)
 	announce := func(sequence int, state, born string) int {
 		status, _ := call(t, http.MethodPost, server.URL+pathOf(platform.AnnouncePath, "i1"), fmt.Sprintf(
 			`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,"state":%q,"sequence":%d%s}`, state, sequence, born))
