--- a/decide/consensus/durability.go
+++ b/decide/consensus/durability.go
@@ -7,10 +7,23 @@
 // majority of voters, and so on one member at least of each majority that can elect a leader. What remains is whether
 // enough voters come back for such a majority, under each configuration that may be the newest one on a remaining disk.
 
-// LossesBorne returns how many disks may be lost at once such that the other voters still elect a leader. Voters that have
-// departed do not come back. A voter that is silent for another reason either comes back with its disk or is one of
-// the losses. The result is negative if the group cannot elect a leader even now.
-func (m Members) LossesBorne(departed func(ID) bool) int {
+// lossesBorne returns how many disks may be lost at once, whichever of the configurations is the newest one on the remaining
+// disks. It is negative if the group cannot elect a leader even now. running reports whether a member is known to run.
+func lossesBorne(configurations []Members, running func(ID) bool) int {
+	departed := func(id ID) bool {
+		// The configuration that takes a departed member out no longer names its successor, so an earlier one has to.
+		return slices.ContainsFunc(configurations, func(m Members) bool { return m.hasDeparted(id, running) })
+	}
+	borne := configurations[0].spareVoters(departed)
+	for _, m := range configurations[1:] {
+		borne = min(borne, m.spareVoters(departed))
+	}
+	return borne
+}
+
+// spareVoters returns how many of the voters that have not departed are left over after a majority of all voters. A voter that is
+// silent for another reason either comes back with its disk or is one of the losses, so it counts.
+func (m Members) spareVoters(departed func(ID) bool) int {
 	remaining := 0
 	for i := range m.List {
 		if !m.List[i].Learner && !departed(m.List[i].ID) {
@@ -20,30 +33,9 @@
 	return remaining - m.majority()
 }
 
-// isDeparted reports whether a member has gone for good as far as the configuration knows: a running member replaces it.
-func (m Members) isDeparted(id ID, running func(ID) bool) bool {
-	for i := range m.List {
-		if m.List[i].Replaces == id && id != 0 && m.List[i].ID != id && running(m.List[i].ID) {
-			return true
-		}
-	}
-	return false
-}
-
-// lossesBorne returns how many disks may be lost under whichever of the configurations is the newest one on the remaining
-// disks.
-func lossesBorne(configurations []Members, running func(ID) bool) int {
-	borne := 0
-	for i, m := range configurations {
-		n := m.LossesBorne(func(id ID) bool {
-			// The configuration that takes a departed member out no longer names its successor.
-			return slices.ContainsFunc(configurations, func(m Members) bool { return m.isDeparted(id, running) })
-		})
-		if i == 0 || n < borne {
-			borne = n
-		}
-	}
-	return borne
+// hasDeparted reports whether a member has gone for good as far as the configuration knows: a running member replaces it.
+func (m Members) hasDeparted(id ID, running func(ID) bool) bool {
+	return slices.ContainsFunc(m.List, func(other Member) bool { return other.Replaces == id && running(other.ID) })
 }
 
 // possibleConfigurations returns those that may be the newest one on the disk of a voter whose log has all committed
@@ -58,9 +50,6 @@
 	return possible
 }
 
-// LossesBorne returns, on the leader, how many disks may be lost at once with all committed entries kept.
-func (n *Node) LossesBorne() int { return lossesBorne(n.possibleConfigurations(), n.isRunning) }
-
 // isRunning reports whether the member is this one or has replied to this leader recently.
 func (n *Node) isRunning(id ID) bool {
 	p := n.peers[id]
@@ -68,16 +57,18 @@
 }
 
 // Durable returns the index up to which committed entries may be acknowledged: they survive the tolerated losses. The
-// leader determines it, and the other members learn it from the leader. It never falls: later configurations bear as many
-// losses (see changeMembers).
+// leader determines it, and the other members learn it from the leader. It never falls, since later configurations bear the
+// tolerated losses, too (see checkVoters).
 func (n *Node) Durable() uint64 { return n.durable }
 
-// updateDurable raises the durable index of a leader to its commit index if the tolerated losses are borne at present.
-func (n *Node) updateDurable() {
-	if n.role == Leader && n.durable < n.log.commit && n.LossesBorne() >= n.cfg.ToleratedLosses {
-		n.durable = n.log.commit
-		n.broadcast()
+// raiseDurable raises the durable index of the leader to its commit index if the tolerated losses are borne at present, and
+// reports whether that is news.
+func (n *Node) raiseDurable() bool {
+	if n.durable >= n.log.commit || lossesBorne(n.possibleConfigurations(), n.isRunning) < n.cfg.ToleratedLosses {
+		return false
 	}
+	n.durable = n.log.commit
+	return true
 }
 
 // commitHeader sets the commit index that a message announces, and how many entries before it are not durable.
--- a/decide/consensus/election.go
+++ b/decide/consensus/election.go
@@ -156,7 +156,9 @@
 	if !n.now.Before(n.nextHeartbeat) {
 		n.sendHeartbeats()
 		n.advanceReplacements()
-		n.updateDurable()
+		if n.raiseDurable() {
+			n.broadcast()
+		}
 	}
 }
 
@@ -164,11 +166,7 @@
 func (n *Node) activeVoters(members Members) int {
 	active := 0
 	for _, member := range members.List {
-		if member.Learner {
-			continue
-		}
-		p := n.peers[member.ID]
-		if member.ID == n.cfg.ID || (p != nil && n.now.Sub(p.lastReply) <= n.cfg.ElectionTimeout) {
+		if !member.Learner && n.isRunning(member.ID) {
 			active++
 		}
 	}
--- a/decide/consensus/members.go
+++ b/decide/consensus/members.go
@@ -40,7 +40,7 @@
 			return m, fmt.Errorf("member %x is already in the group", add.ID)
 		}
 		next.List = append(next.List, add)
-	case c.Retire != 0:
+	case c.Retire != 0: // Promote names the successor that the leader has chosen
 		member := next.Find(c.Retire)
 		if member == nil || member.Learner {
 			return m, fmt.Errorf("member %x is not a voter of the group", c.Retire)
@@ -141,23 +141,19 @@
 
 // successor returns the learner that replaces a retiring voter, 0 if none has caught up.
 func (n *Node) successor() ID {
-	var best *Member
+	var best ID
 	for _, member := range n.Members().List {
-		if member.Learner && !member.Promote && n.caughtUp(member.ID) && (best == nil || n.matchIndex(member.ID) > n.matchIndex(best.ID)) {
-			best = &member
+		if member.Learner && !member.Promote && n.caughtUp(member.ID) && n.matchIndex(member.ID) > n.matchIndex(best) {
+			best = member.ID
 		}
 	}
-	if best == nil {
-		return 0
-	}
-	return best.ID
+	return best
 }
 
 // caughtUp reports whether a learner has nearly all committed entries and has replied recently.
 func (n *Node) caughtUp(id ID) bool {
 	p := n.peers[id]
-	return p != nil && p.snapshotTransfer == nil && p.match > 0 && p.match+maxLearnerLagEntries >= n.log.commit &&
-		n.now.Sub(p.lastReply) <= n.cfg.ElectionTimeout
+	return p != nil && p.snapshotTransfer == nil && p.match > 0 && p.match+maxLearnerLagEntries >= n.log.commit && n.isRunning(id)
 }
 
 // advanceReplacements makes a learner with the Promote flag a voter once it has caught up, and takes out the voter that it
--- a/decide/consensus/node.go
+++ b/decide/consensus/node.go
@@ -352,7 +352,6 @@
 	Term                         uint64
 	Vote                         ID
 	First, Last, Commit, Applied uint64
-	Durable                      uint64 // see Node.Durable
 	Members                      Members
 	// Match is, on the leader, the highest log index known to be on each member's disk.
 	Match map[ID]uint64
@@ -361,8 +360,7 @@
 // Status returns the current state of the member.
 func (n *Node) Status() Status {
 	s := Status{ID: n.cfg.ID, Role: n.role, Leader: n.leader, Term: n.hardState.Term, Vote: n.hardState.Vote,
-		First: n.log.prevIndex + 1, Last: n.log.lastIndex(), Commit: n.log.commit, Applied: n.log.applied,
-		Durable: n.Durable(), Members: n.Members()}
+		First: n.log.prevIndex + 1, Last: n.log.lastIndex(), Commit: n.log.commit, Applied: n.log.applied, Members: n.Members()}
 	if n.role == Leader {
 		s.Match = make(map[ID]uint64, len(n.peers))
 		for id := range n.peers {
--- a/decide/consensus/replication.go
+++ b/decide/consensus/replication.go
@@ -216,9 +216,7 @@
 	index := matches[len(matches)-members.majority()]
 	if term, ok := n.log.term(index); index > n.log.commit && ok && term == n.hardState.Term {
 		n.log.commit = index
-		if n.LossesBorne() >= n.cfg.ToleratedLosses {
-			n.durable = index
-		}
+		n.raiseDurable()
 		n.broadcast()
 	}
 }
