--- a/decide/consensus/durability_test.go
+++ b/decide/consensus/durability_test.go
@@ -140,6 +140,9 @@
 // work carries out what a member has to do.
 func (g *testGroup) work(id ID, m *testMember) {
 	for r := m.node.Ready(); !r.Empty(); r = m.node.Ready() {
+		if r.Snapshot != nil {
+			m.disk.Snapshot, m.disk.Entries = *r.Snapshot, nil
+		}
 		if r.HardState != nil {
 			m.disk.HardState = *r.HardState
 		}
@@ -295,17 +298,32 @@
 		g.runUntil(100, func() bool { return g.leader() != nil })
 		g.runUntil(45, func() bool { return false })
 		g.propose(&Change{Promote: successor, Replaces: replaced})
-	}, nothing, func(g *testGroup, replaced ID) int {
-		if g.stillVotes(replaced) {
-			return g.tolerate - 1
-		}
-		return g.tolerate // the successor has taken its place
-	}},
+	}, nothing, lossesBesideALostOne},
+	emptyDisk,
 	{"a voter leaves", func(g *testGroup, replaced, _ ID) {
 		retire(g, replaced)
 	}, departIfReplaced, func(g *testGroup, _ ID) int { return g.tolerate }},
 }
 
+// emptyDisk has a voter come back without its disk, as a member that replaces the voter. It needs no learner.
+var emptyDisk = memberChange{"a disk comes back empty", func(g *testGroup, replaced, _ ID) {
+	delete(g.members, replaced)
+	g.runUntil(100, func() bool { return g.leader() != nil })
+	g.acknowledges()
+	const joiner = 50
+	g.members[joiner] = &testMember{}
+	g.restart(joiner)
+	g.propose(&Change{Add: &Member{ID: joiner, Promote: true, Replaces: replaced}})
+}, nothing, lossesBesideALostOne}
+
+// lossesBesideALostOne returns how many more disks may be lost: the first one counts until its successor has taken its place.
+func lossesBesideALostOne(g *testGroup, replaced ID) int {
+	if g.stillVotes(replaced) {
+		return g.tolerate - 1
+	}
+	return g.tolerate
+}
+
 // growing promotes learners until there are enough voters to bear the tolerated losses, as after the founding of a group.
 var growing = memberChange{"the group grows", func(*testGroup, ID, ID) {}, func(g *testGroup, _ ID) {
 	if leader := g.leader(); leader != nil && leader.node.Members().Voters() < 2*g.tolerate+1 {
@@ -362,6 +380,8 @@
 		explore(3, 3, 1, change, true)
 		explore(5, 1, 2, change, false)
 	}
+	explore(3, 0, 1, emptyDisk, false)
+	explore(5, 0, 2, emptyDisk, false)
 	explore(3, 3, 2, growing, false)
 }
 
