--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -7,10 +7,10 @@
 // quarantined once engines have ended twice with it, without an answer on it in between. The ends that it explains then no longer
 // count against other parts.
 //
-// Where no answer of the service begins between two ends, as nothing does while a lock-step group is closed, the second fact
+// Where nothing of the service is answered between two ends, as nothing is while a lock-step group is closed, the second fact
 // says nothing. A part that few requests have is then quarantined by the first fact alone, after one end more. In a quiet hour the
 // next answer may be a minute away, and most requests may have the part at fault. So the same holds for a part on which no answer has
-// ever begun, provided that the service has answered other requests lately: one that is broken as a whole would put all parts into
+// ever gone on, provided that the service has answered other requests lately: one that is broken as a whole would put all parts into
 // quarantine. Such a quarantine is short at first, as it may hit a part that many sound requests have.
 //
 // A whole request that comes again is a part of its own, which RequestPart names by a digest. Other requests do not share it, so a
@@ -250,7 +250,7 @@
 // countEnd counts an end if it is separate from those before, and reports whether that suffices for a quarantine.
 func (t *Tracker) countEnd(end *End, s *Suspicion) bool {
 	at, sentAt := end.At, end.At.Add(-end.OpenFor)
-	// While no answer of the service begins, nothing distinguishes a part from the others: engines that crash as they start, or a
+	// While the service answers nothing, nothing distinguishes a part from the others: engines that crash as they start, or a
 	// group that is broken again and again, would put all parts into quarantine.
 	// Answers in between say little, too, if the ends are close: other servers answer while some crash together.
 	// A stream that is being answered is open for long, and two engines may end in that time by chance.
