--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -37,11 +37,9 @@
 	for _, dark := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			f := newControlFleet(t, 3)
-			defer f.stopAll()
 			seeds := []string{"a", "b", "c"}
-			f.startFounders(seeds...)
-			time.Sleep(5 * time.Second)
+			f := startControls(t, 3, seeds...)
+			defer f.stopAll()
 			announce := func(at, server, body string) int {
 				return post(t, newAPI(f.nodes[at].Directory, nil, testGate).handler(), platform.AnnouncePath, server, body)
 			}
@@ -83,10 +81,8 @@
 func TestDepartureWithoutMajorityIsNotAcknowledged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newControlFleet(t, 3)
+		f := startControls(t, 3, "a", "b", "c")
 		defer f.stopAll()
-		f.startFounders("a", "b", "c")
-		time.Sleep(5 * time.Second)
 		f.crash(f.nodes["b"])
 		f.crash(f.nodes["c"])
 		handler := newAPI(f.nodes["a"].Directory, nil, testGate).handler()
--- a/internal/directory/rejoin_test.go
+++ b/internal/directory/rejoin_test.go
@@ -115,6 +115,14 @@
 	return f, f.nodes[address]
 }
 
+// startControls starts a fleet of control instances with a founded group.
+func startControls(t *testing.T, voters int, addresses ...string) *controlFleet {
+	f := newControlFleet(t, voters)
+	f.startFounders(addresses...)
+	time.Sleep(5 * time.Second)
+	return f
+}
+
 // connectEntry opens a session from an entry instance.
 func (f *controlFleet) connectEntry(to *controlNode, instance fleet.InstanceID, h transport.Handler) transport.Session {
 	f.t.Helper()
@@ -349,10 +357,8 @@
 	for _, leaves := range []string{"a", "b", "c"} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			f := newControlFleet(t, 3)
+			f := startControls(t, 3, "a", "b", "c")
 			defer f.stopAll()
-			f.startFounders("a", "b", "c")
-			time.Sleep(5 * time.Second)
 			f.start("d", emptyDisk(4), false, "a", "b", "c")
 			time.Sleep(5 * time.Second)
 			is.NoErr(f.commit(1))
@@ -380,11 +386,9 @@
 	for _, spare := range []string{"", "d"} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			f := newControlFleet(t, 3)
-			defer f.stopAll()
 			running := []string{"a", "b", "c"}
-			f.startFounders(running...)
-			time.Sleep(5 * time.Second)
+			f := startControls(t, 3, running...)
+			defer f.stopAll()
 			if spare != "" {
 				f.start(spare, emptyDisk(4), false, running...)
 				time.Sleep(5 * time.Second)
@@ -411,10 +415,8 @@
 func TestFirstChangeIsAcknowledgedOnceEnoughInstancesVote(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newControlFleet(t, 5)
+		f := startControls(t, 5, "a", "b", "c")
 		defer f.stopAll()
-		f.startFounders("a", "b", "c")
-		time.Sleep(5 * time.Second)
 		is.True(f.commit(1) != nil)
 		for i, address := range []string{"d", "e", "f"} {
 			f.start(address, emptyDisk(uint64(i)+4), false, "a", "b", "c")
