Test of a suspect session: the stall begins before the request is opened

Traced: the error was EOF. The peer answers a request at once and ends it; between opening and stalling it may have done so, and then the request is complete, not interrupted.

--- a/internal/transport/reconnector_test.go
+++ b/internal/transport/reconnector_test.go
@@ -72,11 +72,11 @@
 		}})
 		advance(10 * time.Second)
 		first := r.Session()
-		interrupted, err := first.Open(context.Background(), &protocol.Open{})
-		is.NoErr(err)
 		_, faults := peer.connection(0)
 		faults.Stall(AToB, true)
 		faults.Stall(BToA, true)
+		interrupted, err := first.Open(context.Background(), &protocol.Open{}) // after the stall, as the peer answers at once
+		is.NoErr(err)
 		advance(DefaultSuspectAfter + time.Millisecond)
 		is.Equal(len(changes), 2)
 		is.Equal(changes[1].previous, first)
