--- a/decide/consensus/members.go
+++ b/decide/consensus/members.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Change is a requested change of the configuration; exactly one field is set, apart from Replaces and Retiring.
+// Change is a requested change of the configuration; exactly one field is set, apart from Replaces.
 type Change struct {
 	Add        *Member `cbor:"1,keyasint,omitempty"` // added as a learner, whatever its Learner field
 	Promote    ID      `cbor:"2,keyasint,omitempty"`
